--- /dev/null
+++ b/internal/decider/covered.go
@@ -0,0 +1,195 @@
+package decider
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/pulleyring/pulleyring/pkg/contract"
+)
+
+// checkpointCost is the work in seconds that stopping a gang with checkpoints is taken to lose.
+const checkpointCost = 5
+
+// keptStops is the number of times a gang may be stopped for large gangs that are not covered by a guarantee.
+const keptStops = 3
+
+// claimRoom offers a workspace's pledge on a worker, its own stoppable gangs left out of account.
+func (b *board) claimRoom(workspace string) func(worker int) contract.Shape {
+	return func(worker int) contract.Shape {
+		p := b.seats[worker].part(workspace)
+		if p == nil {
+			return contract.Shape{}
+		}
+		return p.shape.Sub(p.fixed)
+	}
+}
+
+// covered reports whether the job stays within what is pledged to its workspace in this hall.
+func (b *board) covered(j *Job) bool {
+	need := j.Accelerators()
+	return need > 0 && b.charged[j.Workspace]+need <= b.pledged[j.Workspace]
+}
+
+// plan is a way to place a gang by stopping others.
+type plan struct {
+	rack    int
+	members []Member
+	victims []int   // Running gangs to stop.
+	cost    float64 // Accelerator-seconds of work that stopping them loses.
+}
+
+// claim starts a covered job on its workspace's pledge, or stops borrowers so that it can start soon.
+// It reports whether the job was dealt with.
+func (b *board) claim(index int, j *Job) bool {
+	if b.startOnPledge(j) {
+		return true
+	}
+	best := b.cheapestPlan(j, b.claimRoom(j.Workspace), func(i int) bool {
+		return b.view.Running[i].Job.Lendable()
+	})
+	if best == nil {
+		return false
+	}
+	reason := &Reason{Code: ReclaimedFor, Rack: b.view.Racks[best.rack].Name, Who: j.Key}
+	for _, i := range best.victims {
+		b.stop(i, j.Urgent, j.Key, reason)
+	}
+	b.reserve(j, best.members)
+	b.wait(index, &Reason{Code: AwaitsReclaim, Rack: reason.Rack, Who: j.Workspace})
+	return true
+}
+
+// startOnPledge starts the job where its pledge is free now, on the rack that it fills the most.
+func (b *board) startOnPledge(j *Job) bool {
+	room := func(worker int) contract.Shape {
+		s := &b.seats[worker]
+		p := s.part(j.Workspace)
+		if p == nil {
+			return contract.Shape{}
+		}
+		return meet(p.shape.Sub(p.used), s.free)
+	}
+	rack, members := b.fullestRack(j, room, nil)
+	if members == nil {
+		return false
+	}
+	b.start(j, members, &Reason{Code: Guaranteed, Rack: b.view.Racks[rack].Name})
+	return true
+}
+
+// cheapestPlan returns the rack where the gang can be placed by stopping the least work, or nil.
+func (b *board) cheapestPlan(j *Job, room func(int) contract.Shape, stoppable func(int) bool) *plan {
+	var best *plan
+	for rack := range b.view.Racks {
+		members := b.spread(rack, j, room)
+		if members == nil {
+			continue
+		}
+		p := &plan{rack: rack, members: members}
+		if b.choose(p, j, stoppable) && (best == nil || p.cost < best.cost) {
+			best = p
+		}
+	}
+	return best
+}
+
+// choose picks the victims of a plan: gangs that lose the least work for each accelerator they free, worker by worker.
+func (b *board) choose(p *plan, j *Job, stoppable func(int) bool) bool {
+	chosen := map[int]bool{}
+	freed := map[int]contract.Shape{}
+	for _, m := range p.members {
+		need := j.Shape.Times(m.Count)
+		s := &b.seats[m.Worker]
+		for !need.Fits(s.free.Add(s.leaving).Add(freed[m.Worker])) {
+			victim := b.cheapestVictim(s, chosen, stoppable)
+			if victim < 0 {
+				return false
+			}
+			chosen[victim] = true
+			p.victims = append(p.victims, victim)
+			p.cost += b.loss(victim)
+			for _, vm := range b.view.Running[victim].Members {
+				freed[vm.Worker] = freed[vm.Worker].Add(b.view.Running[victim].Job.Shape.Times(vm.Count))
+			}
+		}
+	}
+	return true
+}
+
+func (b *board) cheapestVictim(s *seat, chosen map[int]bool, stoppable func(int) bool) int {
+	best := -1
+	bestCost := 0.0
+	for _, i := range s.gangs {
+		if i < 0 || chosen[i] || b.stopping[i] || !stoppable(i) {
+			continue
+		}
+		cost := b.loss(i) / float64(max(1, b.view.Running[i].Job.Accelerators()))
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+// loss returns the accelerator-seconds of work that stopping a running gang loses; gangs without accelerators count
+// as a tenth of one.
+func (b *board) loss(i int) float64 {
+	r := &b.view.Running[i]
+	size := max(float64(r.Job.Accelerators()), 0.1)
+	ran := b.view.Now.Sub(r.Started).Seconds()
+	if r.Job.Checkpoints {
+		return size * min(ran, checkpointCost)
+	}
+	return size * ran * float64(1+r.Job.Stops)
+}
+
+// reserve takes devices for a gang that starts once others have left: from what is leaving first, then from what
+// is free.
+func (b *board) reserve(j *Job, members []Member) {
+	for _, m := range members {
+		s := &b.seats[m.Worker]
+		need := j.Shape.Times(m.Count)
+		fromLeaving := meet(need, s.leaving)
+		s.leaving = s.leaving.Sub(fromLeaving)
+		s.free = s.free.Sub(need.Sub(fromLeaving))
+	}
+	b.charge(j, members)
+	b.used[j.Workspace] += j.Accelerators()
+}
+
+// claimWhole clears and keeps the whole pledge of a workspace whose operator claimed it back.
+func (b *board) claimWhole(workspace string) {
+	reason := &Reason{Code: ReclaimedFor, Who: workspace}
+	for k := range b.seats {
+		s := &b.seats[k]
+		p := s.part(workspace)
+		if p == nil {
+			continue
+		}
+		idle := p.shape.Sub(p.used)
+		for !idle.Fits(s.free.Add(s.leaving)) {
+			victim := b.cheapestVictim(s, nil, func(i int) bool {
+				return b.charges[i] == borrowed && b.view.Running[i].Job.Lendable()
+			})
+			if victim < 0 {
+				break // Unstoppable work within the bounds of the plan can't be here; a failed worker's can.
+			}
+			b.stop(victim, false, workspace, reason)
+		}
+		fromLeaving := meet(idle, s.leaving)
+		s.leaving = s.leaving.Sub(fromLeaving)
+		s.free = s.free.Sub(idle.Sub(fromLeaving))
+	}
+}
+
+// sortCovered orders covered jobs: urgent ones first, then by arrival.
+func sortCovered(waiting []Job, indexes []int) {
+	slices.SortFunc(indexes, func(x, y int) int {
+		p, q := &waiting[x], &waiting[y]
+		return cmp.Or(compareBool(!p.Urgent, !q.Urgent), p.Arrived.Compare(q.Arrived), cmp.Compare(p.Key, q.Key))
+	})
+}
+
+// age returns how long a job has waited.
+func (b *board) age(j *Job) time.Duration { return b.view.Now.Sub(j.Arrived) }
--- /dev/null
+++ b/internal/inifile/inifile.go
@@ -0,0 +1,120 @@
+// Package inifile reads INI documents and reports every mistake with its line.
+package inifile
+
+import (
+	"strings"
+
+	"github.com/pulleyring/pulleyring/pkg/finding"
+	"gopkg.in/ini.v1"
+)
+
+// File is one parsed document; Findings grows while its sections are read.
+type File struct {
+	Name     string
+	Findings finding.List
+
+	file  *ini.File
+	lines map[string]int // Section, a line feed and the key, to the line number.
+}
+
+// Section is one section; Kind is the part of its name before the first dot and Name the part after it.
+type Section struct {
+	Kind string
+	Name string
+
+	owner *File
+	full  string
+	body  *ini.Section
+}
+
+// Parse reads a document; what can't be parsed is a finding.
+func Parse(name string, raw []byte) *File {
+	f := &File{Name: name, lines: map[string]int{}}
+	f.index(string(raw))
+	options := ini.LoadOptions{SkipUnrecognizableLines: true, IgnoreInlineComment: false}
+	file, err := ini.LoadSources(options, raw)
+	if err != nil {
+		f.Findings.Add(name, "document", "an INI document", "%v", err)
+		file = ini.Empty()
+	}
+	f.file = file
+	return f
+}
+
+// index remembers the line of every section and key, and reports lines that are neither and keys that stand twice.
+func (f *File) index(text string) {
+	section := ""
+	for i, line := range strings.Split(text, "\n") {
+		line = strings.TrimSpace(line)
+		if line == "" || line[0] == ';' || line[0] == '#' {
+			continue
+		}
+		if line[0] == '[' {
+			section = strings.TrimSpace(strings.Trim(line, "[]"))
+			f.remember(section, "", i+1)
+			continue
+		}
+		key, _, found := strings.Cut(line, "=")
+		if !found {
+			f.Findings.Add(f.place(i+1), section, "key = value", "%q is neither a section nor a key", line)
+			continue
+		}
+		f.remember(section, strings.TrimSpace(key), i+1)
+	}
+}
+
+func (f *File) remember(section, key string, line int) {
+	id := section + "\n" + key
+	if first := f.lines[id]; first > 0 {
+		what := "section"
+		if key != "" {
+			what = "key"
+		}
+		f.Findings.Add(f.place(line), dotted(section, key), "once", "the %s stands already in line %d", what, first)
+		return
+	}
+	f.lines[id] = line
+}
+
+func dotted(section, key string) string {
+	if key == "" {
+		return section
+	}
+	return section + "." + key
+}
+
+func (f *File) place(line int) string {
+	if line == 0 {
+		return f.Name
+	}
+	return f.Name + ":" + itoa(line)
+}
+
+// Sections returns the sections of the document in their order, without the unnamed one.
+func (f *File) Sections() []Section {
+	var list []Section
+	for _, s := range f.file.Sections() {
+		if s.Name() == ini.DefaultSection {
+			f.reportStray(s)
+			continue
+		}
+		kind, name, _ := strings.Cut(s.Name(), ".")
+		list = append(list, Section{Kind: kind, Name: name, owner: f, full: s.Name(), body: s})
+	}
+	return list
+}
+
+func (f *File) reportStray(s *ini.Section) {
+	for _, k := range s.Keys() {
+		f.Findings.Add(f.place(f.lines["\n"+k.Name()]), k.Name(), "a key inside a section", "stands before the first section")
+	}
+}
+
+// Add reports a finding about a key of the section; an empty key stands for the section.
+func (s Section) Add(key, allowed, problem string, args ...any) {
+	line := s.owner.lines[s.full+"\n"+key]
+	if line == 0 {
+		line = s.owner.lines[s.full+"\n"]
+	}
+	s.owner.Findings.Add(s.owner.place(line), dotted(s.full, key), allowed, problem, args...)
+}
--- /dev/null
+++ b/internal/table/client.go
@@ -0,0 +1,82 @@
+package table
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+
+	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/wire"
+)
+
+// Client speaks to the table service over HTTP.
+type Client struct {
+	Base string // Base URL, http://IP:port.
+	HTTP *http.Client
+}
+
+// Commit implements Service.
+func (c *Client) Commit(ctx context.Context, txn Txn) (int64, error) {
+	var reply struct {
+		Revision int64 `json:"revision"`
+	}
+	err := c.call(ctx, http.MethodPost, "/table/commit", txn, &reply)
+	return reply.Revision, err
+}
+
+// Read implements Service.
+func (c *Client) Read(ctx context.Context, keys []string) ([]Row, error) {
+	var reply struct {
+		Rows []Row `json:"rows"`
+	}
+	body := struct {
+		Keys []string `json:"keys"`
+	}{keys}
+	err := c.call(ctx, http.MethodPost, "/table/read", body, &reply)
+	return reply.Rows, err
+}
+
+// Changes implements Service.
+func (c *Client) Changes(ctx context.Context, prefix string, after int64, limit int) ([]Row, int64, error) {
+	var reply struct {
+		Rows     []Row `json:"rows"`
+		Revision int64 `json:"revision"`
+	}
+	path := fmt.Sprintf("/table/changes?prefix=%s&after=%d&limit=%d", url.QueryEscape(prefix), after, limit)
+	err := c.call(ctx, http.MethodGet, path, nil, &reply)
+	return reply.Rows, reply.Revision, err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body, reply any) error {
+	var err error
+	if method == http.MethodGet {
+		err = wire.Get(ctx, c.HTTP, c.Base+path, reply)
+	} else {
+		err = wire.Post(ctx, c.HTTP, c.Base+path, body, reply)
+	}
+	return classify(err)
+}
+
+// classify tells apart what surely did nothing from what may have been applied.
+func classify(err error) error {
+	if err == nil {
+		return nil
+	}
+	var status *wire.StatusError
+	if !errors.As(err, &status) {
+		return errors.Wrap(ErrUnknown, err.Error())
+	}
+	switch status.Status {
+	case http.StatusConflict:
+		conflict := &Conflict{}
+		if err := json.Unmarshal([]byte(status.Text), conflict); err != nil {
+			return errors.Wrap(ErrUnknown, "conflict without keys")
+		}
+		return conflict
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return ErrUnavailable
+	}
+	return errors.Wrap(ErrUnknown, err.Error())
+}
--- /dev/null
+++ b/internal/table/committer.go
@@ -0,0 +1,362 @@
+package table
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/xid"
+	"golang.org/x/time/rate"
+)
+
+// Priority orders what waits for the table; lower values go first.
+type Priority int
+
+// The priorities of the table budget.
+const (
+	Settle  Priority = iota // Outcomes of what ran.
+	Reclaim                 // Giving guarantees back and operators' commands.
+	Start                   // Placements.
+	Accept                  // New requests.
+	priorities
+)
+
+// ErrQueueFull says that an operation was refused before anything was sent.
+var ErrQueueFull = errors.New("table: too much waits for the table, nothing was done")
+
+// Limits of the committer that are no settings.
+const (
+	maxRowsPerTxn   = 100
+	firstBackoff    = 20 * time.Millisecond
+	maxBackoff      = 2 * time.Second
+	commitTimeout   = 2 * time.Second
+	commitsInFlight = 4
+	// maxWaiting bounds the acceptances that wait; settlements are bounded by what was accepted.
+	maxWaiting = 4096
+)
+
+// Op is one all-or-nothing change; each row that it writes must be among its checks.
+type Op struct {
+	Priority Priority
+	Checks   []Check
+	Writes   []Write
+}
+
+// Committer groups the operations of one box into few transactions under a budget.
+type Committer struct {
+	Service Service
+	Limiter *rate.Limiter // Transactions a second; nil means no limit.
+
+	mu      sync.Mutex
+	waiting [priorities][]*pending
+	count   int
+	wake    chan struct{}
+	once    sync.Once
+
+	Stats CommitStats
+}
+
+// CommitStats counts what the committer did.
+type CommitStats struct {
+	mu        sync.Mutex
+	Txns      int64 // Transactions sent, retries included.
+	Rows      int64 // Rows written by transactions that were applied.
+	Conflicts int64 // Operations that met another version.
+	Unknown   int64 // Transactions whose first answer was lost.
+}
+
+// Snapshot returns a copy of the counts.
+func (s *CommitStats) Snapshot() (txns, rows, conflicts, unknown int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Txns, s.Rows, s.Conflicts, s.Unknown
+}
+
+func (s *CommitStats) add(txns, rows, conflicts, unknown int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Txns += txns
+	s.Rows += rows
+	s.Conflicts += conflicts
+	s.Unknown += unknown
+}
+
+type pending struct {
+	Op
+	ctx  context.Context
+	done chan error
+}
+
+// Do commits one operation and returns nil once it is applied. The error is a *Conflict, ErrUnavailable or
+// ErrQueueFull where surely nothing was written, and ErrUnknown where ctx ended while the outcome was open;
+// the operation may then still be applied later.
+func (c *Committer) Do(ctx context.Context, op Op) error {
+	c.init()
+	p := &pending{Op: op, ctx: ctx, done: make(chan error, 1)}
+	c.mu.Lock()
+	if op.Priority == Accept && len(c.waiting[Accept]) >= maxWaiting {
+		c.mu.Unlock()
+		return ErrQueueFull
+	}
+	c.waiting[op.Priority] = append(c.waiting[op.Priority], p)
+	c.count++
+	c.mu.Unlock()
+	c.signal()
+	select {
+	case err := <-p.done:
+		return err
+	case <-ctx.Done():
+		return c.abandon(p)
+	}
+}
+
+// Waiting returns how many operations wait to be sent.
+func (c *Committer) Waiting() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.count
+}
+
+// Run sends what waits until ctx ends.
+func (c *Committer) Run(ctx context.Context) {
+	c.init()
+	var group sync.WaitGroup
+	for range commitsInFlight {
+		group.Go(func() { c.loop(ctx) })
+	}
+	group.Wait()
+}
+
+func (c *Committer) init() {
+	c.once.Do(func() { c.wake = make(chan struct{}, commitsInFlight) })
+}
+
+func (c *Committer) signal() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// abandon takes back an operation that was not sent yet; one that was sent is unknown to its owner.
+func (c *Committer) abandon(p *pending) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	queue := c.waiting[p.Priority]
+	for i, q := range queue {
+		if q == p {
+			c.waiting[p.Priority] = append(queue[:i:i], queue[i+1:]...)
+			c.count--
+			return ErrUnavailable
+		}
+	}
+	select {
+	case err := <-p.done:
+		return err
+	default:
+		return ErrUnknown
+	}
+}
+
+func (c *Committer) loop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.wake:
+		}
+		for c.Waiting() > 0 {
+			if c.Limiter != nil && c.Limiter.Wait(ctx) != nil {
+				return
+			}
+			batch := c.take()
+			if len(batch) == 0 {
+				break
+			}
+			c.send(ctx, batch)
+		}
+	}
+}
+
+// take removes the next group: by priority, no row twice, at most maxRowsPerTxn rows.
+func (c *Committer) take() []*pending {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var batch []*pending
+	rows := 0
+	used := map[string]bool{}
+	for i, queue := range c.waiting {
+		var rest []*pending
+		for _, p := range queue {
+			if rows+len(p.Writes) > maxRowsPerTxn && rows > 0 || overlaps(used, p.Op) {
+				rest = append(rest, p)
+				continue
+			}
+			mark(used, p.Op)
+			rows += len(p.Writes)
+			batch = append(batch, p)
+		}
+		c.waiting[i] = rest
+	}
+	c.count -= len(batch)
+	return batch
+}
+
+func overlaps(used map[string]bool, op Op) bool {
+	for _, k := range op.Checks {
+		if used[k.Key] {
+			return true
+		}
+	}
+	return false
+}
+
+func mark(used map[string]bool, op Op) {
+	for _, k := range op.Checks {
+		used[k.Key] = true
+	}
+}
+
+// send commits a group; operations in conflict leave it and the others are sent again.
+func (c *Committer) send(ctx context.Context, batch []*pending) {
+	for len(batch) > 0 {
+		txn := Txn{ID: xid.New().String()}
+		for _, p := range batch {
+			txn.Checks = append(txn.Checks, p.Checks...)
+			txn.Writes = append(txn.Writes, p.Writes...)
+		}
+		err := c.settle(ctx, txn, batch)
+		var conflict *Conflict
+		switch {
+		case err == nil:
+			c.Stats.add(0, int64(len(txn.Writes)), 0, 0)
+			finish(batch, nil)
+			return
+		case errors.As(err, &conflict):
+			batch = c.split(batch, conflict)
+		default:
+			finish(batch, err)
+			return
+		}
+	}
+}
+
+// split answers the operations in conflict and returns the others.
+func (c *Committer) split(batch []*pending, conflict *Conflict) []*pending {
+	lost := map[string]bool{}
+	for _, k := range conflict.Keys {
+		lost[k] = true
+	}
+	var rest []*pending
+	for _, p := range batch {
+		if overlaps(lost, p.Op) {
+			p.done <- conflict
+			continue
+		}
+		rest = append(rest, p)
+	}
+	c.Stats.add(0, 0, int64(len(batch)-len(rest)), 0)
+	if len(rest) == len(batch) { // A conflict that names no row of ours would repeat for ever.
+		finish(batch, conflict)
+		return nil
+	}
+	return rest
+}
+
+// settle sends one transaction until its outcome is known or ctx ends. The same id is sent again after a lost
+// answer: because every written row is checked, it can be applied once only, and a conflict that the first
+// sending caused is told apart by the id in the rows.
+func (c *Committer) settle(ctx context.Context, txn Txn, batch []*pending) error {
+	backoff := firstBackoff
+	unsure := false
+	for {
+		err := c.try(ctx, txn)
+		var conflict *Conflict
+		switch {
+		case err == nil:
+			return nil
+		case errors.As(err, &conflict):
+			if !unsure {
+				return err
+			}
+			applied, readErr := c.applied(ctx, txn)
+			if readErr == nil {
+				if applied {
+					return nil
+				}
+				return err
+			}
+		case errors.Is(err, ErrUnavailable):
+			if !unsure && abandoned(batch) {
+				return ErrUnavailable
+			}
+		default:
+			c.Stats.add(0, 0, 0, 1)
+			unsure = true
+		}
+		if !sleep(ctx, backoff/2+rand.N(backoff)) {
+			if unsure {
+				return ErrUnknown
+			}
+			return ErrUnavailable
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+// abandoned reports whether nobody waits for any operation of the group.
+func abandoned(batch []*pending) bool {
+	for _, p := range batch {
+		if p.ctx.Err() == nil {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Committer) try(ctx context.Context, txn Txn) error {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	c.Stats.add(1, 0, 0, 0)
+	_, err := c.Service.Commit(ctx, txn)
+	return err
+}
+
+// applied reads back whether an earlier sending of txn was applied.
+func (c *Committer) applied(ctx context.Context, txn Txn) (bool, error) {
+	keys := make([]string, len(txn.Writes))
+	for i, w := range txn.Writes {
+		keys[i] = w.Key
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	rows, err := c.Service.Read(ctx, keys)
+	if err != nil {
+		return false, err
+	}
+	for _, r := range rows {
+		if r.Txn == txn.ID {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
+func finish(batch []*pending, err error) {
+	for _, p := range batch {
+		p.done <- err
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
