--- /dev/null
+++ b/internal/api/api.go
@@ -0,0 +1,314 @@
+// Package api is the HTTP interface of a box for callers, operators, the balancer and monitoring.
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/command"
+	"github.com/pulleyring/pulleyring/internal/config"
+	"github.com/pulleyring/pulleyring/internal/identity"
+	"github.com/pulleyring/pulleyring/internal/intake"
+	"github.com/pulleyring/pulleyring/internal/operator"
+	"github.com/pulleyring/pulleyring/internal/settings"
+	"github.com/pulleyring/pulleyring/internal/timeline"
+	"github.com/pulleyring/pulleyring/internal/wire"
+	"github.com/pulleyring/pulleyring/pkg/contract"
+	"github.com/pulleyring/pulleyring/pkg/finding"
+	"github.com/pulleyring/pulleyring/pkg/request"
+	"github.com/rcrowley/go-metrics"
+)
+
+// Headers of the interface.
+const (
+	HeaderKey   = "Idempotency-Key"       // Id of a request.
+	HeaderRound = "Pulleyring-Submission" // Number of the submission of that id, from 1.
+)
+
+// Limits of the interface that are no settings.
+const (
+	longestWait    = 10 * time.Minute
+	operatorWithin = 60 * time.Second
+	maxSiteBytes   = 16 << 20
+)
+
+// Server answers the requests of a box. Fill in the exported fields before use.
+type Server struct {
+	Settings *settings.Box
+	Config   *config.Keeper
+	Intake   *intake.Intake
+	Desk     *operator.Desk
+	Apply    func(ctx context.Context, text string, base int64) (int64, error) // Commits a configuration.
+	Timeline func(ctx context.Context, job string) []timeline.Event            // Of all boxes.
+	Registry metrics.Registry
+
+	ready   atomic.Bool
+	leaving context.Context // Ends when waiting callers are to be told what is known so far.
+	leave   context.CancelFunc
+}
+
+// Handler returns the routes.
+func (s *Server) Handler() http.Handler {
+	s.leaving, s.leave = context.WithCancel(context.Background())
+	r := chi.NewRouter()
+	r.Get("/live", func(w http.ResponseWriter, _ *http.Request) { wire.Reply(w, http.StatusOK, struct{}{}) })
+	r.Get("/ready", s.serveReady)
+	r.Get("/metrics", s.serveMetrics)
+	r.Post("/v1/requests", s.asCaller(s.submit))
+	r.Get("/v1/requests/{id}", s.asCaller(s.ask))
+	r.Post("/v1/ask", s.asOperator(s.command))
+	r.Put("/v1/site", s.asOperator(s.apply))
+	r.Get("/v1/timeline", s.asOperator(s.timeline))
+	return r
+}
+
+// SetReady tells the balancer whether new requests are welcome.
+func (s *Server) SetReady(ready bool) { s.ready.Store(ready) }
+
+// Leave answers callers that wait for a gang with what is known, so that a planned stop need not wait for hours.
+func (s *Server) Leave() { s.leave() }
+
+func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !s.ready.Load() {
+		refuse(w, http.StatusServiceUnavailable, "the box takes no new work", nil)
+		return
+	}
+	wire.Reply(w, http.StatusOK, struct{}{})
+}
+
+func (s *Server) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(s.Registry, w)
+}
+
+// refuse writes a problem document.
+func refuse(w http.ResponseWriter, status int, title string, findings finding.List) {
+	raw, _ := json.Marshal(request.Problem{Type: "about:blank", Title: title, Status: status, Findings: findings}) // Plain structs encode.
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(status)
+	_, _ = w.Write(raw) // The other side is gone where this fails.
+}
+
+// callerHandler serves a request of a known caller.
+type callerHandler func(w http.ResponseWriter, r *http.Request, caller contract.Caller)
+
+// operatorHandler serves a request of a known operator.
+type operatorHandler func(w http.ResponseWriter, r *http.Request, name string)
+
+func (s *Server) asCaller(h callerHandler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		name, key, err := identity.Name(r)
+		caller, _ := s.Config.Caller(name)
+		if !identity.Matches(key, caller.KeyHash) || err != nil {
+			refuse(w, http.StatusUnauthorized, identity.ErrUnknown.Error(), nil)
+			return
+		}
+		h(w, r, caller)
+	}
+}
+
+func (s *Server) asOperator(h operatorHandler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		name, key, err := identity.Name(r)
+		if !identity.Matches(key, s.operatorHash(name)) || err != nil {
+			refuse(w, http.StatusUnauthorized, identity.ErrUnknown.Error(), nil)
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), operatorWithin)
+		defer cancel()
+		h(w, r.WithContext(ctx), name)
+	}
+}
+
+// operatorHash returns the hash of an operator's key: from the settings, or from the configuration in force.
+func (s *Server) operatorHash(name string) string {
+	for _, o := range s.Settings.Operators {
+		if o.Name == name {
+			return o.KeyHash
+		}
+	}
+	if site := s.Config.Site(); site != nil {
+		for _, o := range site.Operators {
+			if o.Name == name {
+				return o.KeyHash
+			}
+		}
+	}
+	return ""
+}
+
+// submit takes one request.
+func (s *Server) submit(w http.ResponseWriter, r *http.Request, caller contract.Caller) {
+	received := time.Now()
+	o := intake.Order{Identity: request.Identity{Caller: caller.Name, ID: r.Header.Get(HeaderKey)}, Received: received}
+	var findings finding.List
+	o.Round = readRound(r, &findings)
+	s.decode(w, r, &o.Submission, &findings)
+	if len(findings) == 0 {
+		findings = append(findings, request.Validate(s.Config.Site(), caller, o.ID, o.Submission)...)
+	}
+	if len(findings) > 0 {
+		refuse(w, http.StatusUnprocessableEntity, "the request was not taken; nothing of it is kept", findings)
+		return
+	}
+	ctx, cancel := s.waitContext(r, o.Submission.Gang > 0)
+	defer cancel()
+	s.reply(w, s.Intake.Submit(ctx, o))
+}
+
+func readRound(r *http.Request, findings *finding.List) int {
+	text := r.Header.Get(HeaderRound)
+	if text == "" {
+		return 1
+	}
+	round, err := strconv.Atoi(text)
+	if err != nil || round < 1 {
+		findings.Add("header", HeaderRound, "a whole number from 1", "%q is no number of a submission", text)
+	}
+	return round
+}
+
+// decode reads the body strictly.
+func (s *Server) decode(w http.ResponseWriter, r *http.Request, into any, findings *finding.List) {
+	body := http.MaxBytesReader(w, r.Body, int64(s.Settings.Limits.BodyBytes))
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	err := decoder.Decode(into)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		findings.Add("body", "", strconv.Itoa(s.Settings.Limits.BodyBytes)+" bytes at most", "is too large")
+	case err != nil:
+		findings.Add("body", "", "a JSON object of the documented fields", "%s", strings.TrimPrefix(err.Error(), "json: "))
+	case decoder.More():
+		findings.Add("body", "", "one JSON object", "goes on after its end")
+	}
+}
+
+// waitContext returns a context that ends when the caller no longer wants to wait: for gangs at once unless the header
+// Prefer: wait=SECONDS says otherwise, for small requests when they are settled.
+func (s *Server) waitContext(r *http.Request, gang bool) (context.Context, context.CancelFunc) {
+	wait := longestWait
+	if gang {
+		wait = 0
+	}
+	if text, ok := strings.CutPrefix(r.Header.Get("Prefer"), "wait="); ok {
+		if seconds, err := strconv.ParseFloat(text, 64); err == nil && seconds >= 0 {
+			wait = min(time.Duration(seconds*float64(time.Second)), longestWait)
+		}
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), wait)
+	stop := context.AfterFunc(s.leaving, cancel)
+	return ctx, func() { stop(); cancel() }
+}
+
+// reply writes what a caller is told.
+func (s *Server) reply(w http.ResponseWriter, reply request.Reply) {
+	status := http.StatusOK
+	switch reply.Outcome {
+	case request.Accepted:
+		status = http.StatusAccepted
+	case request.NotRun, request.Unresolved:
+		if reply.RetryAfterSeconds > 0 {
+			status = http.StatusServiceUnavailable
+			w.Header().Set("Retry-After", strconv.Itoa(reply.RetryAfterSeconds))
+		}
+	}
+	wire.Reply(w, status, reply)
+}
+
+// ask tells a caller what became of its request.
+func (s *Server) ask(w http.ResponseWriter, r *http.Request, caller contract.Caller) {
+	id := request.Identity{Caller: caller.Name, ID: chi.URLParam(r, "id")}
+	ctx, cancel := s.waitContext(r, true)
+	defer cancel()
+	reply, err := s.Intake.Await(ctx, id)
+	if err != nil {
+		refuse(w, http.StatusNotFound, "no request of that id is known to this caller", nil)
+		return
+	}
+	s.reply(w, reply)
+}
+
+// command carries out an operator's command.
+func (s *Server) command(w http.ResponseWriter, r *http.Request, name string) {
+	var body struct {
+		Command string `json:"command"`
+	}
+	var findings finding.List
+	s.decode(w, r, &body, &findings)
+	if len(findings) > 0 {
+		refuse(w, http.StatusUnprocessableEntity, "the command can't be read", findings)
+		return
+	}
+	list, err := s.Desk.Run(r.Context(), name, body.Command)
+	var mistake *command.Mistake
+	switch {
+	case errors.As(err, &mistake):
+		findings.Add("command", "column "+strconv.Itoa(mistake.Column), mistake.Expected, "%s", mistake.Problem)
+		refuse(w, http.StatusBadRequest, "the command has a mistake", findings)
+	case err != nil:
+		refuse(w, http.StatusServiceUnavailable, err.Error(), nil)
+	case list.Refused:
+		refuse(w, http.StatusConflict, list.Text, nil)
+	default:
+		wire.Reply(w, http.StatusOK, list)
+	}
+}
+
+// apply commits a configuration. The header If-Match names the version that it is meant to replace.
+func (s *Server) apply(w http.ResponseWriter, r *http.Request, _ string) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxSiteBytes))
+	if err != nil {
+		refuse(w, http.StatusRequestEntityTooLarge, "the configuration is too large", nil)
+		return
+	}
+	base := int64(-1)
+	if text := r.Header.Get("If-Match"); text != "" {
+		if base, err = strconv.ParseInt(text, 10, 64); err != nil {
+			refuse(w, http.StatusBadRequest, "If-Match is no version", nil)
+			return
+		}
+	}
+	version, err := s.Apply(r.Context(), string(raw), base)
+	var findings finding.List
+	var lost *ConflictError
+	switch {
+	case errors.As(err, &findings):
+		refuse(w, http.StatusUnprocessableEntity, "the configuration was not taken", findings)
+	case errors.As(err, &lost):
+		refuse(w, http.StatusConflict, lost.Error(), nil)
+	case err != nil:
+		refuse(w, http.StatusServiceUnavailable, err.Error(), nil)
+	default:
+		wire.Reply(w, http.StatusOK, struct {
+			Version int64 `json:"version"`
+		}{version})
+	}
+}
+
+// ConflictError says that another configuration was committed first.
+type ConflictError struct {
+	Version int64 // In force now.
+}
+
+// Error names the version in force.
+func (e *ConflictError) Error() string {
+	return "another configuration was committed first; version " + strconv.FormatInt(e.Version, 10) + " is in force"
+}
+
+// timeline returns the events of all boxes.
+func (s *Server) timeline(w http.ResponseWriter, r *http.Request, _ string) {
+	events := s.Timeline(r.Context(), r.URL.Query().Get("job"))
+	wire.Reply(w, http.StatusOK, struct {
+		Events []timeline.Event `json:"events"`
+	}{events})
+}
--- /dev/null
+++ b/internal/cli/box.go
@@ -0,0 +1,124 @@
+package cli
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/box"
+	"github.com/pulleyring/pulleyring/internal/identity"
+	"github.com/pulleyring/pulleyring/internal/link"
+	"github.com/pulleyring/pulleyring/internal/member"
+	"github.com/pulleyring/pulleyring/internal/object"
+	"github.com/pulleyring/pulleyring/internal/settings"
+	"github.com/pulleyring/pulleyring/internal/table"
+	"github.com/pulleyring/pulleyring/internal/upstream"
+	"github.com/pulleyring/pulleyring/internal/worker"
+	"go.uber.org/zap"
+)
+
+func runBox(e *env, args []string) int {
+	set := e.flags("box")
+	file := set.String("settings", "", "settings `file`")
+	if code, done := e.parse(set, args); done {
+		return code
+	}
+	if *file == "" || set.NArg() > 0 {
+		return e.usageError("box", "-settings FILE is required and nothing else")
+	}
+	raw, err := os.ReadFile(*file)
+	if err != nil {
+		return e.fail(exitUsage, err)
+	}
+	raw, err = expandBeside(*file, raw)
+	if err != nil {
+		return e.fail(exitUsage, err)
+	}
+	s, err := settings.Parse(*file, raw)
+	if err != nil {
+		return e.fail(exitUsage, err)
+	}
+	planned := make(chan struct{})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() { <-signals; close(planned) }()
+	if err := serveBox(context.Background(), s, planned, newLog(e.err, s.Log.Level)); err != nil {
+		return e.fail(exitBad, err)
+	}
+	return exitGood
+}
+
+// serveBox runs a box on its settings' addresses until planned is closed or ctx ends.
+func serveBox(ctx context.Context, s *settings.Box, planned <-chan struct{}, log *zap.Logger) error {
+	network, err := newNetwork(s)
+	if err != nil {
+		return err
+	}
+	b, err := newBox(s, network, log)
+	if err != nil {
+		return err
+	}
+	listener, err := listen(s)
+	if err != nil {
+		return err
+	}
+	if err := network.Listen(s.LinkListen); err != nil {
+		return err
+	}
+	defer network.Close()
+	go network.Serve(ctx)
+	return b.Run(ctx, planned, listener)
+}
+
+// newBox puts a box together with the platform's HTTP clients; its network answers with the box.
+func newBox(s *settings.Box, network *link.QUIC, log *zap.Logger) (*box.Box, error) {
+	transport, err := transportFor("")
+	if err != nil {
+		return nil, err
+	}
+	client := &http.Client{Transport: transport}
+	b := box.New(s, box.Platform{
+		Table:     &table.Client{Base: s.Table, HTTP: client},
+		Objects:   &object.Client{Base: s.Objects, HTTP: client},
+		List:      &member.Client{Base: s.LiveList, HTTP: client},
+		Workers:   &worker.Client{HTTP: client},
+		Upstreams: &upstream.Client{HTTP: client},
+		Network:   network,
+	}, log)
+	network.Handle = b.Handle
+	return b, nil
+}
+
+func newNetwork(s *settings.Box) (*link.QUIC, error) {
+	certificate, err := tls.LoadX509KeyPair(s.Keys.LinkCertificate, s.Keys.LinkKey)
+	if err != nil {
+		return nil, errors.New("unable to read the link's certificate and key")
+	}
+	pool, err := identity.LoadPool(s.Keys.LinkAuthority)
+	if err != nil {
+		return nil, err
+	}
+	return &link.QUIC{Certificate: certificate, Authority: pool, Delay: s.Timing.LinkDelay}, nil
+}
+
+// listen opens the address for callers, with TLS where the settings name a certificate.
+func listen(s *settings.Box) (net.Listener, error) {
+	listener, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return nil, errors.Wrap(err, "unable to listen")
+	}
+	if s.Keys.TLSCertificate == "" {
+		return listener, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(s.Keys.TLSCertificate, s.Keys.TLSKey)
+	if err != nil {
+		_ = listener.Close()
+		return nil, errors.New("unable to read the listener's certificate and key")
+	}
+	return tls.NewListener(listener, &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS13}), nil
+}
--- /dev/null
+++ b/internal/cli/transport.go
@@ -0,0 +1,35 @@
+package cli
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pulleyring/pulleyring/internal/identity"
+)
+
+// Sizes of the connection pools.
+const (
+	idleConns        = 4096
+	idleConnsPerHost = 1024
+	dialWithin       = time.Second
+	idleFor          = 90 * time.Second
+)
+
+// transportFor returns a transport that trusts an authority, or only plain HTTP's peers where the file is empty.
+func transportFor(authority string) (*http.Transport, error) {
+	t := &http.Transport{
+		MaxIdleConns: idleConns, MaxIdleConnsPerHost: idleConnsPerHost, IdleConnTimeout: idleFor,
+		DialContext: (&net.Dialer{Timeout: dialWithin}).DialContext,
+	}
+	if authority == "" {
+		return t, nil
+	}
+	pool, err := identity.LoadPool(authority)
+	if err != nil {
+		return nil, err
+	}
+	t.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}
+	return t, nil
+}
--- /dev/null
+++ b/internal/hall/settle.go
@@ -0,0 +1,277 @@
+package hall
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/decider"
+	"github.com/pulleyring/pulleyring/internal/link"
+	"github.com/pulleyring/pulleyring/internal/settlement"
+	"github.com/pulleyring/pulleyring/internal/table"
+	"github.com/pulleyring/pulleyring/internal/worker"
+	"github.com/pulleyring/pulleyring/pkg/request"
+)
+
+// writeTimeout bounds one attempt at a row; what stays open is judged anew from the rows.
+const writeTimeout = 10 * time.Second
+
+// settlePause is the mean pause after a settlement that could not be written.
+const settlePause = 500 * time.Millisecond
+
+// halt writes that an attempt is to stop and then stops it; nothing is stopped that no row says to stop.
+func (k *Keeper) halt(ctx context.Context, e *Entry, halt settlement.Halt) {
+	next, err := e.Job.Stop(halt)
+	if err != nil {
+		return
+	}
+	revision, err := k.write(ctx, e, next, table.Reclaim)
+	if err != nil {
+		return
+	}
+	k.note(e.Key(), e.Attempt, "told to stop: "+halt.Reason)
+	k.stopSeats(ctx, &Entry{Job: next, Version: revision})
+}
+
+// write commits a job's row in place of the version that the entry has.
+func (k *Keeper) write(ctx context.Context, e *Entry, next settlement.Job, priority table.Priority) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	key := settlement.JobKey(k.Hall, e.Identity)
+	revision, err := k.Committer.Do(ctx, table.Op{
+		Priority: priority,
+		Checks:   []table.Check{{Key: key, Version: e.Version}},
+		Writes:   []table.Write{table.Put(key, next)},
+	})
+	if err != nil {
+		k.Stale()
+		return 0, err
+	}
+	k.Book.Put(next, revision)
+	return revision, nil
+}
+
+// stopSeats checkpoints the members where there is time for it and stops them.
+func (k *Keeper) stopSeats(ctx context.Context, e *Entry) {
+	workers := k.workersByName()
+	if e.Submission.Checkpoints && !e.Halt.AtOnce {
+		k.stepSeats(ctx, workers, e.Seats, worker.Checkpoint, e.Attempt, 0)
+	}
+	if !k.stepSeats(ctx, workers, e.Seats, worker.Stop, e.Attempt, 0) {
+		pauseFor(ctx, stepTimeout/2) // Some could not be reached; the next try comes after a pause.
+	}
+}
+
+// pauseFor waits, or less where ctx ends.
+func pauseFor(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// requeue writes that the job waits again, with what its checkpoint holds.
+func (k *Keeper) requeue(ctx context.Context, e *Entry, sights []settlement.Sight) {
+	done := 0.0
+	if e.Submission.Checkpoints {
+		done = settlement.Saved(sights)
+	}
+	next, err := e.Job.Requeue(done, ranAny(sights))
+	if err != nil {
+		return
+	}
+	next.Failures = k.noteFailures(e, sights)
+	if _, err := k.write(ctx, e, next, table.Settle); err == nil {
+		k.note(e.Key(), e.Attempt, "waits again")
+	}
+}
+
+func ranAny(sights []settlement.Sight) bool {
+	for _, s := range sights {
+		if !s.Known || s.Task.State.Ran() || s.Task.State == worker.Unknown {
+			return true
+		}
+	}
+	return false
+}
+
+// noteFailures tells the health which workers failed a member and returns the job's list with them.
+func (k *Keeper) noteFailures(e *Entry, sights []settlement.Sight) []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	list := e.Failures
+	for i, s := range sights {
+		if s.Known && s.Task.State == worker.Failed {
+			k.known[e.Key()] = true
+			k.health.Failed(e.Seats[i].Worker, e.Key(), time.Now())
+			list = append(list[:len(list):len(list)], e.Seats[i].Worker)
+		}
+	}
+	return list
+}
+
+// finish settles a job whose attempt has ended.
+func (k *Keeper) finish(ctx context.Context, e *Entry, sights []settlement.Sight, outcome request.Outcome) {
+	var answer json.RawMessage
+	if outcome == request.Done {
+		answer = settlement.Answers(sights)
+		k.learn(e, sights)
+	}
+	if outcome == request.Failed {
+		k.noteFailures(e, sights)
+	}
+	k.settle(ctx, e, outcome, answer, outcomeReason(e, outcome))
+}
+
+// learn takes the run time of a finished job into the estimates.
+func (k *Keeper) learn(e *Entry, sights []settlement.Sight) {
+	longest := 0.0
+	for _, s := range sights {
+		longest = max(longest, s.Task.RanSeconds)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, seat := range e.Seats {
+		k.health.Succeeded(seat.Worker, e.Key())
+	}
+	k.estimates.Observe(e.Submission.Workspace, e.Submission.Kind, e.Done+longest)
+}
+
+// settle writes a job's outcome, drops its row, and tells the box where its caller waits.
+func (k *Keeper) settle(ctx context.Context, e *Entry, outcome request.Outcome, answer json.RawMessage, reason string) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	reply, revision, err := k.trySettle(ctx, e, outcome, answer, reason)
+	if err != nil {
+		k.Log.Debug("hall: a settlement is open: "+err.Error(), k.field(e))
+		k.Stale()
+		pauseFor(ctx, settlePause/2+rand.N(settlePause))
+		return
+	}
+	k.settledAt(e, revision, reply)
+}
+
+// settledAt notes a committed settlement and tells the box where the caller waits.
+func (k *Keeper) settledAt(e *Entry, revision int64, reply request.Reply) {
+	k.Book.Drop(e.Key(), revision)
+	k.mu.Lock()
+	k.health.Forget(e.Key())
+	k.mu.Unlock()
+	k.note(e.Key(), e.Attempt, "settled: "+string(reply.Outcome))
+	k.Settled(e.Box, link.Settled{Identity: e.Identity, Reply: reply})
+}
+
+func (k *Keeper) trySettle(ctx context.Context, e *Entry, outcome request.Outcome, answer json.RawMessage, reason string) (request.Reply, int64, error) {
+	requestKey := settlement.RequestKey(e.Identity)
+	jobKey := settlement.JobKey(k.Hall, e.Identity)
+	rows, err := k.Book.Table.Read(ctx, []string{requestKey})
+	if err != nil {
+		return request.Reply{}, 0, errors.Wrap(err, "hall: unable to read a request")
+	}
+	op := table.Op{Priority: table.Settle, Checks: []table.Check{{Key: jobKey, Version: e.Version}}, Writes: []table.Write{table.Drop(jobKey)}}
+	var record settlement.Record
+	if err := settlement.Decode(rows[0], &record); err != nil {
+		return request.Reply{}, 0, err
+	}
+	if !record.Outcome.Final() {
+		record, err = record.Settle(outcome, answer, reason)
+		if err != nil {
+			return request.Reply{}, 0, err
+		}
+		record.Attempt = e.Number
+		if err := k.storeLarge(ctx, &record); err != nil {
+			return request.Reply{}, 0, err
+		}
+		op.Checks = append(op.Checks, table.Check{Key: requestKey, Version: rows[0].Version})
+		op.Writes = append(op.Writes, table.Put(requestKey, record))
+	}
+	revision, err := k.Committer.Do(ctx, op)
+	reply := record.Reply()
+	reply.Answer = answer
+	return reply, revision, err
+}
+
+// storeLarge moves an answer that is too large for a row to the object store.
+func (k *Keeper) storeLarge(ctx context.Context, r *settlement.Record) error {
+	if len(r.Answer) <= k.Settings.Limits.AnswerInlineBytes {
+		return nil
+	}
+	key := "answer/" + r.Identity.String()
+	if err := k.Objects.Put(ctx, key, r.Answer); err != nil {
+		return err
+	}
+	r.Answer, r.AnswerObject = nil, key
+	return nil
+}
+
+// Limits of moves between halls.
+const (
+	movesPerPass = 20
+	mostMoves    = 10
+	firstMove    = 3 * time.Second // Wait before the first move; each further one waits as much longer.
+)
+
+// move sends waiting jobs that another hall has room for there.
+func (k *Keeper) move(ctx context.Context, v *decider.View, waits []decider.Wait) {
+	loads := k.Loads()
+	moved := 0
+	for _, w := range waits {
+		if moved == movesPerPass {
+			return
+		}
+		e := k.Book.Job(v.Waiting[w.Job].Key)
+		if e == nil || e.State != settlement.Waiting || e.Moves >= mostMoves || v.Now.Sub(e.Received) < firstMove*time.Duration(e.Moves+1) {
+			continue
+		}
+		if to := k.roomElsewhere(loads, e); to != "" {
+			moved++
+			k.spawn(e.Key(), func() { k.moveTo(ctx, e, to) })
+		}
+	}
+}
+
+// roomElsewhere returns a hall that has room for a job now, and takes the room out of the loads.
+func (k *Keeper) roomElsewhere(loads []link.Load, e *Entry) string {
+	need := e.Submission.Gang * e.Submission.Shape.Accelerators
+	for i := range loads {
+		l := &loads[i]
+		if l.Hall == k.Hall || l.Waiting > 0 || l.Largest < need || need == 0 {
+			continue
+		}
+		l.Largest -= need
+		return l.Hall
+	}
+	return ""
+}
+
+func (k *Keeper) moveTo(ctx context.Context, e *Entry, to string) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	requestKey := settlement.RequestKey(e.Identity)
+	rows, err := k.Book.Table.Read(ctx, []string{requestKey})
+	if err != nil {
+		return
+	}
+	var record settlement.Record
+	if settlement.Decode(rows[0], &record) != nil || record.Outcome.Final() {
+		return
+	}
+	next := e.Job
+	next.Moves++
+	record.Hall = to
+	from, target := settlement.JobKey(k.Hall, e.Identity), settlement.JobKey(to, e.Identity)
+	revision, err := k.Committer.Do(ctx, table.Op{
+		Priority: table.Start,
+		Checks:   []table.Check{{Key: from, Version: e.Version}, {Key: target}, {Key: requestKey, Version: rows[0].Version}},
+		Writes:   []table.Write{table.Drop(from), table.Put(target, next), table.Put(requestKey, record)},
+	})
+	if err != nil {
+		k.Stale()
+		return
+	}
+	k.Book.Drop(e.Key(), revision)
+	k.note(e.Key(), "", "moved to "+to)
+	k.News(settlement.HallPrefix(to))
+}
--- /dev/null
+++ b/internal/operator/cancel.go
@@ -0,0 +1,96 @@
+package operator
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/command"
+	"github.com/pulleyring/pulleyring/internal/hall"
+	"github.com/pulleyring/pulleyring/internal/table"
+)
+
+// cancelsAtOnce bounds the cancellations of one command that wait for the table together.
+const cancelsAtOnce = 256
+
+// cancel ends one job, or all that meet the conditions.
+func (d *Desk) cancel(ctx context.Context, name string, c *command.Cancel) (*command.List, error) {
+	targets, refusal, err := d.targets(ctx, c)
+	if err != nil || refusal != nil {
+		return refusal, err
+	}
+	counts := d.cancelAll(ctx, name, targets)
+	answer := command.Did(counts.unrun+counts.stopping, "cancelled %d: %d will not run, %d were told to stop, %d were past cancelling",
+		len(targets), counts.unrun, counts.stopping, counts.past)
+	if counts.open > 0 {
+		answer.Text += "; the table did not say what became of " + itoa(counts.open) + ", repeating the command is safe"
+	}
+	return answer, nil
+}
+
+// target is a job with the keeper of its hall.
+type target struct {
+	keeper *hall.Keeper
+	entry  *hall.Entry
+}
+
+func (d *Desk) targets(ctx context.Context, c *command.Cancel) ([]target, *command.List, error) {
+	if c.Job != "" {
+		k, e, err := d.find(ctx, c.Job)
+		if err != nil {
+			return nil, nil, err
+		}
+		if e == nil {
+			return nil, command.Refuse("there is no unfinished job %s", c.Job), nil
+		}
+		return []target{{k, e}}, nil, nil
+	}
+	jobs, entries, err := d.listJobs(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := jobs.Check(c.Where, ""); err != nil {
+		return nil, nil, err
+	}
+	var list []target
+	for i, row := range jobs.Rows {
+		if jobs.Meets(row, c.Where) {
+			list = append(list, entries[i])
+		}
+	}
+	return list, nil, nil
+}
+
+// cancelCounts says what became of the jobs of one command.
+type cancelCounts struct{ unrun, stopping, past, open int }
+
+func (d *Desk) cancelAll(ctx context.Context, name string, targets []target) cancelCounts {
+	var mu sync.Mutex
+	var counts cancelCounts
+	var group sync.WaitGroup
+	slots := make(chan struct{}, cancelsAtOnce)
+	for _, t := range targets {
+		slots <- struct{}{}
+		group.Go(func() {
+			defer func() { <-slots }()
+			result, err := t.keeper.Cancel(ctx, t.entry, "cancelled by "+name)
+			mu.Lock()
+			defer mu.Unlock()
+			var conflict *table.Conflict
+			switch {
+			case errors.As(err, &conflict):
+				counts.past++
+			case err != nil:
+				counts.open++
+			case result == hall.CancelUnrun:
+				counts.unrun++
+			case result == hall.CancelStopping:
+				counts.stopping++
+			default:
+				counts.past++
+			}
+		})
+	}
+	group.Wait()
+	return counts
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,275 @@
+// Package operator carries out the operators' commands in a box.
+package operator
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/command"
+	"github.com/pulleyring/pulleyring/internal/config"
+	"github.com/pulleyring/pulleyring/internal/hall"
+	"github.com/pulleyring/pulleyring/internal/intake"
+	"github.com/pulleyring/pulleyring/internal/link"
+	"github.com/pulleyring/pulleyring/internal/member"
+	"github.com/pulleyring/pulleyring/internal/settings"
+	"github.com/pulleyring/pulleyring/internal/table"
+	"github.com/pulleyring/pulleyring/internal/timeline"
+	"github.com/pulleyring/pulleyring/internal/upstream"
+)
+
+// Desk carries out commands. Fill in the exported fields before use.
+type Desk struct {
+	Box       string
+	Settings  *settings.Box
+	Config    *config.Keeper
+	Committer *table.Committer
+	Intake    *intake.Intake
+	Router    *upstream.Router
+	Members   *member.Members
+	Network   link.Network
+	Recorder  *timeline.Recorder
+	Keepers   func() []*hall.Keeper
+	News      func(prefix string)
+}
+
+// Run carries out one command of an operator. The error is a *command.Mistake, or says that the table or another box
+// could not be asked.
+func (d *Desk) Run(ctx context.Context, name, text string) (*command.List, error) {
+	c, err := command.Parse(text)
+	if err != nil {
+		return nil, err
+	}
+	if d.Config.Site() == nil {
+		return command.Refuse("no configuration is in force yet; apply one first"), nil
+	}
+	d.Recorder.Add(timeline.Event{Part: "operator", Text: name + ": " + text})
+	switch {
+	case c.Show != nil:
+		return d.show(ctx, c.Show)
+	case c.Why != nil:
+		return d.why(ctx, c.Why.Job)
+	case c.Cancel != nil:
+		return d.cancel(ctx, name, c.Cancel)
+	}
+	return d.order(ctx, name, c)
+}
+
+// order changes the row of orders; where another operator changed it meanwhile, the command is judged anew.
+func (d *Desk) order(ctx context.Context, name string, c *command.Command) (*command.List, error) {
+	for {
+		if err := d.Config.Refresh(ctx); err != nil {
+			return nil, errors.Wrap(err, "operator: the table can't be asked")
+		}
+		orders := d.Config.Orders()
+		_, version := d.Config.Versions()
+		next := orders.Current(time.Now())
+		answer := d.change(&next, name, c)
+		if answer.Affected == 0 {
+			return answer, nil
+		}
+		_, err := d.Committer.Do(ctx, d.Config.OrdersOp(next, version))
+		var conflict *table.Conflict
+		if errors.As(err, &conflict) {
+			continue
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, "operator: whether the command took effect is not known; repeating it is safe")
+		}
+		if err := d.Config.Refresh(ctx); err == nil {
+			d.News(config.Prefix)
+		}
+		return answer, nil
+	}
+}
+
+// change applies a command to the orders and says what it did.
+func (d *Desk) change(o *config.Orders, name string, c *command.Command) *command.List {
+	switch {
+	case c.Drain != nil:
+		return d.drain(o, name, c.Drain)
+	case c.Undrain != nil:
+		return d.undrain(o, c.Undrain)
+	case c.Reclaim != nil:
+		return d.reclaim(o, name, c.Reclaim)
+	case c.Grant != nil:
+		return d.grant(o, name, c.Grant)
+	}
+	return d.revoke(o, c.Revoke)
+}
+
+// Default lengths of orders that name none.
+const (
+	defaultClaim = 10 * time.Minute
+	defaultGrant = time.Hour
+)
+
+func (d *Desk) reclaim(o *config.Orders, name string, c *command.Reclaim) *command.List {
+	w, ok := d.Config.Site().Workspace(c.Workspace)
+	if !ok {
+		return command.Refuse("there is no workspace %s", c.Workspace)
+	}
+	if w.Guaranteed() == 0 {
+		return command.Refuse("workspace %s has no guarantee", c.Workspace)
+	}
+	now := time.Now()
+	for _, held := range o.Claims {
+		if held.Workspace == c.Workspace {
+			return command.Did(0, "already claimed by %s until %s; nothing changed", held.Operator, held.Until.Format(time.RFC3339))
+		}
+	}
+	until := now.Add(length(c.For, defaultClaim))
+	o.Claims = append(o.Claims, config.Claim{Workspace: c.Workspace, Operator: name, Until: until})
+	return command.Did(1, "claimed the %d accelerators of %s until %s", w.Guaranteed(), c.Workspace, until.Format(time.RFC3339))
+}
+
+func length(d command.Duration, otherwise time.Duration) time.Duration {
+	if d == 0 {
+		return otherwise
+	}
+	return time.Duration(d)
+}
+
+func (d *Desk) grant(o *config.Orders, name string, c *command.Grant) *command.List {
+	w, ok := d.Config.Site().Workspace(c.Workspace)
+	if !ok {
+		return command.Refuse("there is no workspace %s", c.Workspace)
+	}
+	if w.LimitAccelerators == 0 {
+		return command.Refuse("workspace %s has no limit that a grant could raise", c.Workspace)
+	}
+	for _, held := range o.Grants {
+		if held.Workspace == c.Workspace && held.Accelerators == c.Accelerators {
+			return command.Did(0, "already granted by %s until %s; nothing changed", held.Operator, held.Until.Format(time.RFC3339))
+		}
+	}
+	until := time.Now().Add(length(c.For, defaultGrant))
+	o.Grants = append(o.Grants, config.Grant{Workspace: c.Workspace, Accelerators: c.Accelerators, Operator: name, Until: until})
+	return command.Did(1, "granted %s %d accelerators beyond its limit until %s", c.Workspace, c.Accelerators, until.Format(time.RFC3339))
+}
+
+func (d *Desk) revoke(o *config.Orders, c *command.Revoke) *command.List {
+	before := len(o.Claims) + len(o.Grants)
+	claims, grants := o.Claims, o.Grants
+	o.Claims, o.Grants = nil, nil
+	for _, held := range claims {
+		if held.Workspace != c.Workspace {
+			o.Claims = append(o.Claims, held)
+		}
+	}
+	for _, held := range grants {
+		if held.Workspace != c.Workspace {
+			o.Grants = append(o.Grants, held)
+		}
+	}
+	ended := before - len(o.Claims) - len(o.Grants)
+	return command.Did(ended, "ended %d claims and grants of %s", ended, c.Workspace)
+}
+
+func (d *Desk) drain(o *config.Orders, name string, t *command.Target) *command.List {
+	kind, refusal := d.resolve(t)
+	if refusal != nil {
+		return refusal
+	}
+	for _, held := range o.Drains {
+		if held.What == kind && held.Name == t.Name {
+			return command.Did(0, "%s %s is already drained by %s; nothing changed", kind, t.Name, held.Operator)
+		}
+	}
+	o.Drains = append(o.Drains, config.Drain{What: kind, Name: t.Name, Operator: name, At: time.Now()})
+	return command.Did(1, "drained %s %s; what runs there goes on", kind, t.Name)
+}
+
+func (d *Desk) undrain(o *config.Orders, t *command.Target) *command.List {
+	kind, refusal := d.resolve(t)
+	if refusal != nil {
+		return refusal
+	}
+	for i, held := range o.Drains {
+		if held.What == kind && held.Name == t.Name {
+			o.Drains = append(o.Drains[:i:i], o.Drains[i+1:]...)
+			return command.Did(1, "undrained %s %s", kind, t.Name)
+		}
+	}
+	return command.Did(0, "%s %s is not drained; nothing changed", kind, t.Name)
+}
+
+// resolve finds out what kind of thing a name is, or refuses.
+func (d *Desk) resolve(t *command.Target) (string, *command.List) {
+	site := d.Config.Site()
+	var kinds []string
+	add := func(kind, name string) {
+		if name == t.Name && (t.Kind == "" || t.Kind == kind) {
+			kinds = append(kinds, kind)
+		}
+	}
+	for _, h := range site.Halls {
+		add("hall", h.Name)
+		for _, r := range h.Racks {
+			add("rack", r.Name)
+			for _, w := range r.Workers {
+				add("worker", w.Name)
+			}
+		}
+	}
+	for _, u := range site.Upstreams {
+		add("upstream", u.Name)
+	}
+	switch len(kinds) {
+	case 1:
+		return kinds[0], nil
+	case 0:
+		return "", command.Refuse("there is no %s %s", orThing(t.Kind), t.Name)
+	}
+	return "", command.Refuse("%s may be a %s; name which", t.Name, strings.Join(kinds, " or a "))
+}
+
+func orThing(kind string) string {
+	if kind == "" {
+		return "worker, rack, hall or upstream"
+	}
+	return kind
+}
+
+// why asks the box that decides for the job's hall.
+func (d *Desk) why(ctx context.Context, job string) (*command.List, error) {
+	k, e, err := d.find(ctx, job)
+	if err != nil {
+		return nil, err
+	}
+	if e == nil {
+		return command.Refuse("there is no unfinished job %s", job), nil
+	}
+	if e.State != "waiting" {
+		return command.Did(0, "%s is %s in rack %s, attempt %d, since %s", e.Key(), e.State, e.Rack, e.Number, e.Started.Format(time.RFC3339)), nil
+	}
+	text := k.Why(e.Key())
+	preferred := d.Members.Preferred(k.Hall)
+	if preferred.Name != d.Box {
+		reply, err := d.Network.Send(ctx, preferred, &link.Message{Question: &link.Question{Why: e.Key()}})
+		if err != nil {
+			return nil, errors.Wrapf(err, "operator: box %s, which decides for %s, can't be asked", preferred.Name, k.Hall)
+		}
+		text = reply.Text
+	}
+	if text == "" {
+		text = "waits for the next pass of its hall"
+	}
+	return command.Did(0, "%s in %s %s", e.Key(), k.Hall, text), nil
+}
+
+// find returns the unfinished job that a key, or an id alone, names.
+func (d *Desk) find(ctx context.Context, job string) (*hall.Keeper, *hall.Entry, error) {
+	for _, k := range d.Keepers() {
+		if err := k.Book.Refresh(ctx); err != nil {
+			return nil, nil, errors.Wrap(err, "operator: the table can't be asked")
+		}
+		for _, e := range k.Book.Jobs() {
+			if e.Key() == job || e.Identity.ID == job {
+				return k, e, nil
+			}
+		}
+	}
+	return nil, nil, nil
+}
--- /dev/null
+++ b/internal/standin/table.go
@@ -0,0 +1,179 @@
+package standin
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/btree"
+	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/table"
+	"golang.org/x/time/rate"
+)
+
+// branching is the degree of the tree of rows.
+const branching = 32
+
+// maxTxnRows is the most rows that the table takes in one transaction.
+const maxTxnRows = 256
+
+// errLost stands for an answer that never arrives.
+var errLost = errors.New("standin: the answer is lost")
+
+// Table is the platform's transactional table service in memory.
+type Table struct {
+	Faults *FaultBox
+	Writes *rate.Limiter // Transactions a second; nil means no limit.
+	Reads  *rate.Limiter // Reads a second; nil means no limit.
+
+	mu       sync.Mutex
+	rows     *btree.BTreeG[table.Row]
+	revision int64
+	stats    TableStats
+}
+
+// TableStats counts what the table was asked.
+type TableStats struct {
+	Txns      int64 `json:"txns"`
+	Rows      int64 `json:"rows"`
+	Reads     int64 `json:"reads"`
+	Conflicts int64 `json:"conflicts"`
+	Refused   int64 `json:"refused"` // Over budget or down.
+}
+
+// NewTable returns an empty table.
+func NewTable(faults *FaultBox) *Table {
+	less := func(a, b table.Row) bool { return a.Key < b.Key }
+	return &Table{Faults: faults, rows: btree.NewG(branching, less)}
+}
+
+// Stats returns the counts so far.
+func (t *Table) Stats() TableStats {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.stats
+}
+
+// Commit implements table.Service.
+func (t *Table) Commit(ctx context.Context, txn table.Txn) (int64, error) {
+	faults := t.Faults.Get()
+	if err := t.admit(ctx, faults, t.Writes); err != nil {
+		return 0, err
+	}
+	if t.Faults.hits(faults.TableDrop) {
+		return 0, errors.Wrap(table.ErrUnknown, errLost.Error())
+	}
+	revision, err := t.apply(txn)
+	if err == nil && t.Faults.hits(faults.TableLoseAnswers) {
+		return 0, errors.Wrap(table.ErrUnknown, errLost.Error())
+	}
+	return revision, err
+}
+
+func (t *Table) admit(ctx context.Context, faults Faults, limit *rate.Limiter) error {
+	if err := pause(ctx, time.Duration(faults.TableSlowMS)*time.Millisecond); err != nil {
+		return errors.Wrap(table.ErrUnknown, err.Error())
+	}
+	if faults.TableDown || limit != nil && !limit.Allow() {
+		t.mu.Lock()
+		t.stats.Refused++
+		t.mu.Unlock()
+		return table.ErrUnavailable
+	}
+	return nil
+}
+
+func (t *Table) apply(txn table.Txn) (int64, error) {
+	if len(txn.Writes) > maxTxnRows {
+		return 0, table.ErrUnavailable
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stats.Txns++
+	conflict := &table.Conflict{}
+	for _, c := range txn.Checks {
+		if t.version(c.Key) != c.Version {
+			conflict.Keys = append(conflict.Keys, c.Key)
+		}
+	}
+	if len(conflict.Keys) > 0 {
+		t.stats.Conflicts++
+		return 0, conflict
+	}
+	t.revision++
+	for _, w := range txn.Writes {
+		t.rows.ReplaceOrInsert(table.Row{Key: w.Key, Version: t.revision, Txn: txn.ID, Deleted: w.Delete, Value: w.Value})
+	}
+	t.stats.Rows += int64(len(txn.Writes))
+	return t.revision, nil
+}
+
+// version returns the version that a check sees: 0 for an absent or deleted row.
+func (t *Table) version(key string) int64 {
+	row, ok := t.rows.Get(table.Row{Key: key})
+	if !ok || row.Deleted {
+		return 0
+	}
+	return row.Version
+}
+
+// Read implements table.Service.
+func (t *Table) Read(ctx context.Context, keys []string) ([]table.Row, error) {
+	if err := t.admit(ctx, t.Faults.Get(), t.Reads); err != nil {
+		return nil, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stats.Reads++
+	rows := make([]table.Row, len(keys))
+	for i, k := range keys {
+		rows[i] = table.Row{Key: k}
+		if row, ok := t.rows.Get(rows[i]); ok {
+			rows[i] = row
+			if row.Deleted {
+				rows[i].Version = 0
+				rows[i].Value = nil
+			}
+		}
+	}
+	return rows, nil
+}
+
+// Changes implements table.Service.
+func (t *Table) Changes(ctx context.Context, prefix string, after int64, limit int) ([]table.Row, int64, error) {
+	if err := t.admit(ctx, t.Faults.Get(), t.Reads); err != nil {
+		return nil, 0, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stats.Reads++
+	var rows []table.Row
+	t.rows.AscendGreaterOrEqual(table.Row{Key: prefix}, func(row table.Row) bool {
+		if !strings.HasPrefix(row.Key, prefix) {
+			return false
+		}
+		if row.Version > after && (after > 0 || !row.Deleted) {
+			rows = append(rows, row)
+		}
+		return true
+	})
+	slices.SortFunc(rows, func(a, b table.Row) int {
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Key, b.Key))
+	})
+	if len(rows) <= limit {
+		return rows, t.revision, nil
+	}
+	return cutBetweenRevisions(rows, limit)
+}
+
+// cutBetweenRevisions keeps about limit rows without dividing the rows of one transaction.
+func cutBetweenRevisions(rows []table.Row, limit int) ([]table.Row, int64, error) {
+	end := limit
+	for end < len(rows) && rows[end].Version == rows[end-1].Version {
+		end++
+	}
+	return rows[:end], rows[end-1].Version, nil
+}
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,326 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/worker"
+	"github.com/pulleyring/pulleyring/pkg/contract"
+	"github.com/pulleyring/pulleyring/pkg/request"
+)
+
+// work is what the stand-ins read of a payload.
+type work struct {
+	WorkMS int64 `json:"work_ms"`
+	Fail   bool  `json:"fail"` // Fails wherever it runs.
+}
+
+// Answer is what a stand-in answers: enough for the caller to see that the answer is its own and whole.
+type Answer struct {
+	Caller  string `json:"caller"`
+	ID      string `json:"id"`
+	Members []int  `json:"members,omitempty"`
+	Sum     uint64 `json:"sum"` // Of the payload.
+}
+
+// Sum returns the sum of a payload that answers carry.
+func Sum(payload json.RawMessage) uint64 { return xxhash.Sum64(payload) }
+
+// Run is one part of a gang that really ran, from the workers' own records.
+type Run struct {
+	Identity request.Identity `json:"identity"`
+	Attempt  string           `json:"attempt"`
+	Number   int              `json:"number"`
+	Worker   string           `json:"worker"`
+	Members  []int            `json:"members"`
+	Gang     int              `json:"gang"`
+	Began    time.Time        `json:"began"`
+	Ended    time.Time        `json:"ended,omitzero"`
+	State    worker.State     `json:"state"`
+	From     float64          `json:"from"` // Seconds of work in the checkpoint that it went on from.
+}
+
+// Workers are the guarded workers of a site.
+type Workers struct {
+	Faults *FaultBox
+
+	mu      sync.Mutex
+	workers map[string]*guarded
+}
+
+// guarded is one worker: its tasks, which devices they hold and which attempts must never run.
+type guarded struct {
+	mu     sync.Mutex
+	name   string
+	tasks  map[string]*task
+	fenced map[string]bool
+	runs   []*Run
+	twice  int // Devices that were asked for while another held them.
+}
+
+type task struct {
+	worker.Order
+	state  worker.State
+	lease  time.Time
+	began  time.Time
+	needs  time.Duration // Run time from began.
+	fails  bool
+	paused bool // After a checkpoint, until the stop.
+	saved  float64
+	run    *Run
+	answer json.RawMessage
+}
+
+// failAfter is the run time after which a failing task fails.
+const failAfter = 20 * time.Millisecond
+
+// Hold implements worker.Service.
+func (s *Workers) Hold(ctx context.Context, w contract.Worker, order worker.Order) error {
+	g, err := s.reach(ctx, w.Name)
+	if err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.advance(time.Now())
+	if g.fenced[order.Attempt] {
+		return errors.Wrap(worker.ErrRefused, "stopped before")
+	}
+	if t := g.tasks[order.Attempt]; t != nil {
+		return nil // Asked again.
+	}
+	for _, t := range g.tasks {
+		if t.state.Live() && slices.ContainsFunc(t.Devices, func(d int) bool { return slices.Contains(order.Devices, d) }) {
+			g.twice++
+			return errors.Wrap(worker.ErrRefused, "devices are held")
+		}
+	}
+	g.tasks[order.Attempt] = &task{Order: order, state: worker.Held, lease: until(order.LeaseMS)}
+	return nil
+}
+
+func until(ms int64) time.Time { return time.Now().Add(time.Duration(ms) * time.Millisecond) }
+
+// Step implements worker.Service.
+func (s *Workers) Step(ctx context.Context, w contract.Worker, verb worker.Verb, attempt string, lease time.Duration) (worker.Task, error) {
+	g, err := s.reach(ctx, w.Name)
+	if err != nil {
+		return worker.Task{}, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.advance(now)
+	t := g.tasks[attempt]
+	if verb == worker.Stop {
+		return g.stop(attempt, t, now), nil
+	}
+	if t == nil {
+		return worker.Task{}, errors.Wrap(worker.ErrRefused, "unknown attempt")
+	}
+	if !s.step(g, t, verb, lease, now) {
+		return t.report(now), errors.Wrapf(worker.ErrRefused, "can't %s what is %s", verb, t.state)
+	}
+	return t.report(now), nil
+}
+
+func (s *Workers) step(g *guarded, t *task, verb worker.Verb, lease time.Duration, now time.Time) bool {
+	switch verb {
+	case worker.Arm:
+		if t.state != worker.Held {
+			return t.state == worker.Armed || t.state == worker.Running
+		}
+		t.state = worker.Armed
+	case worker.Go:
+		if t.state != worker.Armed {
+			return t.state == worker.Running || t.state == worker.Finished || t.state == worker.Failed
+		}
+		s.begin(g, t, now)
+		t.lease = now.Add(lease)
+	case worker.Checkpoint:
+		if t.state == worker.Running && !t.paused {
+			t.saved = t.From + now.Sub(t.began).Seconds()
+			t.paused = true
+		}
+		return t.state == worker.Running
+	case worker.Throttle:
+		return t.state == worker.Running
+	}
+	return true
+}
+
+// begin lets a task run and writes it into the worker's own records.
+func (s *Workers) begin(g *guarded, t *task, now time.Time) {
+	var body work
+	_ = json.Unmarshal(t.Payload, &body) // A payload of another form is work of no length.
+	t.state = worker.Running
+	t.began = now
+	t.needs = time.Duration(body.WorkMS)*time.Millisecond - time.Duration(t.From*float64(time.Second))
+	t.fails = body.Fail || slices.Contains(s.Faults.Get().FailWorkers, g.name)
+	if t.fails {
+		t.needs = failAfter
+	}
+	t.run = &Run{Identity: t.Identity, Attempt: t.Attempt, Number: t.Number, Worker: g.name, Members: t.Members, Gang: t.Gang, Began: now, State: worker.Running, From: t.From}
+	g.runs = append(g.runs, t.run)
+}
+
+// stop ends a task for good; an attempt that is not known here is refused from now on.
+func (g *guarded) stop(attempt string, t *task, now time.Time) worker.Task {
+	g.fenced[attempt] = true
+	if t == nil {
+		return worker.Task{Attempt: attempt, State: worker.Unknown}
+	}
+	switch t.state {
+	case worker.Held, worker.Armed:
+		t.state = worker.Refused
+	case worker.Running:
+		t.end(worker.Stopped, now)
+	}
+	return t.report(now)
+}
+
+func (t *task) end(state worker.State, at time.Time) {
+	t.state = state
+	t.run.State = state
+	t.run.Ended = at
+	if state == worker.Finished {
+		t.answer, _ = json.Marshal(Answer{Caller: t.Identity.Caller, ID: t.Identity.ID, Members: t.Members, Sum: Sum(t.Payload)})
+	}
+}
+
+func (t *task) report(now time.Time) worker.Task {
+	r := worker.Task{Attempt: t.Attempt, State: t.state, Answer: t.answer, Checkpointed: t.saved}
+	if t.run != nil {
+		end := t.run.Ended
+		if end.IsZero() {
+			end = now
+		}
+		r.RanSeconds = end.Sub(t.began).Seconds()
+	}
+	if t.state == worker.Failed {
+		r.Problem = "the task ended with an error"
+	}
+	return r
+}
+
+// advance brings every task to the present: what finished, what failed and whose lease lapsed.
+func (g *guarded) advance(now time.Time) {
+	for _, t := range g.tasks {
+		switch t.state {
+		case worker.Held, worker.Armed:
+			if !t.lease.After(now) {
+				t.state = worker.Refused
+			}
+		case worker.Running:
+			t.advance(now)
+		}
+	}
+}
+
+func (t *task) advance(now time.Time) {
+	done := t.began.Add(t.needs)
+	switch {
+	case !t.paused && !done.After(now) && !done.After(t.lease):
+		state := worker.Finished
+		if t.fails {
+			state = worker.Failed
+		}
+		t.end(state, done)
+	case !t.lease.After(now):
+		t.end(worker.Stopped, t.lease)
+	}
+}
+
+// Renew implements worker.Service.
+func (s *Workers) Renew(ctx context.Context, w contract.Worker, renewal worker.Renewal) (worker.Report, error) {
+	g, err := s.reach(ctx, w.Name)
+	if err != nil {
+		return worker.Report{}, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.advance(now)
+	for _, attempt := range renewal.Attempts {
+		if t := g.tasks[attempt]; t != nil && t.state.Live() {
+			t.lease = until(renewal.LeaseMS)
+		}
+	}
+	for _, attempt := range renewal.Forget {
+		if t := g.tasks[attempt]; t != nil && !t.state.Live() {
+			delete(g.tasks, attempt)
+			g.fenced[attempt] = true
+		}
+	}
+	var report worker.Report
+	for _, t := range g.tasks {
+		report.Tasks = append(report.Tasks, t.report(now))
+		if t.state == worker.Running {
+			report.Usage = report.Usage.Add(t.Shape.Times(len(t.Members)))
+		}
+	}
+	return report, nil
+}
+
+// reach returns a worker; one that is lost can't be reached and drops what it ran.
+func (s *Workers) reach(ctx context.Context, name string) (*guarded, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	g := s.worker(name)
+	if !slices.Contains(s.Faults.Get().LostWorkers, name) {
+		return g, nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.advance(now)
+	for attempt, t := range g.tasks {
+		if t.state == worker.Running {
+			t.end(worker.Stopped, now)
+		}
+		delete(g.tasks, attempt)
+		g.fenced[attempt] = true
+	}
+	return nil, errors.New("standin: the worker can't be reached")
+}
+
+func (s *Workers) worker(name string) *guarded {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.workers == nil {
+		s.workers = map[string]*guarded{}
+	}
+	g := s.workers[name]
+	if g == nil {
+		g = &guarded{name: name, tasks: map[string]*task{}, fenced: map[string]bool{}}
+		s.workers[name] = g
+	}
+	return g
+}
+
+// Runs returns the records of all workers, brought to the present.
+func (s *Workers) Runs() []Run {
+	s.mu.Lock()
+	workers := make([]*guarded, 0, len(s.workers))
+	for _, g := range s.workers {
+		workers = append(workers, g)
+	}
+	s.mu.Unlock()
+	var list []Run
+	for _, g := range workers {
+		g.mu.Lock()
+		g.advance(time.Now())
+		for _, r := range g.runs {
+			list = append(list, *r)
+		}
+		g.mu.Unlock()
+	}
+	slices.SortFunc(list, func(a, b Run) int { return a.Began.Compare(b.Began) })
+	return list
+}
--- /dev/null
+++ b/internal/table/budget.go
@@ -0,0 +1,29 @@
+package table
+
+import (
+	"context"
+
+	"golang.org/x/time/rate"
+)
+
+// Budgeted keeps the reads of a box within its share; commits are limited by the Committer.
+type Budgeted struct {
+	Service
+	Reads *rate.Limiter
+}
+
+// Read implements Service.
+func (b *Budgeted) Read(ctx context.Context, keys []string) ([]Row, error) {
+	if b.Reads.Wait(ctx) != nil {
+		return nil, ErrUnavailable
+	}
+	return b.Service.Read(ctx, keys)
+}
+
+// Changes implements Service.
+func (b *Budgeted) Changes(ctx context.Context, prefix string, after int64, limit int) ([]Row, int64, error) {
+	if b.Reads.Wait(ctx) != nil {
+		return nil, 0, ErrUnavailable
+	}
+	return b.Service.Changes(ctx, prefix, after, limit)
+}
--- a/internal/table/committer.go
+++ b/internal/table/committer.go
@@ -20,6 +20,7 @@
 	Reclaim                 // Giving guarantees back and operators' commands.
 	Start                   // Placements.
 	Accept                  // New requests.
+	Note                    // Records of repeatable requests whose callers were told already.
 	priorities
 )
 
@@ -86,27 +87,33 @@
 type pending struct {
 	Op
 	ctx  context.Context
-	done chan error
+	done chan result
 }
 
-// Do commits one operation and returns nil once it is applied. The error is a *Conflict, ErrUnavailable or
-// ErrQueueFull where surely nothing was written, and ErrUnknown where ctx ended while the outcome was open;
-// the operation may then still be applied later.
-func (c *Committer) Do(ctx context.Context, op Op) error {
+// result is the end of an operation.
+type result struct {
+	revision int64
+	err      error
+}
+
+// Do commits one operation and returns the revision that its rows have now. The error is a *Conflict, ErrUnavailable
+// or ErrQueueFull where surely nothing was written, and ErrUnknown where ctx ended while the outcome was open; the
+// operation may then still be applied later.
+func (c *Committer) Do(ctx context.Context, op Op) (int64, error) {
 	c.init()
-	p := &pending{Op: op, ctx: ctx, done: make(chan error, 1)}
+	p := &pending{Op: op, ctx: ctx, done: make(chan result, 1)}
 	c.mu.Lock()
 	if op.Priority == Accept && len(c.waiting[Accept]) >= maxWaiting {
 		c.mu.Unlock()
-		return ErrQueueFull
+		return 0, ErrQueueFull
 	}
 	c.waiting[op.Priority] = append(c.waiting[op.Priority], p)
 	c.count++
 	c.mu.Unlock()
 	c.signal()
 	select {
-	case err := <-p.done:
-		return err
+	case r := <-p.done:
+		return r.revision, r.err
 	case <-ctx.Done():
 		return c.abandon(p)
 	}
@@ -141,7 +148,7 @@
 }
 
 // abandon takes back an operation that was not sent yet; one that was sent is unknown to its owner.
-func (c *Committer) abandon(p *pending) error {
+func (c *Committer) abandon(p *pending) (int64, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	queue := c.waiting[p.Priority]
@@ -149,14 +156,14 @@
 		if q == p {
 			c.waiting[p.Priority] = append(queue[:i:i], queue[i+1:]...)
 			c.count--
-			return ErrUnavailable
+			return 0, ErrUnavailable
 		}
 	}
 	select {
-	case err := <-p.done:
-		return err
+	case r := <-p.done:
+		return r.revision, r.err
 	default:
-		return ErrUnknown
+		return 0, ErrUnknown
 	}
 }
 
@@ -227,17 +234,17 @@
 			txn.Checks = append(txn.Checks, p.Checks...)
 			txn.Writes = append(txn.Writes, p.Writes...)
 		}
-		err := c.settle(ctx, txn, batch)
+		revision, err := c.settle(ctx, txn, batch)
 		var conflict *Conflict
 		switch {
 		case err == nil:
 			c.Stats.add(0, int64(len(txn.Writes)), 0, 0)
-			finish(batch, nil)
+			finish(batch, result{revision, nil})
 			return
 		case errors.As(err, &conflict):
 			batch = c.split(batch, conflict)
 		default:
-			finish(batch, err)
+			finish(batch, result{0, err})
 			return
 		}
 	}
@@ -252,14 +259,14 @@
 	var rest []*pending
 	for _, p := range batch {
 		if overlaps(lost, p.Op) {
-			p.done <- conflict
+			p.done <- result{0, conflict}
 			continue
 		}
 		rest = append(rest, p)
 	}
 	c.Stats.add(0, 0, int64(len(batch)-len(rest)), 0)
 	if len(rest) == len(batch) { // A conflict that names no row of ours would repeat for ever.
-		finish(batch, conflict)
+		finish(batch, result{0, conflict})
 		return nil
 	}
 	return rest
@@ -268,29 +275,29 @@
 // settle sends one transaction until its outcome is known or ctx ends. The same id is sent again after a lost
 // answer: because every written row is checked, it can be applied once only, and a conflict that the first
 // sending caused is told apart by the id in the rows.
-func (c *Committer) settle(ctx context.Context, txn Txn, batch []*pending) error {
+func (c *Committer) settle(ctx context.Context, txn Txn, batch []*pending) (int64, error) {
 	backoff := firstBackoff
 	unsure := false
 	for {
-		err := c.try(ctx, txn)
+		revision, err := c.try(ctx, txn)
 		var conflict *Conflict
 		switch {
 		case err == nil:
-			return nil
+			return revision, nil
 		case errors.As(err, &conflict):
 			if !unsure {
-				return err
+				return 0, err
+			}
+			revision, readErr := c.applied(ctx, txn)
+			if readErr == nil && revision > 0 {
+				return revision, nil
 			}
-			applied, readErr := c.applied(ctx, txn)
 			if readErr == nil {
-				if applied {
-					return nil
-				}
-				return err
+				return 0, err
 			}
 		case errors.Is(err, ErrUnavailable):
 			if !unsure && abandoned(batch) {
-				return ErrUnavailable
+				return 0, ErrUnavailable
 			}
 		default:
 			c.Stats.add(0, 0, 0, 1)
@@ -298,9 +305,9 @@
 		}
 		if !sleep(ctx, backoff/2+rand.N(backoff)) {
 			if unsure {
-				return ErrUnknown
+				return 0, ErrUnknown
 			}
-			return ErrUnavailable
+			return 0, ErrUnavailable
 		}
 		backoff = min(2*backoff, maxBackoff)
 	}
@@ -316,16 +323,15 @@
 	return true
 }
 
-func (c *Committer) try(ctx context.Context, txn Txn) error {
+func (c *Committer) try(ctx context.Context, txn Txn) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	c.Stats.add(1, 0, 0, 0)
-	_, err := c.Service.Commit(ctx, txn)
-	return err
+	return c.Service.Commit(ctx, txn)
 }
 
-// applied reads back whether an earlier sending of txn was applied.
-func (c *Committer) applied(ctx context.Context, txn Txn) (bool, error) {
+// applied reads back the revision at which an earlier sending of txn was applied, or 0.
+func (c *Committer) applied(ctx context.Context, txn Txn) (int64, error) {
 	keys := make([]string, len(txn.Writes))
 	for i, w := range txn.Writes {
 		keys[i] = w.Key
@@ -334,19 +340,19 @@
 	defer cancel()
 	rows, err := c.Service.Read(ctx, keys)
 	if err != nil {
-		return false, err
+		return 0, err
 	}
 	for _, r := range rows {
 		if r.Txn == txn.ID {
-			return true, nil
+			return r.Version, nil
 		}
 	}
-	return false, nil
+	return 0, nil
 }
 
-func finish(batch []*pending, err error) {
+func finish(batch []*pending, r result) {
 	for _, p := range batch {
-		p.done <- err
+		p.done <- r
 	}
 }
 
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -32,14 +32,14 @@
 // Ran reports whether a task has run at all.
 func (s State) Ran() bool { return s == Running || s == Finished || s == Failed || s == Stopped }
 
-// Order asks a worker to hold devices for one member of an attempt.
+// Order asks a worker to hold devices for its part of a gang: one or more members of one attempt.
 type Order struct {
 	Attempt  string           `json:"attempt"` // Unique over all attempts of all boxes.
 	Identity request.Identity `json:"identity"`
-	Member   int              `json:"member"`
+	Members  []int            `json:"members"` // Numbers of the members within the gang, from 0.
 	Gang     int              `json:"gang"`
 	Number   int              `json:"number"` // Attempt number of the job, from 1.
-	Shape    contract.Shape   `json:"shape"`
+	Shape    contract.Shape   `json:"shape"`  // Of each member.
 	Devices  []int            `json:"devices"`
 	LeaseMS  int64            `json:"lease_ms"`
 	Kind     string           `json:"kind"`
@@ -47,10 +47,9 @@
 	From     float64          `json:"from"` // Seconds of work in the checkpoint to go on from; 0 starts anew.
 }
 
-// Task is one member as its worker reports it.
+// Task is one worker's part of an attempt as the worker reports it.
 type Task struct {
 	Attempt      string          `json:"attempt"`
-	Member       int             `json:"member"`
 	State        State           `json:"state"`
 	Answer       json.RawMessage `json:"answer,omitempty"`
 	Problem      string          `json:"problem,omitempty"`
@@ -82,8 +81,8 @@
 const (
 	Arm        Verb = "arm"
 	Go         Verb = "go"
-	Stop       Verb = "stop" // Sticky: the attempt never runs from then on.
-	Checkpoint Verb = "checkpoint"
+	Stop       Verb = "stop"       // Sticky: the attempt never runs from then on; Unknown where the worker has no trace of it.
+	Checkpoint Verb = "checkpoint" // Saves the work and pauses until the stop.
 	Throttle   Verb = "throttle"
 )
 
