--- a/internal/hall/pass.go
+++ b/internal/hall/pass.go
@@ -17,8 +17,9 @@
 	began := time.Now()
 	site, orders := k.Config.Site(), k.Config.Orders()
 	site = withGrants(site, orders.Granted, began)
+	loads := k.Loads() // Before the lock: it reads the loads of all keepers, this one's included.
 	k.mu.Lock()
-	v := k.view(site, orders, began)
+	v := k.view(site, orders, loads, began)
 	outcome := k.Policy.Decide(v)
 	k.setAsides = outcome.SetAsides
 	k.load = loadOf(k.Hall, v)
@@ -33,7 +34,7 @@
 	}
 	k.carryOut(ctx, outcome.Decisions)
 	k.expire(ctx, v)
-	k.move(ctx, v, outcome.Waits)
+	k.move(ctx, v, loads, outcome.Waits)
 }
 
 // withGrants returns the site with the limits that operators raised.
--- a/internal/hall/settle.go
+++ b/internal/hall/settle.go
@@ -214,8 +214,7 @@
 )
 
 // move sends waiting jobs that another hall has room for there.
-func (k *Keeper) move(ctx context.Context, v *decider.View, waits []decider.Wait) {
-	loads := k.Loads()
+func (k *Keeper) move(ctx context.Context, v *decider.View, loads []link.Load, waits []decider.Wait) {
 	moved := 0
 	for _, w := range waits {
 		if moved == movesPerPass {
--- a/internal/hall/view.go
+++ b/internal/hall/view.go
@@ -31,10 +31,10 @@
 }
 
 // view puts together what the decider sees; the lock is held.
-func (k *Keeper) view(site *contract.Site, orders config.Orders, now time.Time) *decider.View {
+func (k *Keeper) view(site *contract.Site, orders config.Orders, loads []link.Load, now time.Time) *decider.View {
 	v := &decider.View{
 		Now: now, Site: site, Claims: orders.Claimed(now), Estimates: &k.estimates,
-		SetAsides: k.setAsides, UsedBefore: k.usedElsewhere(),
+		SetAsides: k.setAsides, UsedBefore: usedElsewhere(k.Hall, loads),
 	}
 	index := k.addWorkers(v, orders)
 	v.Layout = k.layoutFor(site, v)
@@ -131,10 +131,10 @@
 }
 
 // usedElsewhere returns the accelerators that workspaces use in other halls, as their preferred boxes said last.
-func (k *Keeper) usedElsewhere() map[string]int {
+func usedElsewhere(hall string, loads []link.Load) map[string]int {
 	used := map[string]int{}
-	for _, l := range k.Loads() {
-		if l.Hall == k.Hall {
+	for _, l := range loads {
+		if l.Hall == hall {
 			continue
 		}
 		for workspace, n := range l.Used {
