Set racks aside so that they drain, and vacate what is left

Change: pledges packed densely, a claim waits a third of its bound for borrowers to end by themselves and stops only lent gangs or smaller own ones, vacated devices are reserved in later passes, kept racks take only backfill.

--- a/internal/decider/board.go
+++ b/internal/decider/board.go
@@ -44,6 +44,8 @@
 	charged  map[string]int // Accelerators charged to the guarantee by workspace.
 	kept     []string       // By rack: the job that it is set aside for.
 	outcome  Outcome
+
+	vacatedAt map[string]float64 // Seconds until a kept rack should have room, by the job it is kept for.
 }
 
 func newBoard(v *View) *board {
@@ -175,18 +177,22 @@
 	return nil
 }
 
-// firm returns what a gang that can't be stopped may take of a seat: the unused pledge of its workspace or what is
-// pledged to nobody, whichever holds more of its members, as far as it is free.
+// firm returns what a gang that can't be stopped may take of a seat now.
 func (b *board) firm(worker int, j *Job) contract.Shape {
+	return meet(b.firmRoom(worker, j), b.seats[worker].free)
+}
+
+// firmRoom returns what can't be claimed back from the job on a seat, free or not: the unused pledge of its workspace
+// or what is pledged to nobody, whichever holds more of its members.
+func (b *board) firmRoom(worker int, j *Job) contract.Shape {
 	s := &b.seats[worker]
-	room := meet(s.open, s.free)
 	if p := s.part(j.Workspace); p != nil {
-		own := meet(p.shape.Sub(p.used), s.free)
-		if j.Shape.Copies(own) >= j.Shape.Copies(room) {
+		own := p.shape.Sub(p.used)
+		if j.Shape.Copies(own) >= j.Shape.Copies(s.open) {
 			return own
 		}
 	}
-	return room
+	return s.open
 }
 
 // meet returns the smaller amount in every dimension.
--- a/internal/decider/covered.go
+++ b/internal/decider/covered.go
@@ -14,17 +14,42 @@
 // keptStops is the number of times a gang may be stopped for large gangs that are not covered by a guarantee.
 const keptStops = 3
 
-// claimRoom offers a workspace's pledge on a worker, its own stoppable gangs left out of account.
-func (b *board) claimRoom(workspace string) func(worker int) contract.Shape {
+// unusedPledge offers what a workspace's own gangs leave of its pledge on a worker.
+func (b *board) unusedPledge(workspace string) func(worker int) contract.Shape {
 	return func(worker int) contract.Shape {
 		p := b.seats[worker].part(workspace)
 		if p == nil {
 			return contract.Shape{}
 		}
-		return p.shape.Sub(p.fixed)
+		return p.shape.Sub(p.used)
 	}
 }
 
+// claimRoom offers the pledge of a job's workspace on a worker as if the workspace's own smaller gangs were gone.
+func (b *board) claimRoom(j *Job) func(worker int) contract.Shape {
+	unused := b.unusedPledge(j.Workspace)
+	return func(worker int) contract.Shape {
+		room := unused(worker)
+		for _, i := range b.seats[worker].gangs {
+			if i >= 0 && b.ownSmaller(i, j) {
+				room = room.Add(b.heldBy(i, worker))
+			}
+		}
+		return room
+	}
+}
+
+// ownSmaller reports whether a running gang may make way for a larger one of its own workspace on their pledge. Only
+// smaller ones do, so that two gangs can't push each other out in turns.
+func (b *board) ownSmaller(i int, j *Job) bool {
+	r := &b.view.Running[i]
+	return b.charges[i] == guaranteed && !b.stopping[i] && r.Job.Workspace == j.Workspace && r.Job.Lendable() &&
+		r.Job.Accelerators() < j.Accelerators()
+}
+
+// lent reports whether a running gang holds devices that can be claimed back.
+func (b *board) lent(i int) bool { return b.charges[i] == borrowed && b.view.Running[i].Job.Lendable() }
+
 // covered reports whether the job stays within what is pledged to its workspace in this hall.
 func (b *board) covered(j *Job) bool {
 	need := j.Accelerators()
@@ -39,18 +64,21 @@
 	cost    float64 // Accelerator-seconds of work that stopping them loses.
 }
 
-// claim starts a covered job on its workspace's pledge, or stops borrowers so that it can start soon.
+// claim stops borrowers so that a covered job can start on its workspace's pledge soon.
 // It reports whether the job was dealt with.
 func (b *board) claim(index int, j *Job) bool {
-	if b.startOnPledge(j) {
-		return true
+	best := b.cheapestPlan(j, b.unusedPledge(j.Workspace), b.lent)
+	if best == nil {
+		best = b.cheapestPlan(j, b.claimRoom(j), func(i int) bool { return b.lent(i) || b.ownSmaller(i, j) })
 	}
-	best := b.cheapestPlan(j, b.claimRoom(j.Workspace), func(i int) bool {
-		return b.view.Running[i].Job.Lendable()
-	})
 	if best == nil {
 		return false
 	}
+	if !j.Urgent && len(best.victims) > 0 && b.age(j) < b.claimPatience() {
+		b.keepPledge(j, best.members)
+		b.wait(index, &Reason{Code: AwaitsReclaim, Rack: b.view.Racks[best.rack].Name, Who: j.Workspace, Detail: "some may end by itself first"})
+		return true
+	}
 	reason := &Reason{Code: ReclaimedFor, Rack: b.view.Racks[best.rack].Name, Who: j.Key}
 	for _, i := range best.victims {
 		b.stop(i, j.Urgent, j.Key, reason)
@@ -60,21 +88,37 @@
 	return true
 }
 
-// startOnPledge starts the job where its pledge is free now, on the rack that it fills the most.
-func (b *board) startOnPledge(j *Job) bool {
-	room := func(worker int) contract.Shape {
-		s := &b.seats[worker]
-		p := s.part(j.Workspace)
-		if p == nil {
-			return contract.Shape{}
-		}
-		return meet(p.shape.Sub(p.used), s.free)
+// claimPatienceShare is the part of the reclaim bound that a claim waits for borrowers to end by themselves.
+const claimPatienceShare = 3
+
+func (b *board) claimPatience() time.Duration {
+	return time.Duration(b.view.Site.ReclaimSeconds) * time.Second / claimPatienceShare
+}
+
+// keepPledge takes what is free or leaving of the places that a claim will have, so that nothing else is lent there.
+func (b *board) keepPledge(j *Job, members []Member) {
+	for _, m := range members {
+		s := &b.seats[m.Worker]
+		need := j.Shape.Times(m.Count)
+		fromLeaving := meet(need, s.leaving)
+		s.leaving = s.leaving.Sub(fromLeaving)
+		s.free = s.free.Sub(meet(need.Sub(fromLeaving), s.free))
 	}
-	rack, members := b.fullestRack(j, room, nil)
+	b.charge(j, members)
+	b.used[j.Workspace] += j.Accelerators()
+}
+
+// startOnPledge starts the job where its pledge is free now, on the rack that it fills the most; racks kept for others
+// are left out.
+func (b *board) startOnPledge(j *Job, kept []string) bool {
+	unused := b.unusedPledge(j.Workspace)
+	room := func(worker int) contract.Shape { return meet(unused(worker), b.seats[worker].free) }
+	rack, members := b.fullestRack(j, room, kept)
 	if members == nil {
 		return false
 	}
 	b.start(j, members, &Reason{Code: Guaranteed, Rack: b.view.Racks[rack].Name})
+	b.release(j.Key)
 	return true
 }
 
@@ -169,9 +213,7 @@
 		}
 		idle := p.shape.Sub(p.used)
 		for !idle.Fits(s.free.Add(s.leaving)) {
-			victim := b.cheapestVictim(s, nil, func(i int) bool {
-				return b.charges[i] == borrowed && b.view.Running[i].Job.Lendable()
-			})
+			victim := b.cheapestVictim(s, nil, b.lent)
 			if victim < 0 {
 				break // Unstoppable work within the bounds of the plan can't be here; a failed worker's can.
 			}
--- a/internal/decider/pulleyring.go
+++ b/internal/decider/pulleyring.go
@@ -18,6 +18,8 @@
 func (Pulleyring) Decide(v *View) Outcome {
 	b := newBoard(v)
 	rest := b.refuse()
+	rest = b.serveVacating(rest)
+	b.keepSetAsides(rest)
 	rest = b.serveCovered(rest)
 	for _, workspace := range v.Claims {
 		b.claimWhole(workspace)
@@ -108,15 +110,16 @@
 	return rest
 }
 
-// startCovered starts a covered job without stopping anyone: on its pledge, or where there is other room.
+// startCovered starts a covered job without stopping anyone: on its pledge, or where there is other room. On a rack that
+// is kept for another it starts only once it has been patient, or at once where it is urgent.
 func (b *board) startCovered(j *Job) bool {
-	if b.startOnPledge(j) {
+	if b.startOnPledge(j, b.kept) {
 		return true
 	}
-	if !j.Lendable() {
-		return false
+	if j.Lendable() && b.startBest(j) {
+		return true
 	}
-	return b.startBest(j)
+	return (j.Urgent || b.age(j) >= b.claimPatience()) && b.startOnPledge(j, nil)
 }
 
 // overLimit reports whether the job would take its workspace over its limit.
@@ -146,7 +149,6 @@
 func (b *board) serveRest(indexes []int) {
 	order := b.score(indexes)
 	biggest := b.biggestWorker()
-	b.keepSetAsides(indexes)
 	failed := map[class]*Reason{}
 	for _, s := range order {
 		j := &b.view.Waiting[s.index]
@@ -201,17 +203,16 @@
 	return order
 }
 
-// startBest starts a job on the fullest rack that takes it, racks set aside for others left out unless it should end
-// in time there.
+// startBest starts a job on the fullest rack that takes it, racks kept for large gangs left out unless it should end in
+// time there.
 func (b *board) startBest(j *Job) bool {
 	rack, members := b.fullestRack(j, b.roomFor(j), b.kept)
-	if members != nil {
-		code := Fits
-		b.start(j, members, &Reason{Code: code, Rack: b.view.Racks[rack].Name})
-		b.release(j.Key)
-		return true
+	if members == nil {
+		return b.backfill(j)
 	}
-	return b.backfill(j)
+	b.start(j, members, &Reason{Code: Fits, Rack: b.view.Racks[rack].Name})
+	b.release(j.Key)
+	return true
 }
 
 // fullestRack returns the rack with the least free accelerators that takes the gang, and how it would be laid there.
--- a/internal/decider/reason.go
+++ b/internal/decider/reason.go
@@ -9,7 +9,7 @@
 const (
 	Guaranteed    Code = "guaranteed"     // Starts on devices pledged to its workspace.
 	Fits          Code = "fits"           // Starts where it packs best.
-	Backfilled    Code = "backfilled"     // Starts on a rack set aside for another, and should end in time.
+	Backfilled    Code = "backfilled"     // Starts on a rack set aside for another, and leaves it for that one.
 	ReclaimedFor  Code = "reclaimed_for"  // Stops because a guarantee is claimed back.
 	VacatedFor    Code = "vacated_for"    // Stops because a large gang has waited long enough.
 	AwaitsReclaim Code = "awaits_reclaim" // Waits until borrowers have left its workspace's pledge.
@@ -35,7 +35,7 @@
 	text := map[Code]string{
 		Guaranteed:    "starts on devices pledged to its workspace",
 		Fits:          "starts where it packs best",
-		Backfilled:    "starts on a rack set aside for another and should end in time",
+		Backfilled:    "starts on a rack set aside for another and leaves it when that one has room",
 		ReclaimedFor:  "stops because a guarantee is claimed back",
 		VacatedFor:    "stops because a large gang has waited long enough",
 		AwaitsReclaim: "waits until borrowers have left its workspace's pledge",
--- a/internal/decider/setaside.go
+++ b/internal/decider/setaside.go
@@ -10,8 +10,61 @@
 	"github.com/pulleyring/pulleyring/pkg/contract"
 )
 
-// setAsideShare bounds the racks that are set aside at once, as a share of all.
-const setAsideShare = 0.5
+// setAsideShare bounds the racks that are set aside at once, as a share of all, where fragmentation is all that counts.
+const setAsideShare = 0.4
+
+// mostSetAsides returns how many racks may be set aside at once: fewer the more completion time counts, because a rack
+// that drains serves nobody meanwhile.
+func (b *board) mostSetAsides() int {
+	share := setAsideShare * (1 - b.view.Site.CompletionWeight)
+	return max(1, int(math.Round(share*float64(len(b.view.Racks)))))
+}
+
+// serveVacating starts the gangs for which racks were vacated, or takes what has come free for them so far, and returns
+// the other jobs.
+func (b *board) serveVacating(indexes []int) []int {
+	racks := map[string]SetAside{}
+	for _, s := range b.view.SetAsides {
+		if s.Vacating {
+			racks[s.Job] = s
+		}
+	}
+	if len(racks) == 0 {
+		return indexes
+	}
+	rest := indexes[:0]
+	for _, i := range indexes {
+		j := &b.view.Waiting[i]
+		s, vacating := racks[j.Key]
+		if !vacating || b.overLimit(j) || !b.serveVacated(i, j, s) {
+			rest = append(rest, i)
+		}
+	}
+	return rest
+}
+
+// serveVacated serves one of them and reports whether its rack still has or will have the room.
+func (b *board) serveVacated(index int, j *Job, s SetAside) bool {
+	name := b.view.Racks[s.Rack].Name
+	if members := b.spread(s.Rack, j, b.roomFor(j)); members != nil {
+		b.start(j, members, &Reason{Code: Fits, Rack: name, Detail: "vacated for it"})
+		return true
+	}
+	members := b.spread(s.Rack, j, func(worker int) contract.Shape {
+		room := b.seats[worker].free.Add(b.seats[worker].leaving)
+		if j.Lendable() {
+			return room
+		}
+		return meet(b.firmRoom(worker, j), room)
+	})
+	if members == nil {
+		return false
+	}
+	b.reserve(j, members)
+	b.outcome.SetAsides = append(b.outcome.SetAsides, s)
+	b.wait(index, &Reason{Code: AwaitsRack, Rack: name, Detail: "work that can be stopped is leaving it"})
+	return true
+}
 
 // keepSetAsides carries over the racks that are set aside for jobs that still wait.
 func (b *board) keepSetAsides(indexes []int) {
@@ -20,7 +73,7 @@
 		waiting[b.view.Waiting[i].Key] = true
 	}
 	for _, s := range b.view.SetAsides {
-		if !waiting[s.Job] || s.Rack >= len(b.kept) || b.kept[s.Rack] != "" {
+		if s.Vacating || !waiting[s.Job] || s.Rack >= len(b.kept) || b.kept[s.Rack] != "" {
 			continue
 		}
 		b.kept[s.Rack] = s.Job
@@ -31,7 +84,7 @@
 // release gives back the rack set aside for a job.
 func (b *board) release(job string) {
 	b.outcome.SetAsides = slices.DeleteFunc(b.outcome.SetAsides, func(s SetAside) bool {
-		if s.Job != job {
+		if s.Job != job || s.Vacating {
 			return false
 		}
 		b.kept[s.Rack] = ""
@@ -39,12 +92,9 @@
 	})
 }
 
-// setAside makes room for a large gang that does not fit: once it has waited long enough for what that costs others,
-// stoppable work leaves the rack where it loses the least; before that the rack is kept for it.
+// setAside makes room for a large gang that does not fit. A rack is kept for it, which drains by itself; once the gang has
+// waited long enough for what that costs others, the work that can be stopped leaves too.
 func (b *board) setAside(j *Job, otherwise *Reason) *Reason {
-	if !j.Lendable() {
-		return b.keepRack(j, otherwise)
-	}
 	p := b.cheapestPlan(j, b.emptyRoom(j), b.vacatable)
 	if p == nil || p.cost > b.patience(j) {
 		return b.keepRack(j, otherwise)
@@ -55,6 +105,7 @@
 		b.stop(i, false, j.Key, &Reason{Code: VacatedFor, Rack: name, Who: j.Key})
 	}
 	b.reserve(j, p.members)
+	b.outcome.SetAsides = append(b.outcome.SetAsides, SetAside{Job: j.Key, Rack: p.rack, Since: b.view.Now, Vacating: true})
 	return &Reason{Code: AwaitsRack, Rack: name, Detail: "work that can be stopped is leaving it"}
 }
 
@@ -73,7 +124,8 @@
 	return b.charges[i] == borrowed && r.Job.Lendable() && r.Job.Stops < keptStops && !b.large(&r.Job)
 }
 
-// emptyRoom offers workers as if everything that may be stopped were gone, racks kept for others left out.
+// emptyRoom offers workers as if everything that may be stopped were gone, racks kept for others left out. A gang that
+// can't be stopped itself is offered only what can't be claimed back.
 func (b *board) emptyRoom(j *Job) func(worker int) contract.Shape {
 	return func(worker int) contract.Shape {
 		w := &b.view.Workers[worker]
@@ -87,7 +139,10 @@
 				room = room.Add(b.heldBy(i, worker))
 			}
 		}
-		return room
+		if j.Lendable() {
+			return room
+		}
+		return meet(b.firmRoom(worker, j), room)
 	}
 }
 
@@ -103,13 +158,16 @@
 
 // keepRack sets the rack aside that should be free for the gang the soonest.
 func (b *board) keepRack(j *Job, otherwise *Reason) *Reason {
+	count := 0
 	for _, s := range b.outcome.SetAsides {
 		if s.Job == j.Key {
 			return b.keptReason(s)
 		}
+		if !s.Vacating {
+			count++
+		}
 	}
-	most := max(1, int(setAsideShare*float64(len(b.view.Racks))))
-	if len(b.outcome.SetAsides) >= most {
+	if count >= b.mostSetAsides() {
 		return otherwise
 	}
 	best, soonest := -1, math.Inf(1)
@@ -190,16 +248,15 @@
 	return left
 }
 
-// backfill starts a job on a rack set aside for another where it should be gone before the rack is free; only work
-// that can be stopped is let in, so that a wrong estimate costs the waiting gang nothing.
+// backfill starts a job on a rack kept for a large gang where it should be gone before the rack is free; only work that
+// can be stopped is let in, so that a wrong estimate costs the waiting gang little.
 func (b *board) backfill(j *Job) bool {
-	if !j.Lendable() || len(b.outcome.SetAsides) == 0 || b.large(j) {
+	if !j.Lendable() || j.Stops >= keptStops || b.large(j) {
 		return false
 	}
 	length := b.view.Estimates.Quantile(j, 0.9) - j.Done
 	for _, s := range b.outcome.SetAsides {
-		holder := b.waitingJob(s.Job)
-		if holder == nil || s.Job == j.Key || length > b.vacated(s.Rack, holder) {
+		if s.Vacating || s.Job == j.Key || length > b.vacatedFor(s) {
 			continue
 		}
 		if members := b.spread(s.Rack, j, b.freeRoom); members != nil {
@@ -210,6 +267,23 @@
 	return false
 }
 
+// vacatedFor returns the seconds after which a kept rack should have room for its gang, worked out once in a pass.
+func (b *board) vacatedFor(s SetAside) float64 {
+	if t, known := b.vacatedAt[s.Job]; known {
+		return t
+	}
+	t := 0.0
+	if j := b.waitingJob(s.Job); j != nil {
+		t = b.vacated(s.Rack, j)
+	}
+	if b.vacatedAt == nil {
+		b.vacatedAt = map[string]float64{}
+	}
+	b.vacatedAt[s.Job] = t
+	return t
+}
+
+// waitingJob returns the waiting job of a key, or nil.
 func (b *board) waitingJob(key string) *Job {
 	for i := range b.view.Waiting {
 		if b.view.Waiting[i].Key == key {
--- a/internal/decider/view.go
+++ b/internal/decider/view.go
@@ -63,9 +63,10 @@
 
 // SetAside keeps a rack for a gang that waits.
 type SetAside struct {
-	Job   string
-	Rack  int
-	Since time.Time
+	Job      string
+	Rack     int
+	Since    time.Time
+	Vacating bool // Work was told to leave the rack; what it frees goes to the gang before anything else.
 }
 
 // View is all that a pass sees; the decider changes nothing in it.
