Learn run times from declarations by a line fit, order by area

Cause: with quantiles by workspace and kind alone all jobs of a kind looked alike, so short ones of a flood waited behind long ones. Change: the estimate fits log run time over log declared time per workspace and kind; the order weighs the wait against expected accelerator-seconds.

--- a/internal/decider/pulleyring.go
+++ b/internal/decider/pulleyring.go
@@ -191,7 +191,8 @@
 	for _, i := range indexes {
 		j := &b.view.Waiting[i]
 		left := max(b.view.Estimates.Quantile(j, 0.5)-j.Done, 1)
-		ratio := (b.age(j).Seconds() + left) / left
+		area := left * float64(max(j.Accelerators(), 1))
+		ratio := (b.age(j).Seconds() + area) / area
 		size := math.Pow(float64(max(j.Accelerators(), 1)), 1-weight)
 		use := float64(b.used[j.Workspace]) / total / max(shares[j.Workspace], 1e-6)
 		order = append(order, scored{i, ratio * size / (1 + use)})
--- a/internal/hall/settle.go
+++ b/internal/hall/settle.go
@@ -136,7 +136,7 @@
 	for _, seat := range e.Seats {
 		k.health.Succeeded(seat.Worker, e.Key())
 	}
-	k.estimates.Observe(e.Submission.Workspace, e.Submission.Kind, e.Done+longest)
+	k.estimates.Observe(e.Submission.Workspace, e.Submission.Kind, e.Submission.DeclaredSeconds, e.Done+longest)
 }
 
 // settle writes a job's outcome, drops its row, and tells the box where its caller waits.
--- a/internal/trial/hall.go
+++ b/internal/trial/hall.go
@@ -249,7 +249,7 @@
 	for _, m := range g.members {
 		h.health.Succeeded(h.workers[m.Worker].Name, g.Key)
 	}
-	h.estimates.Observe(g.Workspace, g.Kind, g.seconds)
+	h.estimates.Observe(g.Workspace, g.Kind, g.DeclaredSeconds, g.seconds)
 	h.result.complete(g)
 	if g.ends < h.result.lastEnd {
 		return
--- a/internal/trial/result.go
+++ b/internal/trial/result.go
@@ -43,12 +43,7 @@
 	}
 }
 
-var onComplete func(g *gang)
-
 func (r *Result) complete(g *gang) {
-	if onComplete != nil {
-		onComplete(g)
-	}
 	r.Completed++
 	took := g.ends - g.arrives
 	r.completions = append(r.completions, took)
