Prove settlement under failure with scripts over several boxes in one bubble

Cause: nothing showed that the promises hold when boxes die or freeze, answers are lost or the table is out. Change: a world of boxes over the stand-ins in memory in a synctest bubble, with gates that freeze or kill a box between deciding and sending, run by scripts from data files; callers and workers are judged by internal/judge.

--- /dev/null
+++ b/internal/box/script_test.go
@@ -0,0 +1,307 @@
+package box
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pulleyring/pulleyring/internal/command"
+	"github.com/pulleyring/pulleyring/internal/judge"
+	"github.com/pulleyring/pulleyring/internal/standin"
+	"github.com/pulleyring/pulleyring/pkg/contract"
+	"github.com/pulleyring/pulleyring/pkg/request"
+)
+
+// script runs the lines of a data file against a world. The forms of lines:
+//
+//	boxes N                     start N boxes, round the halls, and put the site in force
+//	box NAME HALL               start one more box
+//	wait DURATION               let time pass
+//	small CALLER ID [once] [work=D] [fail] [at=N]
+//	gang CALLER ID SIZE [once] [checkpoints] [urgent] [work=D] [fail] [refuse] [at=N]
+//	many N small|gang CALLER PREFIX ...      the same N times
+//	kill|freeze|thaw|leave NAME
+//	fault KEY VALUE             set a fault of the stand-ins
+//	operator COMMAND            carried out at the first live box
+//	settle DURATION             wait until every caller has its outcome, at most so long
+//	expect FIGURE N             a figure of the judgement; figures that stand for broken promises are always 0
+//	expect_outcome CALLER ID OUTCOME
+//	expect_within DURATION CALLER ID         it first ran so long after its submission at the latest
+type script struct {
+	*world
+	submitted map[string]time.Time
+	faults    standin.Faults
+}
+
+// patience is how long the callers of a script go on asking.
+const patience = 3 * time.Minute
+
+func runScript(c *qt.C, file string, broken rules) *judge.Judgement {
+	raw, err := os.ReadFile(file)
+	c.Assert(err, qt.IsNil)
+	var result *judge.Judgement
+	synctest.Test(c.TB.(*testing.T), func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		w := newWorld(c, ctx, 1)
+		w.broken = broken
+		s := &script{world: w, submitted: map[string]time.Time{}}
+		for i, line := range strings.Split(string(raw), "\n") {
+			line, _, _ = strings.Cut(line, "#")
+			words := strings.Fields(line)
+			if len(words) == 0 {
+				continue
+			}
+			c.Assert(s.line(words), qt.IsNil, qt.Commentf("%s:%d: %s", file, i+1, line))
+		}
+		result = s.judge()
+		w.close(cancel)
+		w.calls.Wait()
+	})
+	return result
+}
+
+func (s *script) line(words []string) error {
+	args := words[1:]
+	switch words[0] {
+	case "boxes":
+		return s.startBoxes(args[0])
+	case "box":
+		s.add(args[0], args[1])
+	case "wait":
+		d, err := time.ParseDuration(args[0])
+		time.Sleep(d)
+		return err
+	case "small":
+		return s.request(args[0], args[1], 0, args[2:])
+	case "gang":
+		size, err := strconv.Atoi(args[2])
+		if err != nil {
+			return err
+		}
+		return s.request(args[0], args[1], size, args[3:])
+	case "many":
+		return s.many(args)
+	case "kill":
+		s.kill(args[0])
+	case "freeze":
+		s.boxes[args[0]].gate.freeze()
+	case "thaw":
+		s.boxes[args[0]].gate.melt()
+	case "leave":
+		go s.boxes[args[0]].leaveQuietly()
+	case "fault":
+		return s.fault(args)
+	case "operator":
+		return s.operate(strings.Join(args, " "))
+	case "settle":
+		return s.settle(args[0])
+	case "expect":
+		return s.expect(args[0], args[1])
+	case "expect_outcome":
+		return s.expectOutcome(args[0], args[1], args[2])
+	case "expect_within":
+		return s.expectWithin(args)
+	default:
+		return fmt.Errorf("unknown word %s", words[0])
+	}
+	return nil
+}
+
+// leaveQuietly leaves as planned without an HTTP server.
+func (a *actor) leaveQuietly() {
+	a.Members.Leave()
+	time.Sleep(a.Settings.Timing.BalancerDelay)
+	a.drain(a.ctx)
+}
+
+func (s *script) startBoxes(count string) error {
+	n, err := strconv.Atoi(count)
+	halls := []string{"north", "south"}
+	for i := range n {
+		s.add(fmt.Sprintf("box-%d", i+1), halls[i%2])
+	}
+	s.apply("box-1")
+	for range 200 {
+		if s.inForce() {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	time.Sleep(1500 * time.Millisecond) // Until every box counts as steady.
+	return err
+}
+
+func (s *script) request(caller, id string, gang int, options []string) error {
+	identity := request.Identity{Caller: caller, ID: id}
+	r := request.Submission{Kind: "test", Workspace: map[string]string{"clerk": "court", "desk": "fraud"}[caller], Gang: gang, DeclaredSeconds: 1}
+	if gang > 0 {
+		r.Shape = contract.Shape{CPUs: 1, MemoryGB: 1, Accelerators: 1}
+	}
+	length, first, fail := 100*time.Millisecond, len(s.told), false
+	for _, o := range options {
+		key, value, _ := strings.Cut(o, "=")
+		var err error
+		switch key {
+		case "once":
+			r.AtMostOnce = true
+		case "checkpoints":
+			r.Checkpoints = true
+		case "urgent":
+			r.Urgent = true
+		case "refuse":
+			r.OnOutage = "refuse"
+		case "fail":
+			fail = true
+		case "work":
+			length, err = time.ParseDuration(value)
+		case "at":
+			first, err = strconv.Atoi(value)
+		default:
+			err = fmt.Errorf("unknown option %s", o)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	r.Payload = work(identity, length)
+	if fail {
+		r.Payload = []byte(`{"fail":true}`)
+	}
+	s.submitted[identity.String()] = time.Now()
+	s.submit(identity, r, first, patience)
+	return nil
+}
+
+func (s *script) many(args []string) error {
+	n, err := strconv.Atoi(args[0])
+	if err != nil {
+		return err
+	}
+	for i := range n {
+		line := append([]string{args[1], args[2], args[3] + strconv.Itoa(i)}, args[4:]...)
+		if err := s.line(line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *script) fault(args []string) error {
+	f := &s.faults
+	args = append(args, "")
+	share, _ := strconv.ParseFloat(args[1], 64)
+	switch args[0] {
+	case "table_down":
+		f.TableDown = args[1] == "true"
+	case "table_slow_ms":
+		f.TableSlowMS = int64(share)
+	case "table_lose_answers":
+		f.TableLoseAnswers = share
+	case "table_drop":
+		f.TableDrop = share
+	case "fail_workers":
+		f.FailWorkers = args[1:]
+	case "lost_workers":
+		f.LostWorkers = args[1:]
+	case "fail_upstreams":
+		f.FailUpstreams = args[1:]
+	case "break_upstreams":
+		f.BreakUpstreams = args[1:]
+	default:
+		return fmt.Errorf("unknown fault %s", args[0])
+	}
+	s.platform.Faults.Set(*f)
+	return nil
+}
+
+func (s *script) operate(text string) error {
+	list, err := s.box(0).Desk.Run(s.ctx, "tester", text)
+	if err == nil && list.Refused {
+		return &command.Mistake{Problem: list.Text}
+	}
+	return err
+}
+
+func (s *script) settle(most string) error {
+	d, err := time.ParseDuration(most)
+	if err != nil {
+		return err
+	}
+	end := time.Now().Add(d)
+	for time.Now().Before(end) {
+		if open := s.open(); len(open) == 0 {
+			return nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return fmt.Errorf("not settled: %s", strings.Join(s.open(), ", "))
+}
+
+func (s *script) open() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []string
+	for _, t := range s.told {
+		if !t.Settled() {
+			list = append(list, fmt.Sprintf("%s (%s %s)", t.Identity, t.Last().Outcome, t.Last().Reason))
+		}
+	}
+	return list
+}
+
+func (s *script) expect(figure, count string) error {
+	j := s.judge()
+	got := map[string]int{"done": j.Done, "failed": j.Failed, "not_run": j.NotRun, "settled": j.Settled, "requests": j.Requests, "broken": j.Broken()}
+	if value, known := got[figure]; !known || strconv.Itoa(value) != count {
+		return fmt.Errorf("%s is %d: %s", figure, value, j.Line())
+	}
+	return nil
+}
+
+func (s *script) expectOutcome(caller, id, outcome string) error {
+	for _, t := range s.told {
+		if t.Caller == caller && t.ID == id && string(t.Last().Outcome) == outcome {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s/%s is not %s", caller, id, outcome)
+}
+
+func (s *script) expectWithin(args []string) error {
+	d, err := time.ParseDuration(args[0])
+	if err != nil {
+		return err
+	}
+	key := args[1] + "/" + args[2]
+	for _, r := range s.platform.Workers.Runs() {
+		if r.Identity.String() == key {
+			if took := r.Began.Sub(s.submitted[key]); took > d {
+				return fmt.Errorf("it began after %s", took)
+			}
+			return nil
+		}
+	}
+	return fmt.Errorf("%s never ran", key)
+}
+
+// TestScripts runs every script of testdata; no promise may be broken in any.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/scripts/*.txt")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(files) > 0, qt.IsTrue)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			j := runScript(qt.New(t), file, rules{})
+			qt.Assert(t, j.Broken(), qt.Equals, 0, qt.Commentf("%s", j.Line()))
+			qt.Assert(t, j.Settled, qt.Equals, j.Requests, qt.Commentf("%s", j.Line()))
+		})
+	}
+}
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -27,7 +27,7 @@
 		return e.fail(exitBad, err)
 	}
 	fmt.Fprintln(e.out, judgement.Line())
-	if !judgement.Good() {
+	if !demo.Good(judgement) {
 		return exitBad
 	}
 	return exitGood
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -128,6 +128,9 @@
 cancel JOB | cancel where COLUMN = VALUE [and ...]
 `
 
+// verbs are the words that a command can begin with.
+const verbs = "show, why, grant, reclaim, revoke, drain, undrain or cancel"
+
 // Parse reads one command; the error is a *Mistake.
 func Parse(text string) (*Command, error) {
 	c, err := parser.ParseString("", strings.TrimSpace(text))
@@ -141,7 +144,11 @@
 			problem = "the command ends too early"
 		}
 		_, expected, _ := strings.Cut(unexpected.Error(), "expected ")
-		return nil, &Mistake{Column: unexpected.Unexpected.Pos.Column, Problem: problem, Expected: strings.TrimSuffix(expected, ")")}
+		expected = strings.TrimSuffix(expected, ")")
+		if unexpected.Unexpected.Pos.Column == 1 {
+			expected = verbs
+		}
+		return nil, &Mistake{Column: unexpected.Unexpected.Pos.Column, Problem: problem, Expected: expected}
 	}
 	var positioned participle.Error
 	if errors.As(err, &positioned) {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/pulleyring/pulleyring/deploy"
 	"github.com/pulleyring/pulleyring/internal/identity"
+	"github.com/pulleyring/pulleyring/internal/judge"
 	"github.com/pulleyring/pulleyring/internal/site"
 	"github.com/pulleyring/pulleyring/internal/standin"
 	"github.com/pulleyring/pulleyring/pkg/caller"
@@ -59,7 +59,7 @@
 }
 
 // Run runs the demo and returns its judgement.
-func Run(ctx context.Context, o Options) (*Judgement, error) {
+func Run(ctx context.Context, o Options) (*judge.Judgement, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	d := &demo{Options: o, keys: map[string]string{}}
@@ -77,7 +77,7 @@
 	go d.report(ctx)
 	d.script(ctx, length)
 	d.load.wait(settleMost)
-	return d.judge(), nil
+	return d.load.judge(), nil
 }
 
 func (d *demo) say(format string, args ...any) {
@@ -214,8 +214,7 @@
 	}
 }
 
-// Line returns the judgement as one line of JSON.
-func (j *Judgement) Line() string {
-	raw, _ := json.Marshal(j) // A struct of numbers always encodes.
-	return string(raw)
+// Good reports whether every promise held, everything was settled and the guarantee came back.
+func Good(j *judge.Judgement) bool {
+	return j.Broken() == 0 && j.Settled == j.Requests && j.Requests > 0 && j.GuaranteesReclaimed > 0
 }
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/pulleyring/pulleyring/internal/standin"
+	"github.com/pulleyring/pulleyring/internal/judge"
 	"github.com/pulleyring/pulleyring/pkg/caller"
 	"github.com/pulleyring/pulleyring/pkg/contract"
 	"github.com/pulleyring/pulleyring/pkg/request"
@@ -23,17 +23,6 @@
 	askSeconds     = 45 // How long a caller goes on asking.
 )
 
-// told is a request with what its caller was told.
-type told struct {
-	request.Identity
-	submission request.Submission
-	reply      request.Reply
-	err        error
-	accepted   bool
-	settled    bool
-	wrong      bool // An answer that is not its own.
-}
-
 // load is the callers.
 type load struct {
 	demo   *demo
@@ -42,13 +31,14 @@
 
 	group sync.WaitGroup
 	mu    sync.Mutex
-	told  []*told
+	told  []*judge.Told
+	errs  map[request.Identity]error
 
 	reclaimed, refused int
 }
 
 func newLoad(d *demo, length time.Duration) *load {
-	l := &load{demo: d, length: length, names: [3]string{"single_pull", "subscriber_trace", "tower_dump"}}
+	l := &load{demo: d, length: length, errs: map[request.Identity]error{}, names: [3]string{"single_pull", "subscriber_trace", "tower_dump"}}
 	if d.Site == "yeongdong" {
 		l.names = [3]string{"picking_tally", "sugar_reconciliation", "season_summary"}
 	}
@@ -115,7 +105,7 @@
 
 // settle sends a request and asks until its outcome is final, and keeps what the caller was told.
 func (l *load) settle(ctx context.Context, client *caller.Client, id request.Identity, s request.Submission) {
-	t := &told{Identity: id, submission: s}
+	t := &judge.Told{Identity: id, Submission: s}
 	l.mu.Lock()
 	l.told = append(l.told, t)
 	l.mu.Unlock()
@@ -124,31 +114,11 @@
 	reply, err := client.Settle(ctx, id.ID, s, callWait)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t.reply, t.err = reply, err
-	t.accepted = err == nil
-	t.settled = err == nil && reply.Outcome.Final()
-	t.wrong = reply.Outcome == request.Done && !ownAnswer(t)
-}
-
-// ownAnswer reports whether the answer is the whole answer to the request.
-func ownAnswer(t *told) bool {
-	var parts []standin.Answer
-	if t.submission.Gang == 0 {
-		parts = make([]standin.Answer, 1)
-		if json.Unmarshal(t.reply.Answer, &parts[0]) != nil {
-			return false
-		}
-	} else if json.Unmarshal(t.reply.Answer, &parts) != nil {
-		return false
-	}
-	members := 0
-	for _, p := range parts {
-		if p.Caller != t.Caller || p.ID != t.ID || p.Sum != standin.Sum(t.submission.Payload) {
-			return false
-		}
-		members += len(p.Members)
+	if err != nil {
+		l.errs[id] = err
+		return
 	}
-	return members == t.submission.Gang
+	t.Replies = append(t.Replies, reply)
 }
 
 // reclaim lets an operator claim a workspace's guarantee and the workspace's caller use all of it: block by block.
@@ -207,7 +177,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, t := range l.told {
-		if t.settled {
+		if t.Settled() {
 			settled++
 		}
 	}
@@ -223,3 +193,18 @@
 	case <-time.After(most):
 	}
 }
+
+// judge compares what the callers were told with the records of the stand-ins.
+func (l *load) judge() *judge.Judgement {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	j := judge.Judge(l.told, l.demo.platform.Records())
+	j.CutInFlight = l.demo.balancer.Cut()
+	j.GuaranteesReclaimed, j.GuaranteesRefused = l.reclaimed, l.refused
+	for _, t := range l.told {
+		if !t.Settled() {
+			l.demo.say("open: %s gang %d: %s %v", t.Identity, t.Submission.Gang, t.Last().Reason, l.errs[t.Identity])
+		}
+	}
+	return j
+}
--- a/internal/hall/book.go
+++ b/internal/hall/book.go
@@ -27,11 +27,11 @@
 	Hall  string
 	Table table.Service
 
-	refreshing sync.Mutex // One refresh at a time.
-	mu         sync.Mutex
-	revision   int64
-	jobs       map[string]*Entry
-	racks      map[string]int64 // Versions of the racks' rows.
+	mu       sync.Mutex
+	turn     chan struct{} // Holds one token while a refresh is under way.
+	revision int64
+	jobs     map[string]*Entry
+	racks    map[string]int64 // Versions of the racks' rows.
 }
 
 // changesLimit is the number of rows asked for at once.
@@ -39,8 +39,13 @@
 
 // Refresh takes in what changed since the last time.
 func (b *Book) Refresh(ctx context.Context) error {
-	b.refreshing.Lock()
-	defer b.refreshing.Unlock()
+	turn := b.turns()
+	select {
+	case turn <- struct{}{}:
+		defer func() { <-turn }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	for {
 		b.mu.Lock()
 		after := b.revision
@@ -58,6 +63,16 @@
 	}
 }
 
+// turns returns the channel that lets one refresh through at a time.
+func (b *Book) turns() chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.turn == nil {
+		b.turn = make(chan struct{}, 1)
+	}
+	return b.turn
+}
+
 func (b *Book) take(rows []table.Row, revision int64) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/hall/keeper.go
+++ b/internal/hall/keeper.go
@@ -43,10 +43,11 @@
 	watch    watch
 
 	mu        sync.Mutex
-	on        bool            // This box decides now.
-	stale     bool            // The book must be refreshed.
-	refreshed time.Time       // Last refresh.
-	busy      map[string]bool // Jobs with a step under way.
+	on        bool                 // This box decides now.
+	stale     bool                 // The book must be refreshed.
+	refreshed time.Time            // Last refresh.
+	busy      map[string]bool      // Jobs with a step under way.
+	resting   map[string]time.Time // Jobs that take no step until an instant.
 	starts    map[string]*placement
 	rackBusy  map[string]bool // Racks with a placement under way.
 	setAsides []decider.SetAside
@@ -86,6 +87,7 @@
 // clear forgets what belongs to a time of deciding.
 func (k *Keeper) clear() {
 	k.busy = map[string]bool{}
+	k.resting = map[string]time.Time{}
 	k.starts = map[string]*placement{}
 	k.rackBusy = map[string]bool{}
 	k.waits = map[string]*decider.Reason{}
--- a/internal/hall/pass.go
+++ b/internal/hall/pass.go
@@ -19,6 +19,7 @@
 	site = withGrants(site, orders.Granted, began)
 	loads := k.Loads() // Before the lock: it reads the loads of all keepers, this one's included.
 	k.mu.Lock()
+	k.wakeRested(began)
 	v := k.view(site, orders, loads, began)
 	outcome := k.Policy.Decide(v)
 	k.setAsides = outcome.SetAsides
@@ -169,7 +170,7 @@
 func (k *Keeper) spawn(key string, step func()) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.busy[key] {
+	if k.busy[key] || time.Now().Before(k.resting[key]) {
 		return
 	}
 	k.busy[key] = true
@@ -180,11 +181,30 @@
 	}()
 }
 
-func (k *Keeper) idle(key string) {
+// Rests of a job between two steps, so that what fails at once is not tried again at once.
+const (
+	restAfterStep = 50 * time.Millisecond
+	restAfterHold = 500 * time.Millisecond // Its devices were refused, or their commit failed.
+)
+
+func (k *Keeper) idle(key string) { k.rest(key, restAfterStep) }
+
+// rest ends a step of a job and keeps the job from the next one for a while.
+func (k *Keeper) rest(key string, d time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	delete(k.busy, key)
 	delete(k.starts, key)
+	k.resting[key] = time.Now().Add(d)
+}
+
+// wakeRested forgets the rests that are over; the lock is held.
+func (k *Keeper) wakeRested(now time.Time) {
+	for key, until := range k.resting {
+		if !now.Before(until) {
+			delete(k.resting, key)
+		}
+	}
 }
 
 // judgeAll looks at every attempt and sets going what it needs next.
@@ -217,7 +237,7 @@
 func (k *Keeper) isBusy(key string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.busy[key]
+	return k.busy[key] || time.Now().Before(k.resting[key])
 }
 
 // outcomeReason puts an outcome of an attempt into words.
--- a/internal/hall/start.go
+++ b/internal/hall/start.go
@@ -67,7 +67,7 @@
 		if !errors.Is(err, table.ErrUnknown) {
 			k.release(p)
 		}
-		k.idle(p.entry.Key())
+		k.rest(p.entry.Key(), restAfterHold)
 	}
 	k.Stale()
 }
@@ -87,7 +87,7 @@
 			continue
 		}
 		k.release(p)
-		k.idle(p.entry.Key())
+		k.rest(p.entry.Key(), restAfterHold)
 	}
 	return held
 }
--- a/internal/hall/view.go
+++ b/internal/hall/view.go
@@ -99,7 +99,7 @@
 		})
 		return
 	}
-	if !k.busy[job.Key] {
+	if _, resting := k.resting[job.Key]; !resting && !k.busy[job.Key] {
 		v.Waiting = append(v.Waiting, job)
 	}
 }
--- a/internal/intake/once.go
+++ b/internal/intake/once.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -196,7 +195,6 @@
 
 // openBook follows the rows of unfinished at-most-once requests.
 type openBook struct {
-	mu       sync.Mutex
 	revision int64
 	rows     map[string]table.Row
 }
@@ -236,9 +234,7 @@
 
 // openRows brings the book up to date and returns its rows.
 func (in *Intake) openRows(ctx context.Context) ([]table.Row, error) {
-	b := &in.open
-	b.mu.Lock()
-	defer b.mu.Unlock()
+	b := &in.open // Only the sweep reads and writes it.
 	if b.rows == nil {
 		b.rows = map[string]table.Row{}
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -186,6 +186,13 @@
 	}
 }
 
+// Own returns what the box is to others.
+func (m *Members) Own() Entry {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.Self
+}
+
 // Leave marks the box as leaving; it is preferred for nothing from now on.
 func (m *Members) Leave() {
 	m.mu.Lock()
--- a/internal/operator/show.go
+++ b/internal/operator/show.go
@@ -129,7 +129,7 @@
 func (d *Desk) listBoxes() *command.List {
 	list := &command.List{Columns: []string{"box", "hall", "listen", "leaving", "site_version", "orders_version", "preferred_for"}}
 	site, orders := d.Config.Versions()
-	self := link.Heartbeat{Entry: d.Members.Self, Version: site, Orders: orders}
+	self := link.Heartbeat{Entry: d.Members.Own(), Version: site, Orders: orders}
 	for _, h := range append([]link.Heartbeat{self}, d.Members.Peers()...) {
 		preferred := ""
 		for _, k := range d.Keepers() {
--- a/internal/table/committer.go
+++ b/internal/table/committer.go
@@ -34,6 +34,8 @@
 	maxBackoff      = 2 * time.Second
 	commitTimeout   = 2 * time.Second
 	commitsInFlight = 4
+	// abandonGrace is how long an owner that gave up waits for an operation that is being sent.
+	abandonGrace = 200 * time.Millisecond
 	// maxWaiting bounds the acceptances that wait; settlements are bounded by what was accepted.
 	maxWaiting = 4096
 )
@@ -147,8 +149,26 @@
 	}
 }
 
-// abandon takes back an operation that was not sent yet; one that was sent is unknown to its owner.
+// abandon takes back an operation that waits. One that is being sent has a moment to come back, either with its outcome
+// or because the service surely did nothing; after that it is unknown to its owner.
 func (c *Committer) abandon(p *pending) (int64, error) {
+	if c.takeBack(p) {
+		return 0, ErrUnavailable
+	}
+	t := time.NewTimer(abandonGrace)
+	defer t.Stop()
+	select {
+	case r := <-p.done:
+		return r.revision, r.err
+	case <-t.C:
+	}
+	if c.takeBack(p) {
+		return 0, ErrUnavailable
+	}
+	return 0, ErrUnknown
+}
+
+func (c *Committer) takeBack(p *pending) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	queue := c.waiting[p.Priority]
@@ -156,18 +176,14 @@
 		if q == p {
 			c.waiting[p.Priority] = append(queue[:i:i], queue[i+1:]...)
 			c.count--
-			return 0, ErrUnavailable
+			return true
 		}
 	}
-	select {
-	case r := <-p.done:
-		return r.revision, r.err
-	default:
-		return 0, ErrUnknown
-	}
+	return false
 }
 
 func (c *Committer) loop(ctx context.Context) {
+	backoff := firstBackoff
 	for {
 		select {
 		case <-ctx.Done():
@@ -182,7 +198,14 @@
 			if len(batch) == 0 {
 				break
 			}
-			c.send(ctx, batch)
+			if c.send(ctx, batch) {
+				backoff = firstBackoff
+				continue
+			}
+			if !sleep(ctx, backoff/2+rand.N(backoff)) {
+				return
+			}
+			backoff = min(2*backoff, maxBackoff)
 		}
 	}
 }
@@ -226,28 +249,51 @@
 	}
 }
 
-// send commits a group; operations in conflict leave it and the others are sent again.
-func (c *Committer) send(ctx context.Context, batch []*pending) {
+// send commits a group; operations in conflict leave it and the others are sent again. It returns false where the
+// service surely did nothing; the operations wait again then, so that their owners may still take them back.
+func (c *Committer) send(ctx context.Context, batch []*pending) bool {
 	for len(batch) > 0 {
 		txn := Txn{ID: xid.New().String()}
 		for _, p := range batch {
 			txn.Checks = append(txn.Checks, p.Checks...)
 			txn.Writes = append(txn.Writes, p.Writes...)
 		}
-		revision, err := c.settle(ctx, txn, batch)
+		revision, err := c.settle(ctx, txn)
 		var conflict *Conflict
 		switch {
 		case err == nil:
 			c.Stats.add(0, int64(len(txn.Writes)), 0, 0)
 			finish(batch, result{revision, nil})
-			return
+			return true
 		case errors.As(err, &conflict):
 			batch = c.split(batch, conflict)
+		case errors.Is(err, ErrUnavailable):
+			c.putBack(batch)
+			return false
 		default:
 			finish(batch, result{0, err})
-			return
+			return true
 		}
 	}
+	return true
+}
+
+// putBack lets the operations of a group wait again, before those that came later.
+func (c *Committer) putBack(batch []*pending) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var groups [priorities][]*pending
+	for _, p := range batch {
+		if p.ctx.Err() != nil { // Its owner has left, or is about to, and is told that nothing was done.
+			p.done <- result{0, ErrUnavailable}
+			continue
+		}
+		groups[p.Priority] = append(groups[p.Priority], p)
+		c.count++
+	}
+	for i, g := range groups {
+		c.waiting[i] = append(g, c.waiting[i]...)
+	}
 }
 
 // split answers the operations in conflict and returns the others.
@@ -275,7 +321,7 @@
 // settle sends one transaction until its outcome is known or ctx ends. The same id is sent again after a lost
 // answer: because every written row is checked, it can be applied once only, and a conflict that the first
 // sending caused is told apart by the id in the rows.
-func (c *Committer) settle(ctx context.Context, txn Txn, batch []*pending) (int64, error) {
+func (c *Committer) settle(ctx context.Context, txn Txn) (int64, error) {
 	backoff := firstBackoff
 	unsure := false
 	for {
@@ -296,7 +342,7 @@
 				return 0, err
 			}
 		case errors.Is(err, ErrUnavailable):
-			if !unsure && abandoned(batch) {
+			if !unsure {
 				return 0, ErrUnavailable
 			}
 		default:
@@ -304,25 +350,12 @@
 			unsure = true
 		}
 		if !sleep(ctx, backoff/2+rand.N(backoff)) {
-			if unsure {
-				return 0, ErrUnknown
-			}
-			return 0, ErrUnavailable
+			return 0, ErrUnknown
 		}
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
-// abandoned reports whether nobody waits for any operation of the group.
-func abandoned(batch []*pending) bool {
-	for _, p := range batch {
-		if p.ctx.Err() == nil {
-			return false
-		}
-	}
-	return true
-}
-
 func (c *Committer) try(ctx context.Context, txn Txn) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
--- a/internal/upstream/router.go
+++ b/internal/upstream/router.go
@@ -45,6 +45,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.byName
+	if old == nil {
+		r.retries = retryBurst
+	}
 	r.byName = map[string]*target{}
 	r.targets = r.targets[:0]
 	r.ejected = 0
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -44,21 +44,27 @@
 // Submit sends a request and returns what its caller is told; wait is how long the box may hold the reply back for a
 // gang's outcome. Where a box does not answer, the next one is asked under a higher submission number until ctx ends.
 func (c *Client) Submit(ctx context.Context, id string, s request.Submission, wait time.Duration) (request.Reply, error) {
+	reply, _, err := c.submit(ctx, id, s, wait, 1)
+	return reply, err
+}
+
+// submit begins with a submission number and returns the last one that it used.
+func (c *Client) submit(ctx context.Context, id string, s request.Submission, wait time.Duration, first int) (request.Reply, int, error) {
 	raw, err := json.Marshal(s)
 	if err != nil {
-		return request.Reply{}, errors.Wrap(err, "caller: unable to encode")
+		return request.Reply{}, first, errors.Wrap(err, "caller: unable to encode")
 	}
-	for round := 1; ; round++ {
+	for round := first; ; round++ {
 		header := http.Header{}
 		header.Set("Idempotency-Key", id)
 		header.Set("Pulleyring-Submission", strconv.Itoa(round))
 		setWait(header, wait)
 		reply, err := c.outcome(ctx, http.MethodPost, "/v1/requests", header, raw)
 		if err == nil || !unanswered(err) {
-			return reply, err
+			return reply, round, err
 		}
 		if !pause(ctx) {
-			return request.Reply{ID: id, Outcome: request.Unresolved, Reason: "no box answered"}, nil
+			return request.Reply{ID: id, Outcome: request.Unresolved, Reason: "no box answered"}, round, nil
 		}
 	}
 }
@@ -78,9 +84,10 @@
 	}
 }
 
-// Settle submits a request and asks until its outcome is final or ctx ends. A refused submission is not repeated.
+// Settle submits a request and asks until its outcome is final or ctx ends. Where the boxes know nothing of it after
+// all, it is submitted again under a higher number; a refused submission is not.
 func (c *Client) Settle(ctx context.Context, id string, s request.Submission, wait time.Duration) (request.Reply, error) {
-	reply, err := c.Submit(ctx, id, s, wait)
+	reply, round, err := c.submit(ctx, id, s, wait, 1)
 	for err == nil && !reply.Outcome.Final() {
 		if !pause(ctx) {
 			return reply, nil
@@ -88,7 +95,7 @@
 		next, askErr := c.Ask(ctx, id, wait)
 		var failure *Failure
 		if errors.As(askErr, &failure) && failure.Status == http.StatusNotFound {
-			return reply, nil
+			next, round, askErr = c.submit(ctx, id, s, wait, round+1)
 		}
 		reply, err = next, askErr
 	}
