--- a/internal/box/world_test.go
+++ b/internal/box/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"os"
 	"strings"
@@ -27,6 +28,10 @@
 
 func TestMain(m *testing.M) {
 	metrics.UseNilMetrics = true // Its meters keep a goroutine that would outlive a bubble.
+	flag.Parse()
+	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
+		_ = seed.Value.Set("1") // The same cases in every run, unless another seed is asked for.
+	}
 	os.Exit(m.Run())
 }
 
--- a/internal/hall/settle.go
+++ b/internal/hall/settle.go
@@ -209,7 +209,6 @@
 // Limits of moves between halls.
 const (
 	movesPerPass = 20
-	mostMoves    = 10
 	firstMove    = 3 * time.Second // Wait before the first move; each further one waits as much longer.
 )
 
@@ -221,7 +220,7 @@
 			return
 		}
 		e := k.Book.Job(v.Waiting[w.Job].Key)
-		if e == nil || e.State != settlement.Waiting || e.Moves >= mostMoves || v.Now.Sub(e.Received) < firstMove*time.Duration(e.Moves+1) {
+		if e == nil || e.State != settlement.Waiting || v.Now.Sub(e.Received) < firstMove*time.Duration(e.Moves+1) {
 			continue
 		}
 		if to := k.roomElsewhere(loads, e); to != "" {
@@ -236,10 +235,14 @@
 	need := e.Submission.Gang * e.Submission.Shape.Accelerators
 	for i := range loads {
 		l := &loads[i]
-		if l.Hall == k.Hall || l.Waiting > 0 || l.Largest < need || need == 0 {
+		room := l.Largest
+		if e.Submission.AtMostOnce && !e.Submission.Checkpoints {
+			room = max(l.Firm, l.PledgeFree[e.Submission.Workspace])
+		}
+		if l.Hall == k.Hall || l.Waiting > 0 || room < need || need == 0 {
 			continue
 		}
-		l.Largest -= need
+		l.Largest, l.Firm = l.Largest-need, l.Firm-need
 		return l.Hall
 	}
 	return ""
--- a/internal/hall/view.go
+++ b/internal/hall/view.go
@@ -147,14 +147,16 @@
 // loadOf sums up a view for the boxes that choose halls for new jobs.
 func loadOf(hall string, v *decider.View) link.Load {
 	l := link.Load{Hall: hall, PledgeFree: map[string]int{}, Used: map[string]int{}, Unfinished: map[string]int{}}
-	free := make([]int, len(v.Workers))
+	free, open := make([]int, len(v.Workers)), make([]int, len(v.Workers))
 	for i, w := range v.Workers {
+		open[i] = w.Capacity.Accelerators
 		if w.Usable {
 			free[i] = w.Capacity.Accelerators
 			l.Capacity += free[i]
 		}
 		for _, s := range v.Layout[w.Name] {
 			l.PledgeFree[s.Workspace] += s.Shape.Accelerators
+			open[i] -= s.Shape.Accelerators
 		}
 	}
 	for _, r := range v.Running {
@@ -166,12 +168,14 @@
 		l.PledgeFree[r.Job.Workspace] -= r.Job.Accelerators()
 	}
 	for _, rack := range v.Racks {
-		sum := 0
+		sum, firm := 0, 0
 		for _, k := range rack.Workers {
 			sum += max(free[k], 0)
+			firm += max(min(free[k], open[k]), 0)
 		}
 		l.Free += sum
 		l.Largest = max(l.Largest, sum)
+		l.Firm = max(l.Firm, firm)
 	}
 	for _, j := range v.Waiting {
 		l.Waiting += j.Accelerators()
--- a/internal/intake/gang.go
+++ b/internal/intake/gang.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/pulleyring/pulleyring/internal/link"
+	"github.com/pulleyring/pulleyring/internal/pledge"
 	"github.com/pulleyring/pulleyring/internal/settlement"
 	"github.com/pulleyring/pulleyring/internal/table"
 	"github.com/pulleyring/pulleyring/pkg/contract"
@@ -17,7 +18,7 @@
 func (in *Intake) submitGang(ctx context.Context, o Order) request.Reply {
 	hall := in.chooseHall(o.Submission)
 	if hall == "" {
-		return in.refuse(ctx, o, "no hall can hold the gang now")
+		return in.refuse(ctx, o, "no hall can hold the gang, or only on devices that may be reclaimed from it")
 	}
 	if in.tooMany(o.Submission.Workspace) {
 		return in.refuse(ctx, o, "too many unfinished jobs of the workspace")
@@ -104,7 +105,7 @@
 	}
 	best, bestScore := "", 0.0
 	for _, h := range site.Halls {
-		if !holds(h, s) || orders.Drained("hall", h.Name) {
+		if !in.holds(site, h, s) || orders.Drained("hall", h.Name) {
 			continue
 		}
 		load, told := loads[h.Name]
@@ -119,15 +120,38 @@
 	return best
 }
 
-func holds(h contract.Hall, s request.Submission) bool {
+// holds reports whether a hall could ever run a gang: in an empty rack, and where the gang may neither be cut nor
+// repeated, on devices that nobody can reclaim.
+func (in *Intake) holds(site *contract.Site, h contract.Hall, s request.Submission) bool {
+	layout := in.layout.get(site)
 	for _, r := range h.Racks {
-		if r.GangFits(s.Gang, s.Shape) {
+		if !r.GangFits(s.Gang, s.Shape) {
+			continue
+		}
+		if !s.AtMostOnce || s.Checkpoints || layout.HoldsFirmly(r, s.Workspace, s.Gang, s.Shape) {
 			return true
 		}
 	}
 	return false
 }
 
+// layoutCache keeps the pledge plan of a configuration.
+type layoutCache struct {
+	mu      sync.Mutex
+	version int64
+	layout  pledge.Layout
+}
+
+func (c *layoutCache) get(site *contract.Site) pledge.Layout {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.layout == nil || c.version != site.Version {
+		c.layout, _ = pledge.Plan(site, nil) // A configuration in force fits.
+		c.version = site.Version
+	}
+	return c.layout
+}
+
 // Weights of a hall's score besides how full it is.
 const (
 	pledgeBonus  = 1.0 // The workspace's pledge there has room for the gang.
@@ -148,7 +172,11 @@
 	if load.PledgeFree[s.Workspace]-sent >= need && need > 0 {
 		score -= pledgeBonus
 	}
-	if load.Largest-sent < need {
+	room := load.Largest
+	if s.AtMostOnce && !s.Checkpoints {
+		room = load.Firm
+	}
+	if room-sent < need {
 		score += noRoomMalus
 	}
 	return score
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -57,6 +57,7 @@
 	open    openBook
 	placed  placedBook
 	recent  recentBook
+	layout  layoutCache
 }
 
 // Metrics is told what happens; nil functions are not called.
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -23,6 +23,7 @@
 	Capacity   int            `cbor:"2,keyasint"` // Usable accelerators.
 	Free       int            `cbor:"3,keyasint"`
 	Largest    int            `cbor:"4,keyasint"` // Free accelerators of the emptiest rack.
+	Firm       int            `cbor:"9,keyasint"` // The same, of those pledged to nobody.
 	Waiting    int            `cbor:"5,keyasint"` // Accelerators that waiting jobs need.
 	PledgeFree map[string]int `cbor:"6,keyasint"` // Pledged and unused accelerators by workspace.
 	Used       map[string]int `cbor:"7,keyasint"` // Accelerators in use by workspace.
--- a/internal/settlement/gang.go
+++ b/internal/settlement/gang.go
@@ -29,6 +29,9 @@
 	Unknown Step = "unknown" // Whether it ran can't be found out, and it may not run again.
 )
 
+// ReasonUnknowable is told where a lost worker took with it whether an at-most-once gang ran.
+const ReasonUnknowable = "a worker that may have run it was lost and can't be asked"
+
 // Judge returns the next step of an attempt from what is known of its seats.
 func Judge(j *Job, sights []Sight) Step {
 	c := count(sights)
