Close the window in which a stop crosses a go; give up what fails everywhere

The property test of the policy showed jobs that failed on every worker that could hold them and waited for ever, because fewer workers than the limit exist. Change: workers begin 50 ms after go, and a stop until then finds nothing run; a job is given up when no worker is left to try.

--- a/internal/decider/pulleyring.go
+++ b/internal/decider/pulleyring.go
@@ -37,13 +37,13 @@
 		form := gangForm{j.Gang, j.Shape}
 		fits, known := possible[form]
 		if !known {
-			fits = b.everFits(j)
+			fits = b.everFits(j, nil)
 			possible[form] = fits
 		}
 		switch {
 		case !fits:
 			b.giveUp(j, &Reason{Code: NeverFits})
-		case len(j.FailedOn) >= max(1, b.view.Site.GiveUpAfterWorkers):
+		case b.failsAlways(j):
 			b.giveUp(j, &Reason{Code: FailsAlways, Detail: join(j.FailedOn)})
 		default:
 			rest = append(rest, i)
@@ -62,12 +62,23 @@
 	b.outcome.Decisions = append(b.outcome.Decisions, Decision{Kind: GiveUp, Job: j.Key, Reason: reason})
 }
 
-// everFits reports whether a rack of the hall could hold the gang when empty, lost workers included.
-func (b *board) everFits(j *Job) bool {
+// failsAlways reports whether a job failed on so many healthy workers, or on so many of those that could hold it, that
+// no other try is worth it.
+func (b *board) failsAlways(j *Job) bool {
+	if len(j.FailedOn) == 0 {
+		return false
+	}
+	return len(j.FailedOn) >= max(1, b.view.Site.GiveUpAfterWorkers) || !b.everFits(j, j.FailedOn)
+}
+
+// everFits reports whether a rack of the hall could hold the gang when empty, lost workers included and some left out.
+func (b *board) everFits(j *Job, without []string) bool {
 	for _, r := range b.view.Racks {
 		room := 0
 		for _, k := range r.Workers {
-			room += j.Shape.Copies(b.view.Workers[k].Capacity)
+			if w := &b.view.Workers[k]; !slices.Contains(without, w.Name) {
+				room += j.Shape.Copies(w.Capacity)
+			}
 		}
 		if room >= j.Gang {
 			return true
--- a/internal/pledge/firm.go
+++ b/internal/pledge/firm.go
@@ -30,3 +30,16 @@
 	}
 	return room >= gang
 }
+
+// Proportionate reports whether a shape asks for no more cpus and memory beside its accelerators than the workers of a
+// hall have in proportion, which is what a guaranteed block comes with.
+func Proportionate(h contract.Hall, shape contract.Shape) bool {
+	for _, r := range h.Racks {
+		for _, w := range r.Workers {
+			if w.Capacity.Accelerators > 0 && !shape.Fits(proportion(w.Capacity, shape.Accelerators)) {
+				return false
+			}
+		}
+	}
+	return true
+}
--- a/internal/settlement/gang.go
+++ b/internal/settlement/gang.go
@@ -111,7 +111,7 @@
 			c.ran++
 		}
 		switch state {
-		case worker.Running:
+		case worker.Going, worker.Running:
 			c.running++
 		case worker.Finished:
 			c.finished++
--- a/internal/trial/result.go
+++ b/internal/trial/result.go
@@ -11,6 +11,7 @@
 	Jobs         int
 	Completed    int
 	Cancelled    int
+	Refused      int // No rack could ever hold them.
 	GivenUp      int
 	LostOnce     int // At-most-once jobs that a fault ended; they are settled as failed.
 	FailedStarts int
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -19,6 +19,7 @@
 	Unknown  State = "unknown"  // The worker has no trace of it.
 	Held     State = "held"     // Devices are kept under a short lease, nothing runs.
 	Armed    State = "armed"    // Loaded, waits for go.
+	Going    State = "going"    // Told to go, begins within BeginDelay unless it is stopped.
 	Running  State = "running"  // Runs under a lease.
 	Finished State = "finished" // Ran to its end and has an answer.
 	Failed   State = "failed"   // Ended with an error.
@@ -26,8 +27,12 @@
 	Refused  State = "refused"  // Stopped before it ever ran; it never will.
 )
 
+// BeginDelay is the time between go and the begin of the work at every worker. A stop that crosses the messages of one
+// go finds no member at work yet, unless those messages are further apart than this.
+const BeginDelay = 50 * time.Millisecond
+
 // Live reports whether a task may still run.
-func (s State) Live() bool { return s == Held || s == Armed || s == Running }
+func (s State) Live() bool { return s == Held || s == Armed || s == Going || s == Running }
 
 // Ran reports whether a task has run at all.
 func (s State) Ran() bool { return s == Running || s == Finished || s == Failed || s == Stopped }
