--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -77,7 +77,7 @@
 func (s *Server) Leave() { s.leave() }
 
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !s.ready.Load() {
+	if !s.ready.Load() || !s.Config.Known() {
 		refuse(w, http.StatusServiceUnavailable, "the box takes no new work", nil)
 		return
 	}
@@ -105,6 +105,11 @@
 
 func (s *Server) asCaller(h callerHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		if s.Config.Site() == nil { // Nobody can be told apart yet.
+			w.Header().Set("Retry-After", "1")
+			refuse(w, http.StatusServiceUnavailable, "no configuration is in force in this box yet", nil)
+			return
+		}
 		name, key, err := identity.Name(r)
 		caller, _ := s.Config.Caller(name)
 		if !identity.Matches(key, caller.KeyHash) || err != nil {
--- a/internal/config/keeper.go
+++ b/internal/config/keeper.go
@@ -25,6 +25,7 @@
 	Changed func(text string) // Called after something new came into force; may be nil.
 
 	mu        sync.Mutex
+	asked     bool // The table has told at least once what there is.
 	site      *contract.Site
 	siteDoc   link.Document
 	orders    Orders
@@ -44,6 +45,13 @@
 	return k.site
 }
 
+// Known reports whether the box knows the configuration, or knows that there is none yet.
+func (k *Keeper) Known() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.site != nil || k.asked
+}
+
 // Orders returns the orders in force; callers must not change the lists.
 func (k *Keeper) Orders() Orders {
 	k.mu.Lock()
@@ -120,6 +128,9 @@
 	if err != nil {
 		return errors.Wrap(err, "config: unable to read")
 	}
+	k.mu.Lock()
+	k.asked = true
+	k.mu.Unlock()
 	if rows[0].Version > 0 {
 		var value siteRow
 		if err := json.Unmarshal(rows[0].Value, &value); err != nil {
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -131,10 +131,10 @@
 	}
 }
 
-// unanswered reports whether no box said anything.
+// unanswered reports whether no box said anything about the request; a box that can't tell callers apart yet has not.
 func unanswered(err error) bool {
 	var f *Failure
-	return !errors.As(err, &f)
+	return !errors.As(err, &f) || f.Status == http.StatusServiceUnavailable
 }
 
 func (c *Client) outcome(ctx context.Context, method, path string, header http.Header, body []byte) (request.Reply, error) {
