--- /dev/null
+++ b/internal/cli/load.go
@@ -0,0 +1,150 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pulleyring/pulleyring/internal/upstream"
+	"github.com/pulleyring/pulleyring/internal/wire"
+	"github.com/pulleyring/pulleyring/pkg/request"
+	"github.com/rs/xid"
+)
+
+// Bounds of the measured latencies, in microseconds, and their precision.
+const (
+	leastMicros   = 1
+	mostMicros    = 60_000_000
+	sigDigits     = 3
+	microsInMilli = 1000.0
+)
+
+// loadPhase is what one phase of a load measured.
+type loadPhase struct {
+	Requests  int64   `json:"requests"`
+	Failed    int64   `json:"failed"` // Neither answered nor refused as not run.
+	NotRun    int64   `json:"not_run"`
+	PerSecond float64 `json:"per_second"`
+	P50MS     float64 `json:"p50_ms"`
+	P99MS     float64 `json:"p99_ms"`
+}
+
+// loader sends small requests from several goroutines for a while.
+type loader struct {
+	concurrency int
+	length      time.Duration
+	pace        time.Duration // Between two requests of one goroutine; 0 sends as fast as answers come.
+
+	mu    sync.Mutex
+	times *hdrhistogram.Histogram
+	phase loadPhase
+}
+
+// run makes calls until the time is over; call reports the outcome of one.
+func (l *loader) run(call func(ctx context.Context, number int) request.Outcome) loadPhase {
+	l.times = hdrhistogram.New(leastMicros, mostMicros, sigDigits)
+	l.phase = loadPhase{}
+	began := time.Now()
+	var group sync.WaitGroup
+	for worker := range l.concurrency {
+		group.Go(func() {
+			for i := worker; time.Since(began) < l.length; i += l.concurrency {
+				sent := time.Now()
+				outcome := call(context.Background(), i)
+				l.note(outcome, time.Since(sent))
+				time.Sleep(l.pace - time.Since(sent))
+			}
+		})
+	}
+	group.Wait()
+	l.phase.PerSecond = float64(l.phase.Requests) / time.Since(began).Seconds()
+	l.phase.P50MS = float64(l.times.ValueAtQuantile(50)) / microsInMilli
+	l.phase.P99MS = float64(l.times.ValueAtQuantile(99)) / microsInMilli
+	return l.phase
+}
+
+func (l *loader) note(o request.Outcome, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.phase.Requests++
+	switch o {
+	case request.Done:
+		_ = l.times.RecordValue(max(took.Microseconds(), leastMicros)) // Slower than a minute counts as failed elsewhere.
+	case request.NotRun:
+		l.phase.NotRun++
+	default:
+		l.phase.Failed++
+	}
+}
+
+func runLoad(e *env, args []string) int {
+	set := e.flags("load")
+	var a access
+	a.add(set)
+	l := &loader{}
+	set.IntVar(&l.concurrency, "concurrency", 8, "`requests` in flight")
+	set.DurationVar(&l.length, "for", 5*time.Second, "`time` of each phase")
+	set.DurationVar(&l.pace, "pace", 0, "`time` from one request to the next of each in flight; 0 sends as fast as answers come")
+	workspace := set.String("workspace", "", "`workspace` of the requests")
+	once := set.Bool("once", false, "mark them at most once")
+	payload := set.String("payload", `{"work_ms":0}`, "`JSON` for the executor")
+	direct := set.String("direct", "", "base `URL` of executors to call without a box first, for comparison")
+	name := set.String("upstream", "", "`prefix` of the executors' names that -direct calls, such as ahd-hall-a-exec")
+	count := set.Int("upstreams", 1, "`number` of executors that -direct calls")
+	if code, done := e.parse(set, args); done {
+		return code
+	}
+	if set.NArg() > 0 || l.concurrency < 1 || *workspace == "" || *count < 1 {
+		return e.usageError("load", "-workspace is required and -concurrency is at least 1")
+	}
+	client, err := a.client()
+	if err != nil {
+		return e.fail(exitUsage, err)
+	}
+	result := struct {
+		Direct *loadPhase `json:"direct,omitempty"`
+		Box    loadPhase  `json:"box"`
+	}{}
+	if *direct != "" {
+		phase := l.run(directCall(*direct, *name, *count, *payload))
+		result.Direct = &phase
+	}
+	s := request.Submission{Kind: "load", Workspace: *workspace, AtMostOnce: *once, Payload: json.RawMessage(*payload)}
+	run := xid.New().String()
+	result.Box = l.run(func(ctx context.Context, number int) request.Outcome {
+		reply, err := client.Submit(ctx, fmt.Sprintf("%s-%d", run, number), s, 0)
+		if err != nil {
+			return ""
+		}
+		return reply.Outcome
+	})
+	raw, _ := json.Marshal(result) // Plain structs encode.
+	fmt.Fprintln(e.out, string(raw))
+	if result.Box.Failed > 0 {
+		return exitBad
+	}
+	return exitGood
+}
+
+// directCall returns a call of the executors without a box.
+func directCall(base, name string, count int, payload string) func(context.Context, int) request.Outcome {
+	transport, _ := transportFor("") // It reads no file.
+	client := &http.Client{Transport: transport}
+	run := xid.New().String()
+	return func(ctx context.Context, number int) request.Outcome {
+		call := upstream.Call{
+			Attempt: fmt.Sprintf("%s.%d", run, number), Identity: request.Identity{Caller: "load", ID: run}, Kind: "load",
+			Payload: json.RawMessage(payload),
+		}
+		url := fmt.Sprintf("%s/upstreams/%s-%d/run", strings.TrimSuffix(base, "/"), name, number%count)
+		if err := wire.Post(ctx, client, url, call, nil); err != nil {
+			return ""
+		}
+		return request.Done
+	}
+}
