Make a pass cheaper and let the demo explain what stays open

Cause: the size of the largest worker was looked up for every gang, workspaces were searched by name, and a pass planned for every waiting large gang. Change: looked up once a pass; at most six plans a pass; the demo prints what boxes know of a request that did not settle.

--- a/internal/box/script_test.go
+++ b/internal/box/script_test.go
@@ -62,7 +62,7 @@
 func runLines(t *testing.T, name string, lines []string, broken rules) (result *judge.Judgement, failure error) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		w := newWorld(qt.New(t), ctx, 1)
+		w := newWorld(ctx, qt.New(t), 1)
 		w.broken = broken
 		w.platform.Workers.Lax = standin.Laxity{LapsedHolds: broken.lapsedHolds, ForgetStops: broken.forgetStops}
 		s := &script{world: w, submitted: map[string]time.Time{}}
--- a/internal/box/world_test.go
+++ b/internal/box/world_test.go
@@ -290,7 +290,7 @@
 	calls sync.WaitGroup
 }
 
-func newWorld(c *qt.C, ctx context.Context, seed uint64) *world {
+func newWorld(ctx context.Context, c *qt.C, seed uint64) *world {
 	w := &world{c: c, ctx: ctx, platform: standin.NewPlatform(seed, 0, 0, 0), boxes: map[string]*actor{}}
 	raw, err := os.ReadFile("testdata/site.ini")
 	c.Assert(err, qt.IsNil)
--- a/internal/cli/script_test.go
+++ b/internal/cli/script_test.go
@@ -65,7 +65,7 @@
 }
 
 // await waits until something listens on each port: await PORT...
-func await(ts *testscript.TestScript, _ bool, args []string) {
+func await(_ *testscript.TestScript, _ bool, args []string) {
 	for _, port := range args {
 		for {
 			conn, err := net.Dial("tcp", "127.0.0.1:"+port)
--- a/internal/decider/board.go
+++ b/internal/decider/board.go
@@ -45,7 +45,10 @@
 	kept     []string       // By rack: the job that it is set aside for.
 	outcome  Outcome
 
-	vacatedAt map[string]float64 // Seconds until a kept rack should have room, by the job it is kept for.
+	biggest    int                            // Accelerators of the largest worker.
+	workspaces map[string]*contract.Workspace // Of the site, by name.
+	plans      int                            // Plans made for large gangs in this pass.
+	vacatedAt  map[string]float64 // Seconds until a kept rack should have room, by the job it is kept for.
 }
 
 func newBoard(v *View) *board {
@@ -54,11 +57,16 @@
 		stopping: make([]bool, len(v.Running)), used: map[string]int{}, pledged: map[string]int{},
 		charged: map[string]int{}, kept: make([]string, len(v.Racks)),
 	}
+	b.workspaces = make(map[string]*contract.Workspace, len(v.Site.Workspaces))
+	for i := range v.Site.Workspaces {
+		b.workspaces[v.Site.Workspaces[i].Name] = &v.Site.Workspaces[i]
+	}
 	for name, n := range v.UsedBefore {
 		b.used[name] = n
 	}
 	for i := range v.Workers {
 		b.seats[i] = newSeat(&v.Workers[i], v)
+		b.biggest = max(b.biggest, v.Workers[i].Capacity.Accelerators)
 		for _, p := range b.seats[i].parts {
 			b.pledged[p.workspace] += p.shape.Accelerators
 		}
--- a/internal/decider/pulleyring.go
+++ b/internal/decider/pulleyring.go
@@ -135,20 +135,12 @@
 
 // overLimit reports whether the job would take its workspace over its limit.
 func (b *board) overLimit(j *Job) bool {
-	w, ok := b.view.Site.Workspace(j.Workspace)
-	return !ok || w.LimitAccelerators > 0 && b.used[j.Workspace]+j.Accelerators() > w.LimitAccelerators
+	w := b.workspaces[j.Workspace]
+	return w == nil || w.LimitAccelerators > 0 && b.used[j.Workspace]+j.Accelerators() > w.LimitAccelerators
 }
 
 // large reports whether a gang needs more accelerators than any single worker has.
-func (b *board) large(j *Job) bool { return j.Accelerators() > b.biggestWorker() }
-
-func (b *board) biggestWorker() int {
-	most := 0
-	for i := range b.view.Workers {
-		most = max(most, b.view.Workers[i].Capacity.Accelerators)
-	}
-	return most
-}
+func (b *board) large(j *Job) bool { return j.Accelerators() > b.biggest }
 
 // scored is a waiting job with its place in the order.
 type scored struct {
@@ -159,7 +151,6 @@
 // serveRest starts what fits in the order of scores and sets racks aside for large gangs that don't fit.
 func (b *board) serveRest(indexes []int) {
 	order := b.score(indexes)
-	biggest := b.biggestWorker()
 	failed := map[class]*Reason{}
 	for _, s := range order {
 		j := &b.view.Waiting[s.index]
@@ -168,7 +159,7 @@
 			continue
 		}
 		c := classOf(j)
-		if reason := failed[c]; reason != nil && len(j.FailedOn) == 0 && j.Accelerators() <= biggest {
+		if reason := failed[c]; reason != nil && len(j.FailedOn) == 0 && !b.large(j) {
 			b.wait(s.index, reason)
 			continue
 		}
@@ -176,7 +167,7 @@
 			continue
 		}
 		reason := b.noRoom(j)
-		if j.Accelerators() > biggest {
+		if b.large(j) {
 			reason = b.setAside(j, reason)
 		}
 		if len(j.FailedOn) == 0 {
--- a/internal/decider/setaside.go
+++ b/internal/decider/setaside.go
@@ -13,6 +13,9 @@
 // setAsideShare bounds the racks that are set aside at once, as a share of all, where fragmentation is all that counts.
 const setAsideShare = 0.4
 
+// plansPerPass bounds the large gangs for which a pass looks for work to stop; the others wait for the next pass.
+const plansPerPass = 6
+
 // mostSetAsides returns how many racks may be set aside at once: fewer the more completion time counts, because a rack
 // that drains serves nobody meanwhile.
 func (b *board) mostSetAsides() int {
@@ -95,6 +98,10 @@
 // setAside makes room for a large gang that does not fit. A rack is kept for it, which drains by itself; once the gang has
 // waited long enough for what that costs others, the work that can be stopped leaves too.
 func (b *board) setAside(j *Job, otherwise *Reason) *Reason {
+	if b.patience(j) <= 0 || b.plans >= plansPerPass {
+		return b.keepRack(j, otherwise)
+	}
+	b.plans++
 	p := b.cheapestPlan(j, b.emptyRoom(j), b.vacatable)
 	if p == nil || p.cost > b.patience(j) {
 		return b.keepRack(j, otherwise)
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/pulleyring/pulleyring/internal/object"
 	"github.com/pulleyring/pulleyring/internal/settings"
 	"github.com/pulleyring/pulleyring/internal/table"
+	"github.com/pulleyring/pulleyring/internal/timeline"
 	"github.com/pulleyring/pulleyring/internal/upstream"
 	"github.com/pulleyring/pulleyring/internal/worker"
 	"github.com/pulleyring/pulleyring/pkg/contract"
@@ -168,3 +169,24 @@
 		<-r.done
 	}
 }
+
+// explain prints what the boxes know of a job that is not settled.
+func (f *fleet) explain(d *demo, job string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var lists [][]timeline.Event
+	for _, r := range f.boxes {
+		lists = append(lists, r.Recorder.Events(job))
+		for _, k := range r.Keepers() {
+			if _, on := k.Load(); !on {
+				continue
+			}
+			if e := k.Book.Job(job); e != nil {
+				d.say("  in %s of %s: %s, attempt %d in %s; %s", k.Hall, r.Settings.Name, e.State, e.Number, e.Rack, k.Why(job))
+			}
+		}
+	}
+	for _, e := range timeline.Merge(lists...) {
+		d.say("  %s %s %s: %s", e.Box, e.Hall, e.Attempt, e.Text)
+	}
+}
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -203,7 +203,8 @@
 	j.GuaranteesReclaimed, j.GuaranteesRefused = l.reclaimed, l.refused
 	for _, t := range l.told {
 		if !t.Settled() {
-			l.demo.say("open: %s gang %d: %s %v", t.Identity, t.Submission.Gang, t.Last().Reason, l.errs[t.Identity])
+			l.demo.say("open: %s gang %d once %t: %s %v", t.Identity, t.Submission.Gang, t.Submission.AtMostOnce, t.Last().Reason, l.errs[t.Identity])
+			l.demo.fleet.explain(l.demo, t.Identity.String())
 		}
 	}
 	return j
