--- a/internal/decider/board.go
+++ b/internal/decider/board.go
@@ -48,7 +48,7 @@
 	biggest    int                            // Accelerators of the largest worker.
 	workspaces map[string]*contract.Workspace // Of the site, by name.
 	plans      int                            // Plans made for large gangs in this pass.
-	vacatedAt  map[string]float64 // Seconds until a kept rack should have room, by the job it is kept for.
+	vacatedAt  map[string]float64             // Seconds until a kept rack should have room, by the job it is kept for.
 }
 
 func newBoard(v *View) *board {
--- a/internal/decider/covered.go
+++ b/internal/decider/covered.go
@@ -84,6 +84,8 @@
 		b.stop(i, j.Urgent, j.Key, reason)
 	}
 	b.reserve(j, best.members)
+	b.release(j.Key)
+	b.outcome.SetAsides = append(b.outcome.SetAsides, SetAside{Job: j.Key, Rack: best.rack, Since: b.view.Now, Vacating: true, Pledged: true})
 	b.wait(index, &Reason{Code: AwaitsReclaim, Rack: reason.Rack, Who: j.Workspace})
 	return true
 }
--- a/internal/decider/setaside.go
+++ b/internal/decider/setaside.go
@@ -49,23 +49,31 @@
 // serveVacated serves one of them and reports whether its rack still has or will have the room.
 func (b *board) serveVacated(index int, j *Job, s SetAside) bool {
 	name := b.view.Racks[s.Rack].Name
-	if members := b.spread(s.Rack, j, b.roomFor(j)); members != nil {
-		b.start(j, members, &Reason{Code: Fits, Rack: name, Detail: "vacated for it"})
+	room := func(int) contract.Shape {
+		return contract.Shape{CPUs: contract.MaxCopies, MemoryGB: contract.MaxCopies, Accelerators: contract.MaxCopies}
+	}
+	code, waits := Fits, AwaitsRack
+	switch {
+	case s.Pledged:
+		room = b.unusedPledge(j.Workspace)
+		code, waits = Guaranteed, AwaitsReclaim
+	case !j.Lendable():
+		room = func(worker int) contract.Shape { return b.firmRoom(worker, j) }
+	}
+	now := b.spread(s.Rack, j, func(worker int) contract.Shape { return meet(room(worker), b.seats[worker].free) })
+	if now != nil {
+		b.start(j, now, &Reason{Code: code, Rack: name, Detail: "vacated for it"})
 		return true
 	}
-	members := b.spread(s.Rack, j, func(worker int) contract.Shape {
-		room := b.seats[worker].free.Add(b.seats[worker].leaving)
-		if j.Lendable() {
-			return room
-		}
-		return meet(b.firmRoom(worker, j), room)
+	soon := b.spread(s.Rack, j, func(worker int) contract.Shape {
+		return meet(room(worker), b.seats[worker].free.Add(b.seats[worker].leaving))
 	})
-	if members == nil {
+	if soon == nil {
 		return false
 	}
-	b.reserve(j, members)
+	b.reserve(j, soon)
 	b.outcome.SetAsides = append(b.outcome.SetAsides, s)
-	b.wait(index, &Reason{Code: AwaitsRack, Rack: name, Detail: "work that can be stopped is leaving it"})
+	b.wait(index, &Reason{Code: waits, Rack: name, Detail: "work that can be stopped is leaving it"})
 	return true
 }
 
--- a/internal/decider/view.go
+++ b/internal/decider/view.go
@@ -67,6 +67,7 @@
 	Rack     int
 	Since    time.Time
 	Vacating bool // Work was told to leave the rack; what it frees goes to the gang before anything else.
+	Pledged  bool // The same on the pledge of the gang's workspace.
 }
 
 // View is all that a pass sees; the decider changes nothing in it.
