Choose what to stop by what it frees where it is missing

Cause: a gang of 48 that had just started was stopped to free one accelerator, because the work it lost for each of its accelerators was small. Change: a victim gets credit only for what it frees of what is missing.

--- a/internal/decider/covered.go
+++ b/internal/decider/covered.go
@@ -148,7 +148,8 @@
 		need := j.Shape.Times(m.Count)
 		s := &b.seats[m.Worker]
 		for !need.Fits(s.free.Add(s.leaving).Add(freed[m.Worker])) {
-			victim := b.cheapestVictim(s, chosen, stoppable)
+			missing := need.Sub(s.free.Add(s.leaving).Add(freed[m.Worker]))
+			victim := b.cheapestVictim(m.Worker, missing, chosen, stoppable)
 			if victim < 0 {
 				return false
 			}
@@ -163,14 +164,17 @@
 	return true
 }
 
-func (b *board) cheapestVictim(s *seat, chosen map[int]bool, stoppable func(int) bool) int {
+// cheapestVictim returns the gang on a worker that loses the least work for what it frees of what is missing there, or
+// -1. A gang that frees more than is missing, there or elsewhere, gets no credit for it.
+func (b *board) cheapestVictim(worker int, missing contract.Shape, chosen map[int]bool, stoppable func(int) bool) int {
 	best := -1
 	bestCost := 0.0
-	for _, i := range s.gangs {
+	for _, i := range b.seats[worker].gangs {
 		if i < 0 || chosen[i] || b.stopping[i] || !stoppable(i) {
 			continue
 		}
-		cost := b.loss(i) / float64(max(1, b.view.Running[i].Job.Accelerators()))
+		useful := meet(b.heldBy(i, worker), missing)
+		cost := b.loss(i) / (float64(max(useful.Accelerators, 0)) + cpuCredit*float64(max(useful.CPUs, 0)) + leastCredit)
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
@@ -178,6 +182,12 @@
 	return best
 }
 
+// Credits of what a victim frees, beside 1 for each accelerator.
+const (
+	cpuCredit   = 0.01
+	leastCredit = 0.001
+)
+
 // loss returns the accelerator-seconds of work that stopping a running gang loses; gangs without accelerators count
 // as a tenth of one.
 func (b *board) loss(i int) float64 {
@@ -215,7 +225,7 @@
 		}
 		idle := p.shape.Sub(p.used)
 		for !idle.Fits(s.free.Add(s.leaving)) {
-			victim := b.cheapestVictim(s, nil, b.lent)
+			victim := b.cheapestVictim(k, idle.Sub(s.free.Add(s.leaving)), nil, b.lent)
 			if victim < 0 {
 				break // Unstoppable work within the bounds of the plan can't be here; a failed worker's can.
 			}
