Prove that a leaving upstream gets nothing; one piece of code waits and repeats

Cause: the script on leaving upstreams asserted only that all is settled; eight loops and five waits stood in seven packages. Change: the script notes the instant 3 s after the drain and asks the executors' and workers' records; internal/interval is called by all.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -14,6 +14,7 @@
 	"github.com/pulleyring/pulleyring/internal/decider"
 	"github.com/pulleyring/pulleyring/internal/hall"
 	"github.com/pulleyring/pulleyring/internal/intake"
+	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/pulleyring/pulleyring/internal/link"
 	"github.com/pulleyring/pulleyring/internal/member"
 	"github.com/pulleyring/pulleyring/internal/object"
@@ -133,25 +134,16 @@
 	b.group.Go(func() { b.Committer.Run(ctx) })
 	b.group.Go(func() { b.Members.Run(ctx) })
 	b.group.Go(func() { b.Intake.Run(ctx) })
-	b.group.Go(func() { b.refreshLoop(ctx) })
+	b.group.Go(func() { interval.Every(ctx, b.Settings.Timing.Refresh, b.refresh) })
 	b.API.SetReady(true)
 }
 
-// refreshLoop looks for new configurations and orders and shares out the table's budget among the boxes alive.
-func (b *Box) refreshLoop(ctx context.Context) {
-	t := time.NewTicker(b.Settings.Timing.Refresh)
-	defer t.Stop()
-	for {
-		if err := b.Config.Refresh(ctx); err != nil {
-			b.Log.Debug("config: " + err.Error())
-		}
-		b.share()
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+// refresh looks for new configurations and orders and shares out the table's budget among the boxes alive.
+func (b *Box) refresh(ctx context.Context) {
+	if err := b.Config.Refresh(ctx); err != nil {
+		b.Log.Debug("config: " + err.Error())
 	}
+	b.share()
 }
 
 // share sets this box's part of the budget of the table and of the upstreams' connections.
@@ -241,10 +233,7 @@
 	b.Recorder.Add(timeline.Event{Part: "box", Text: "leaves as planned"})
 	b.API.SetReady(false)
 	b.Members.Leave()
-	select {
-	case <-ctx.Done():
-	case <-time.After(b.Settings.Timing.BalancerDelay):
-	}
+	interval.Sleep(ctx, b.Settings.Timing.BalancerDelay)
 	b.API.Leave()
 	ctx, cancel := context.WithTimeout(ctx, b.Settings.Timing.StopWithin)
 	defer cancel()
--- a/internal/box/script_test.go
+++ b/internal/box/script_test.go
@@ -37,6 +37,8 @@
 //	settle DURATION             wait until every caller has its outcome, at most so long
 //	configure KEY VALUE         apply the site with another value of the section [site]
 //	expect_site VALUE           every live box has that completion_weight in force
+//	mark                        remember this instant
+//	expect_unused NAME          nothing began at that worker or upstream since the mark
 //	expect FIGURE N             a figure of the judgement; figures that stand for broken promises are always 0
 //	expect_outcome CALLER ID OUTCOME
 //	expect_within DURATION CALLER ID         it first ran so long after its submission at the latest
@@ -44,6 +46,7 @@
 	*world
 	submitted map[string]time.Time
 	faults    standin.Faults
+	marked    time.Time
 	lost      bool // Workers were lost, so that some outcomes can't be known.
 }
 
@@ -143,6 +146,10 @@
 		return s.expectSite(args[0])
 	case "settle":
 		return s.settle(args[0])
+	case "mark":
+		s.marked = time.Now()
+	case "expect_unused":
+		return s.expectUnused(args[0])
 	case "expect":
 		return s.expect(args[0], args[1])
 	case "expect_outcome":
@@ -344,6 +351,21 @@
 	return nil
 }
 
+func (s *script) expectUnused(name string) error {
+	records := s.platform.Records()
+	for _, r := range records.Runs {
+		if r.Worker == name && r.Began.After(s.marked) {
+			return fmt.Errorf("%s began there", r.Attempt)
+		}
+	}
+	for _, r := range records.Served {
+		if r.Upstream == name && r.Began.After(s.marked) {
+			return fmt.Errorf("%s began there", r.Attempt)
+		}
+	}
+	return nil
+}
+
 func scriptFiles(t *testing.T) []string {
 	files, err := filepath.Glob("testdata/scripts/*.txt")
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/pulleyring/pulleyring/deploy"
 	"github.com/pulleyring/pulleyring/internal/identity"
+	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/pulleyring/pulleyring/internal/judge"
 	"github.com/pulleyring/pulleyring/internal/site"
 	"github.com/pulleyring/pulleyring/internal/standin"
@@ -201,17 +202,10 @@
 
 // report prints where things stand every second.
 func (d *demo) report(ctx context.Context) {
-	t := time.NewTicker(progress)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			requests, settled := d.load.counts()
-			d.say("%d requests, %d settled; %d boxes ready", requests, settled, d.fleet.ready())
-		}
-	}
+	interval.Every(ctx, progress, func(context.Context) {
+		requests, settled := d.load.counts()
+		d.say("%d requests, %d settled; %d boxes ready", requests, settled, d.fleet.ready())
+	})
 }
 
 // Good reports whether every promise held, everything was settled and the guarantee came back.
--- a/internal/hall/settle.go
+++ b/internal/hall/settle.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/pulleyring/pulleyring/internal/decider"
+	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/pulleyring/pulleyring/internal/link"
 	"github.com/pulleyring/pulleyring/internal/settlement"
 	"github.com/pulleyring/pulleyring/internal/table"
@@ -60,15 +61,7 @@
 		k.stepSeats(ctx, workers, e.Seats, worker.Checkpoint, e.Attempt, 0)
 	}
 	if !k.stepSeats(ctx, workers, e.Seats, worker.Stop, e.Attempt, 0) {
-		pauseFor(ctx, stepTimeout/2) // Some could not be reached; the next try comes after a pause.
-	}
-}
-
-// pauseFor waits, or less where ctx ends.
-func pauseFor(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+		interval.Sleep(ctx, stepTimeout/2) // Some could not be reached; the next try comes after a pause.
 	}
 }
 
@@ -147,7 +140,7 @@
 	if err != nil {
 		k.Log.Debug("hall: a settlement is open: "+err.Error(), k.field(e))
 		k.Stale()
-		pauseFor(ctx, settlePause/2+rand.N(settlePause))
+		interval.Sleep(ctx, settlePause/2+rand.N(settlePause))
 		return
 	}
 	k.settledAt(e, revision, reply)
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/pulleyring/pulleyring/internal/config"
+	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/pulleyring/pulleyring/internal/link"
 	"github.com/pulleyring/pulleyring/internal/object"
 	"github.com/pulleyring/pulleyring/internal/settings"
@@ -87,8 +88,8 @@
 	in.init()
 	var group sync.WaitGroup
 	group.Go(func() { in.noteLoop(ctx) })
-	group.Go(func() { in.pollLoop(ctx) })
-	group.Go(func() { in.sweepLoop(ctx) })
+	group.Go(func() { interval.Every(ctx, pollInterval, in.poll) })
+	group.Go(func() { interval.Every(ctx, sweepInterval, in.sweep) })
 	group.Wait()
 }
 
@@ -276,20 +277,7 @@
 	in.waiters.deliver(s.Identity, s.Reply)
 }
 
-// pollLoop looks at the rows of requests that are waited for, in case the word of their settlement was lost.
-func (in *Intake) pollLoop(ctx context.Context) {
-	t := time.NewTicker(pollInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			in.poll(ctx)
-		}
-	}
-}
-
+// poll looks at the rows of requests that are waited for, in case the word of their settlement was lost.
 func (in *Intake) poll(ctx context.Context) {
 	ids := in.waiters.ids()
 	for len(ids) > 0 {
--- a/internal/intake/once.go
+++ b/internal/intake/once.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/pulleyring/pulleyring/internal/settlement"
 	"github.com/pulleyring/pulleyring/internal/table"
 	"github.com/pulleyring/pulleyring/internal/upstream"
@@ -132,7 +133,7 @@
 		if reply, known := in.tryFindOut(ctx, s); known {
 			return reply
 		}
-		if !pause(ctx, fenceInterval) {
+		if !interval.Sleep(ctx, fenceInterval) {
 			return unresolved("the upstream can't be asked whether it ran")
 		}
 	}
@@ -199,23 +200,11 @@
 	rows     map[string]table.Row
 }
 
-// sweepLoop finishes at-most-once requests whose box is gone or is late.
-func (in *Intake) sweepLoop(ctx context.Context) {
-	t := time.NewTicker(sweepInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			if in.Sweeps() && in.Config.Site() != nil {
-				in.sweep(ctx)
-			}
-		}
-	}
-}
-
+// sweep finishes at-most-once requests whose box is gone or is late.
 func (in *Intake) sweep(ctx context.Context) {
+	if !in.Sweeps() || in.Config.Site() == nil {
+		return
+	}
 	rows, err := in.openRows(ctx)
 	if err != nil {
 		return
--- a/internal/intake/small.go
+++ b/internal/intake/small.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/pulleyring/pulleyring/internal/settlement"
 	"github.com/pulleyring/pulleyring/internal/table"
 	"github.com/pulleyring/pulleyring/internal/upstream"
@@ -123,18 +124,7 @@
 	if in.Metrics.Retried != nil {
 		in.Metrics.Retried()
 	}
-	return pause(ctx, backoff/2+rand.N(backoff))
-}
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	return interval.Sleep(ctx, backoff/2+rand.N(backoff))
 }
 
 // pick waits a little for a place at an upstream.
@@ -144,7 +134,7 @@
 		if u, ok := in.Router.Pick(not); ok {
 			return u, true
 		}
-		if time.Now().After(end) || !pause(ctx, placeInterval) {
+		if time.Now().After(end) || !interval.Sleep(ctx, placeInterval) {
 			return contract.Upstream{}, false
 		}
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/dgryski/go-rendezvous"
 	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/pulleyring/pulleyring/internal/link"
 	"github.com/pulleyring/pulleyring/internal/settings"
 	"github.com/pulleyring/pulleyring/internal/wire"
@@ -84,25 +85,11 @@
 // Run announces the box and exchanges heartbeats until ctx ends.
 func (m *Members) Run(ctx context.Context) {
 	var group sync.WaitGroup
-	group.Go(func() { every(ctx, listInterval, m.refreshList) })
-	group.Go(func() { every(ctx, m.Timing.Heartbeat, m.beat) })
+	group.Go(func() { interval.Every(ctx, listInterval, m.refreshList) })
+	group.Go(func() { interval.Every(ctx, m.Timing.Heartbeat, m.beat) })
 	group.Wait()
 }
 
-// every calls f at once and then at each interval until ctx ends.
-func every(ctx context.Context, interval time.Duration, f func(ctx context.Context)) {
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for {
-		f(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
-}
-
 func (m *Members) refreshList(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, listInterval)
 	defer cancel()
--- a/internal/standin/balancer.go
+++ b/internal/standin/balancer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/interval"
 )
 
 // Balancer is the platform's balancer before the boxes: an http.RoundTripper that sends each request to the next box
@@ -54,16 +55,7 @@
 
 // Run looks at the boxes until ctx ends.
 func (b *Balancer) Run(ctx context.Context) {
-	t := time.NewTicker(b.Interval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			b.look(ctx)
-		}
-	}
+	interval.Every(ctx, b.Interval, b.look)
 }
 
 func (b *Balancer) look(ctx context.Context) {
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/pulleyring/pulleyring/internal/interval"
 )
 
 // Faults are what can be made to go wrong; the zero value lets everything work.
@@ -62,15 +64,8 @@
 }
 
 func pause(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C:
-		return nil
+	if d > 0 {
+		interval.Sleep(ctx, d)
 	}
+	return ctx.Err()
 }
--- a/internal/table/committer.go
+++ b/internal/table/committer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/rs/xid"
 	"golang.org/x/time/rate"
 )
@@ -202,7 +203,7 @@
 				backoff = firstBackoff
 				continue
 			}
-			if !sleep(ctx, backoff/2+rand.N(backoff)) {
+			if !interval.Sleep(ctx, backoff/2+rand.N(backoff)) {
 				return
 			}
 			backoff = min(2*backoff, maxBackoff)
@@ -349,7 +350,7 @@
 			c.Stats.add(0, 0, 0, 1)
 			unsure = true
 		}
-		if !sleep(ctx, backoff/2+rand.N(backoff)) {
+		if !interval.Sleep(ctx, backoff/2+rand.N(backoff)) {
 			return 0, ErrUnknown
 		}
 		backoff = min(2*backoff, maxBackoff)
@@ -388,14 +389,3 @@
 		p.done <- r
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
