Let commands compare decimals; run the race detector over the bubbles

Cause: show settings where completion_weight = 0.1 was refused by the lexer; the race detector found a race in the tests' mixing executor. Change: decimals are values; the tests' swap holds its lock.

--- a/internal/box/world_test.go
+++ b/internal/box/world_test.go
@@ -216,7 +216,7 @@
 		err = upstream.ErrNotRun
 	}
 	if at.Name == "exec-3" { // It answers with what it answered before, as where answers come late and out of order.
-		answer, u.earlier.answer = u.earlier.swap(answer), answer
+		answer = u.earlier.swap(answer)
 		if u.broken.mixAnswers {
 			answer.Attempt, answer.Identity = c.Attempt, c.Identity
 		}
@@ -230,13 +230,16 @@
 	answer upstream.Answer
 }
 
-func (e *earlier) swap(otherwise upstream.Answer) upstream.Answer {
+// swap returns the answer before this one, or this one where there was none.
+func (e *earlier) swap(answer upstream.Answer) upstream.Answer {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.answer.Attempt == "" {
-		return otherwise
+	before := e.answer
+	e.answer = answer
+	if before.Attempt == "" {
+		return answer
 	}
-	return e.answer
+	return before
 }
 
 func (u gatedUpstreams) Fence(ctx context.Context, at contract.Upstream, attempt string) (upstream.Fate, upstream.Answer, error) {
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -36,7 +36,7 @@
 type Condition struct {
 	Column   string `parser:"@Word"`
 	Operator string `parser:"@('='|'!='|'<='|'>='|'<'|'>'|'~')"`
-	Value    string `parser:"@(Word|Number|String|Duration)"`
+	Value    string `parser:"@(Word|Number|Decimal|String|Duration)"`
 }
 
 // Why asks for the binding reason of a job.
@@ -103,6 +103,7 @@
 var words = lexer.MustSimple([]lexer.SimpleRule{
 	{Name: "String", Pattern: `"[^"]*"|'[^']*'`},
 	{Name: "Duration", Pattern: `[0-9]+(\.[0-9]+)?(ms|s|m|h)\b`},
+	{Name: "Decimal", Pattern: `[0-9]+\.[0-9]+\b`},
 	{Name: "Number", Pattern: `[0-9]+\b`},
 	{Name: "Word", Pattern: `[A-Za-z0-9_][A-Za-z0-9_./#:-]*`},
 	{Name: "Compare", Pattern: `!=|<=|>=|[=<>~]`},
