Don't take a step's answer for a worker's report

Two boxes decided for one hall for a second; the second one's step for another attempt counted as a report in which the gang's attempt was missing, and a worker that lost its memory looks the same. Ruled out with the time line: lost rows, lapsed leases, forgotten tasks. Change: only a report says what a worker does not have. Outcomes other than done note what was seen of each seat.

--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -176,7 +176,7 @@
 	defer f.mu.Unlock()
 	var lists [][]timeline.Event
 	for _, r := range f.boxes {
-		lists = append(lists, r.Recorder.Events(job))
+		lists = append(lists, r.Recorder.Events(job), r.Recorder.Events(""))
 		for _, k := range r.Keepers() {
 			if _, on := k.Load(); !on {
 				continue
@@ -187,6 +187,7 @@
 		}
 	}
 	for _, e := range timeline.Merge(lists...) {
-		d.say("  %s %s %s: %s", e.Box, e.Hall, e.Attempt, e.Text)
+		at := time.Unix(0, e.Stamp.Wall).Sub(d.began).Seconds()
+		d.say("  %6.2fs %s %s %s: %s", at, e.Box, e.Hall, e.Attempt, e.Text)
 	}
 }
--- a/internal/hall/settle.go
+++ b/internal/hall/settle.go
@@ -115,9 +115,28 @@
 	if outcome == request.Failed {
 		k.noteFailures(e, sights)
 	}
+	if outcome != request.Done {
+		k.note(e.Key(), e.Attempt, "ended: "+seen(e, sights))
+	}
 	k.settle(ctx, e, outcome, answer, outcomeReason(e, outcome))
 }
 
+// seen puts what is known of the seats into words.
+func seen(e *Entry, sights []settlement.Sight) string {
+	text := ""
+	for i, s := range sights {
+		state := string(s.Task.State)
+		switch {
+		case s.Expired:
+			state = "out of reach, its lease has lapsed"
+		case !s.Known:
+			state = "not heard lately"
+		}
+		text += e.Seats[i].Worker + " " + state + "; "
+	}
+	return text
+}
+
 // learn takes the run time of a finished job into the estimates.
 func (k *Keeper) learn(e *Entry, sights []settlement.Sight) {
 	longest := 0.0
--- a/internal/hall/sight.go
+++ b/internal/hall/sight.go
@@ -68,13 +68,11 @@
 	}
 }
 
-// takeTask notes what a worker answered to a step.
-func (s *watch) takeTask(name string, asked time.Time, t worker.Task) {
+// takeTask notes what a worker answered to a step. It says nothing of other attempts, so it does not count as a report.
+func (s *watch) takeTask(name string, t worker.Task) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	w := s.worker(name)
-	w.heard = asked
-	w.tasks[t.Attempt] = t
+	s.worker(name).tasks[t.Attempt] = t
 }
 
 // renewing notes that a renewal is on its way.
--- a/internal/hall/start.go
+++ b/internal/hall/start.go
@@ -178,12 +178,11 @@
 		group.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, stepTimeout)
 			defer cancel()
-			asked := time.Now()
 			var task worker.Task
 			task, errs[i] = k.Workers.Step(ctx, workers[seat.Worker], verb, attempt, lease)
 			if errs[i] == nil {
 				task.Attempt = attempt
-				k.watch.takeTask(seat.Worker, asked, task)
+				k.watch.takeTask(seat.Worker, task)
 			}
 		})
 	}
