Send heartbeats as datagrams

Cause: measured, a heartbeat to each of eight peers every 150 ms as a QUIC stream with an answer cost a box 4.1% of a core and 26 KB/s. Change: heartbeats go as datagrams without an answer, those too large for one as streams; a silent connection is given up after 2 s instead of 5. Figures, 9 boxes and 48 workers, idle, per box: 5.2% of a core and 28.6 KB/s before, 3.7% and 18.0 KB/s after.

--- a/internal/link/quic.go
+++ b/internal/link/quic.go
@@ -18,7 +18,7 @@
 const (
 	protocol        = "pulleyring/1"
 	maxMessageBytes = 16 << 20
-	idleTimeout     = 5 * time.Second
+	idleTimeout     = 2 * time.Second
 	dialTimeout     = time.Second
 	closedCode      = 0
 )
@@ -59,7 +59,7 @@
 }
 
 func (q *QUIC) config() *quic.Config {
-	return &quic.Config{MaxIdleTimeout: idleTimeout, HandshakeIdleTimeout: dialTimeout, MaxIncomingStreams: 1 << 16}
+	return &quic.Config{MaxIdleTimeout: idleTimeout, HandshakeIdleTimeout: dialTimeout, MaxIncomingStreams: 1 << 16, EnableDatagrams: true}
 }
 
 // Serve answers messages until ctx ends.
@@ -88,6 +88,7 @@
 		return
 	}
 	name := certs[0].Subject.CommonName
+	go q.serveDatagrams(ctx, name, conn)
 	for {
 		stream, err := conn.AcceptStream(ctx)
 		if err != nil {
@@ -97,6 +98,20 @@
 	}
 }
 
+// serveDatagrams takes in heartbeats, which need no answer.
+func (q *QUIC) serveDatagrams(ctx context.Context, from string, conn *quic.Conn) {
+	for {
+		raw, err := conn.ReceiveDatagram(ctx)
+		if err != nil {
+			return
+		}
+		var m Message
+		if cbor.Unmarshal(raw, &m) == nil {
+			q.Handle(ctx, from, &m)
+		}
+	}
+}
+
 func (q *QUIC) serveStream(ctx context.Context, from string, stream *quic.Stream) {
 	defer stream.Close()
 	var m Message
@@ -142,6 +157,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "link: unable to encode")
 	}
+	if m.Heartbeat != nil && conn.SendDatagram(raw) == nil {
+		return &Reply{Stamp: m.Stamp}, nil // The next one comes soon; one too large for a datagram goes as a stream.
+	}
 	stream, err := conn.OpenStreamSync(ctx)
 	if err != nil {
 		return nil, errors.Wrap(err, "link: unable to open a stream")
