--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -110,7 +110,7 @@
 func (b *Box) Run(ctx context.Context, planned <-chan struct{}, listener net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	server := &http.Server{Handler: b.API.Handler(), ReadHeaderTimeout: readHeaderWithin}
+	server := &http.Server{Handler: b.API.Handler(), ReadHeaderTimeout: readHeaderWithin, ErrorLog: zap.NewStdLog(b.Log)}
 	b.start(ctx)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -67,12 +67,13 @@
 	set := e.flags("apply")
 	var a access
 	a.add(set)
+	format := set.String("format", "text", "`format`: text or json")
 	replaces := set.Int64("replaces", -1, "`version` that it is meant to replace; -1 means the one in force")
 	if code, done := e.parse(set, args); done {
 		return code
 	}
-	if set.NArg() != 1 {
-		return e.usageError("apply", "one site configuration is required")
+	if set.NArg() != 1 || !validFormat(*format) {
+		return e.usageError("apply", "one site configuration is required, and -format text or json")
 	}
 	text, _, err := loadSite(set.Arg(0))
 	if err != nil {
@@ -93,6 +94,10 @@
 	if err := json.Unmarshal(raw, &reply); err != nil {
 		return e.fail(exitBad, err)
 	}
+	if *format == "json" {
+		fmt.Fprintln(e.out, string(raw))
+		return exitGood
+	}
 	fmt.Fprintf(e.out, "version %d is committed\n", reply.Version)
 	return exitGood
 }
