--- a/internal/trial/compare.go
+++ b/internal/trial/compare.go
@@ -20,6 +20,7 @@
 func Metrics() []Metric {
 	return []Metric{
 		{"completion_mean_s", func(r *Result) float64 { return r.CompletionMean }},
+		{"run_mean_s", func(r *Result) float64 { return r.RunMean }},
 		{"completion_p95_s", func(r *Result) float64 { return r.CompletionP95 }},
 		{"large_wait_p95_s", func(r *Result) float64 { return r.LargeWaitP95 }},
 		{"fragmentation", func(r *Result) float64 { return r.Fragmentation }},
--- a/internal/trial/result.go
+++ b/internal/trial/result.go
@@ -19,6 +19,7 @@
 	Unfinished   int
 
 	CompletionMean    float64 // Seconds from arrival to end.
+	RunMean           float64 // Seconds; the mean run time, which no policy's mean completion can be below.
 	CompletionP95     float64
 	LargeWaitP95      float64 // Seconds from arrival to end less the run time, of gangs larger than a worker.
 	Fragmentation     float64 // Accelerator-time that was free but of no use to a waiting large gang, as a share of all until the last arrival.
@@ -30,6 +31,7 @@
 	Broken            []string // The first few broken promises in words.
 
 	completions, largeWaits, reclaims []float64
+	runs                              []float64
 	lostWork, useful                  float64
 	unusable, freeWhile, lastEnd      float64
 }
@@ -48,6 +50,7 @@
 	r.Completed++
 	took := g.ends - g.arrives
 	r.completions = append(r.completions, took)
+	r.runs = append(r.runs, g.seconds)
 	r.useful += g.seconds * float64(g.Accelerators())
 	if g.Accelerators() > largestWorker {
 		r.largeWaits = append(r.largeWaits, took-g.seconds)
@@ -105,6 +108,7 @@
 		}
 	}
 	r.CompletionMean = mean(r.completions)
+	r.RunMean = mean(r.runs)
 	r.CompletionP95 = quantile(r.completions, 0.95)
 	r.LargeWaitP95 = quantile(r.largeWaits, 0.95)
 	r.ReclaimP95 = quantile(r.reclaims, 0.95)
