Set a third of the racks aside at most where completion time counts; less doubled code

Change: at most a third of the racks or the share by weight, whichever is more. The box and the demo put the platform together in one place, and the keeper's loops use internal/interval.

--- a/internal/cli/box.go
+++ b/internal/cli/box.go
@@ -13,12 +13,7 @@
 	"github.com/pulleyring/pulleyring/internal/box"
 	"github.com/pulleyring/pulleyring/internal/identity"
 	"github.com/pulleyring/pulleyring/internal/link"
-	"github.com/pulleyring/pulleyring/internal/member"
-	"github.com/pulleyring/pulleyring/internal/object"
 	"github.com/pulleyring/pulleyring/internal/settings"
-	"github.com/pulleyring/pulleyring/internal/table"
-	"github.com/pulleyring/pulleyring/internal/upstream"
-	"github.com/pulleyring/pulleyring/internal/worker"
 	"go.uber.org/zap"
 )
 
@@ -81,15 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client := &http.Client{Transport: transport}
-	b := box.New(s, box.Platform{
-		Table:     &table.Client{Base: s.Table, HTTP: client},
-		Objects:   &object.Client{Base: s.Objects, HTTP: client},
-		List:      &member.Client{Base: s.LiveList, HTTP: client},
-		Workers:   &worker.Client{HTTP: client},
-		Upstreams: &upstream.Client{HTTP: client},
-		Network:   network,
-	}, log)
+	b := box.New(s, box.OverHTTP(s, &http.Client{Transport: transport}, network), log)
 	network.Handle = b.Handle
 	return b, nil
 }
--- a/internal/decider/setaside.go
+++ b/internal/decider/setaside.go
@@ -20,7 +20,7 @@
 // that drains serves nobody meanwhile.
 func (b *board) mostSetAsides() int {
 	share := setAsideShare * (1 - b.view.Site.CompletionWeight)
-	return max(1, int(math.Round(share*float64(len(b.view.Racks)))))
+	return max(1, len(b.view.Racks)/3, int(math.Round(share*float64(len(b.view.Racks)))))
 }
 
 // serveVacating starts the gangs for which racks were vacated, or takes what has come free for them so far, and returns
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -14,13 +14,8 @@
 	"github.com/pulleyring/pulleyring/internal/box"
 	"github.com/pulleyring/pulleyring/internal/identity"
 	"github.com/pulleyring/pulleyring/internal/link"
-	"github.com/pulleyring/pulleyring/internal/member"
-	"github.com/pulleyring/pulleyring/internal/object"
 	"github.com/pulleyring/pulleyring/internal/settings"
-	"github.com/pulleyring/pulleyring/internal/table"
 	"github.com/pulleyring/pulleyring/internal/timeline"
-	"github.com/pulleyring/pulleyring/internal/upstream"
-	"github.com/pulleyring/pulleyring/internal/worker"
 	"github.com/pulleyring/pulleyring/pkg/contract"
 )
 
@@ -75,13 +70,8 @@
 		return errors.Wrap(err, "demo: unable to listen")
 	}
 	s.LinkListen, s.Listen = network.Address(), listener.Addr().String()
-	client := &http.Client{Transport: newTransport()}
-	base := "http://" + f.platform
-	b := box.New(s, box.Platform{
-		Table: &table.Client{Base: base, HTTP: client}, Objects: &object.Client{Base: base, HTTP: client},
-		List: &member.Client{Base: base, HTTP: client}, Workers: &worker.Client{HTTP: client},
-		Upstreams: &upstream.Client{HTTP: client}, Network: network,
-	}, f.demo.Log)
+	s.Table, s.Objects, s.LiveList = "http://"+f.platform, "http://"+f.platform, "http://"+f.platform
+	b := box.New(s, box.OverHTTP(s, &http.Client{Transport: newTransport()}, network), f.demo.Log)
 	network.Handle = b.Handle
 	r := &running{Box: b, address: s.Listen, network: network, planned: make(chan struct{}), done: make(chan struct{})}
 	ctx, r.kill = context.WithCancel(ctx)
--- a/internal/hall/keeper.go
+++ b/internal/hall/keeper.go
@@ -7,6 +7,7 @@
 
 	"github.com/pulleyring/pulleyring/internal/config"
 	"github.com/pulleyring/pulleyring/internal/decider"
+	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/pulleyring/pulleyring/internal/link"
 	"github.com/pulleyring/pulleyring/internal/object"
 	"github.com/pulleyring/pulleyring/internal/settings"
@@ -69,8 +70,8 @@
 func (k *Keeper) Run(ctx context.Context) {
 	k.init()
 	var group sync.WaitGroup
-	group.Go(func() { k.renewLoop(ctx) })
-	group.Go(func() { k.passLoop(ctx) })
+	group.Go(func() { interval.EveryOrWoken(ctx, k.Settings.Lease.Renew, k.renewNow, k.renewTurn) })
+	group.Go(func() { interval.EveryOrWoken(ctx, k.Settings.Timing.Pass, k.wake, k.turn) })
 	group.Wait()
 }
 
@@ -118,20 +119,6 @@
 	}
 }
 
-func (k *Keeper) passLoop(ctx context.Context) {
-	t := time.NewTicker(k.Settings.Timing.Pass)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		case <-k.wake:
-		}
-		k.turn(ctx)
-	}
-}
-
 // turn takes the hall over or gives it up where the preference changed, and makes one pass where this box decides.
 func (k *Keeper) turn(ctx context.Context) {
 	preferred := k.Preferred() && k.Config.Site() != nil
--- a/internal/hall/sight.go
+++ b/internal/hall/sight.go
@@ -128,21 +128,11 @@
 	return list
 }
 
-// renewLoop renews the leases at every worker and takes in their reports, until ctx ends.
-func (k *Keeper) renewLoop(ctx context.Context) {
-	t := time.NewTicker(k.Settings.Lease.Renew)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		case <-k.renewNow:
-		}
-		if k.active() {
-			k.renewAll(ctx)
-			k.Wake()
-		}
+// renewTurn renews the leases at every worker and takes in their reports, where this box decides.
+func (k *Keeper) renewTurn(ctx context.Context) {
+	if k.active() {
+		k.renewAll(ctx)
+		k.Wake()
 	}
 }
 
--- a/internal/interval/interval.go
+++ b/internal/interval/interval.go
@@ -8,6 +8,11 @@
 
 // Every calls f at once and then at each interval until ctx ends.
 func Every(ctx context.Context, d time.Duration, f func(ctx context.Context)) {
+	EveryOrWoken(ctx, d, nil, f)
+}
+
+// EveryOrWoken calls f at once and then at each interval, and sooner when something arrives on wake, until ctx ends.
+func EveryOrWoken(ctx context.Context, d time.Duration, wake <-chan struct{}, f func(ctx context.Context)) {
 	t := time.NewTicker(d)
 	defer t.Stop()
 	for ctx.Err() == nil {
@@ -15,6 +20,7 @@
 		select {
 		case <-ctx.Done():
 		case <-t.C:
+		case <-wake:
 		}
 	}
 }
