--- a/internal/intake/once.go
+++ b/internal/intake/once.go
@@ -141,9 +141,9 @@
 
 // tryFindOut asks once and settles what it learns.
 func (in *Intake) tryFindOut(ctx context.Context, s *sent) (request.Reply, bool) {
-	u, ok := in.Router.Upstream(s.record.Sending.Upstream)
-	if !ok {
-		return in.settleRow(ctx, s, request.Unresolved, nil, "its upstream is no longer there to be asked"), true
+	u, ok := in.Config.Site().Upstream(s.record.Sending.Upstream)
+	if !ok { // It may come back with another configuration; until then nobody can know.
+		return request.Reply{}, false
 	}
 	within, cancel := context.WithTimeout(context.WithoutCancel(ctx), fenceTimeout)
 	defer cancel()
--- a/internal/upstream/router.go
+++ b/internal/upstream/router.go
@@ -67,17 +67,6 @@
 	r.boxes = max(boxes, 1)
 }
 
-// Upstream returns an upstream of the configuration by name, leaving ones too.
-func (r *Router) Upstream(name string) (contract.Upstream, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	t := r.byName[name]
-	if t == nil {
-		return contract.Upstream{}, false
-	}
-	return t.Upstream, true
-}
-
 // share returns the calls that this box may have under way at a target: its part of the connections.
 func (r *Router) share(t *target) int { return max(1, t.Connections/r.boxes) }
 
--- a/pkg/contract/site.go
+++ b/pkg/contract/site.go
@@ -85,6 +85,16 @@
 	return Workspace{}, false
 }
 
+// Upstream returns the upstream of that name.
+func (s *Site) Upstream(name string) (Upstream, bool) {
+	for _, u := range s.Upstreams {
+		if u.Name == name {
+			return u, true
+		}
+	}
+	return Upstream{}, false
+}
+
 // Hall returns the hall of that name.
 func (s *Site) Hall(name string) (Hall, bool) {
 	for _, h := range s.Halls {
