Stop an attempt at once when a member can't be told to go

The worker was lost before its go, and the others, told to go, ran alone until its lease had surely lapsed (4.5 s in the script).

--- a/internal/box/script_test.go
+++ b/internal/box/script_test.go
@@ -30,6 +30,7 @@
 //	many N small|gang CALLER PREFIX ...      the same N times
 //	kill|freeze|thaw|leave NAME
 //	freeze_at NAME VERB         freeze the box at its next hold, arm, go, stop or renew
+//	cut_at NAME VERB WORKER     the box can't reach the worker from its first such step on
 //	cut_worker NAME WORKER      the box can't reach the worker any more
 //	operator_at NAME COMMAND    carried out at that box
 //	fault KEY VALUE             set a fault of the stand-ins
@@ -127,6 +128,9 @@
 		s.boxes[args[0]].gate.melt()
 	case "freeze_at":
 		s.boxes[args[0]].gate.freezeAt = worker.Verb(args[1])
+	case "cut_at":
+		g := s.boxes[args[0]].gate
+		g.cutAt, g.cutName = worker.Verb(args[1]), args[2]
 	case "cut_worker":
 		s.boxes[args[0]].gate.cutOff(args[1])
 	case "leave":
--- a/internal/box/world_test.go
+++ b/internal/box/world_test.go
@@ -42,6 +42,8 @@
 	thaw     chan struct{}
 	dead     bool
 	freezeAt worker.Verb     // The first step of this kind freezes the box.
+	cutAt    worker.Verb     // The first step of this kind at the worker cutName cuts that worker off.
+	cutName  string
 	cut      map[string]bool // Workers that the box can't reach.
 	broken   rules
 }
@@ -56,6 +58,9 @@
 	if hit {
 		g.freezeAt = ""
 	}
+	if g.cutAt == v && g.cutName == name {
+		g.cut = map[string]bool{name: true}
+	}
 	cut := g.cut[name]
 	g.mu.Unlock()
 	if hit {
--- a/internal/hall/start.go
+++ b/internal/hall/start.go
@@ -159,6 +159,8 @@
 		return
 	}
 	if !k.stepSeats(ctx, workers, j.Seats, worker.Go, j.Attempt, k.Settings.Lease.Run) {
+		// Those that were told to go begin within worker.BeginDelay; they must not begin alone.
+		k.stepSeats(ctx, workers, j.Seats, worker.Stop, j.Attempt, 0)
 		k.note(j.Identity.String(), j.Attempt, "could not be started whole")
 		signal(k.renewNow)
 		return
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -313,10 +313,6 @@
 	now := time.Now()
 	g.advance(now)
 	for attempt, t := range g.tasks {
-		if t.state == worker.Going { // Lost between go and begin is no different from lost right after the begin.
-			t.began = now
-			g.begin(t)
-		}
 		if t.state == worker.Running {
 			t.end(worker.Stopped, now)
 		}
