--- a/internal/box/world_test.go
+++ b/internal/box/world_test.go
@@ -41,8 +41,8 @@
 	mu       sync.Mutex
 	thaw     chan struct{}
 	dead     bool
-	freezeAt worker.Verb     // The first step of this kind freezes the box.
-	cutAt    worker.Verb     // The first step of this kind at the worker cutName cuts that worker off.
+	freezeAt worker.Verb // The first step of this kind freezes the box.
+	cutAt    worker.Verb // The first step of this kind at the worker cutName cuts that worker off.
 	cutName  string
 	cut      map[string]bool // Workers that the box can't reach.
 	broken   rules
