--- a/internal/box/script_test.go
+++ b/internal/box/script_test.go
@@ -127,10 +127,9 @@
 	case "thaw":
 		s.boxes[args[0]].gate.melt()
 	case "freeze_at":
-		s.boxes[args[0]].gate.freezeAt = worker.Verb(args[1])
+		s.boxes[args[0]].gate.set(func(g *gate) { g.freezeAt = worker.Verb(args[1]) })
 	case "cut_at":
-		g := s.boxes[args[0]].gate
-		g.cutAt, g.cutName = worker.Verb(args[1]), args[2]
+		s.boxes[args[0]].gate.set(func(g *gate) { g.cutAt, g.cutName = worker.Verb(args[1]), args[2] })
 	case "cut_worker":
 		s.boxes[args[0]].gate.cutOff(args[1])
 	case "leave":
--- a/internal/box/world_test.go
+++ b/internal/box/world_test.go
@@ -100,6 +100,13 @@
 	return nil
 }
 
+// set changes the gate under its lock.
+func (g *gate) set(change func(g *gate)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	change(g)
+}
+
 func (g *gate) cutOff(worker string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
