--- a/internal/hall/settle.go
+++ b/internal/hall/settle.go
@@ -10,6 +10,7 @@
 	"github.com/pulleyring/pulleyring/internal/decider"
 	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/pulleyring/pulleyring/internal/link"
+	"github.com/pulleyring/pulleyring/internal/object"
 	"github.com/pulleyring/pulleyring/internal/settlement"
 	"github.com/pulleyring/pulleyring/internal/table"
 	"github.com/pulleyring/pulleyring/internal/worker"
@@ -207,15 +208,11 @@
 
 // storeLarge moves an answer that is too large for a row to the object store.
 func (k *Keeper) storeLarge(ctx context.Context, r *settlement.Record) error {
-	if len(r.Answer) <= k.Settings.Limits.AnswerInlineBytes {
-		return nil
+	key, err := object.PutLarge(ctx, k.Objects, r.Identity.String(), r.Answer, k.Settings.Limits.AnswerInlineBytes)
+	if key != "" && err == nil {
+		r.Answer, r.AnswerObject = nil, key
 	}
-	key := "answer/" + r.Identity.String()
-	if err := k.Objects.Put(ctx, key, r.Answer); err != nil {
-		return err
-	}
-	r.Answer, r.AnswerObject = nil, key
-	return nil
+	return err
 }
 
 // Limits of moves between halls.
--- a/internal/hall/start.go
+++ b/internal/hall/start.go
@@ -54,11 +54,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	delete(k.rackBusy, rack)
-	k.wakeLocked()
+	signal(k.wake)
 }
 
-func (k *Keeper) wakeLocked() { signal(k.wake) }
-
 // startFailed releases what was held. Where the outcome of the commit is not known nothing is released: the row may say
 // that the attempt starts, and the next refresh shows it; if it does not, the holds lapse by themselves.
 func (k *Keeper) startFailed(held []*placement, err error) {
--- a/internal/intake/gang.go
+++ b/internal/intake/gang.go
@@ -16,11 +16,12 @@
 
 // submitGang commits a gang's rows and returns accepted, or its outcome where it comes before ctx ends.
 func (in *Intake) submitGang(ctx context.Context, o Order) request.Reply {
-	hall := in.chooseHall(o.Submission)
+	loads := in.Loads()
+	hall := in.chooseHall(o.Submission, loads)
 	if hall == "" {
 		return in.refuse(ctx, o, "no hall can hold the gang, or only on devices that may be reclaimed from it")
 	}
-	if in.tooMany(o.Submission.Workspace) {
+	if in.tooMany(o.Submission.Workspace, loads) {
 		return in.refuse(ctx, o, "too many unfinished jobs of the workspace")
 	}
 	c, stop := in.waiters.add(o.Identity)
@@ -97,10 +98,10 @@
 }
 
 // chooseHall returns the hall where a gang should start the soonest, or an empty name where none could ever hold it.
-func (in *Intake) chooseHall(s request.Submission) string {
+func (in *Intake) chooseHall(s request.Submission, told []link.Load) string {
 	site, orders := in.Config.Site(), in.Config.Orders()
 	loads := map[string]link.Load{}
-	for _, l := range in.Loads() {
+	for _, l := range told {
 		loads[l.Hall] = l
 	}
 	best, bestScore := "", 0.0
@@ -108,8 +109,8 @@
 		if !in.holds(site, h, s) || orders.Drained("hall", h.Name) {
 			continue
 		}
-		load, told := loads[h.Name]
-		score := in.score(h, load, told, s)
+		load, known := loads[h.Name]
+		score := in.score(h, load, known, s)
 		if best == "" || score < bestScore {
 			best, bestScore = h.Name, score
 		}
@@ -183,12 +184,12 @@
 }
 
 // tooMany reports whether a workspace has reached the bound of unfinished jobs in every hall.
-func (in *Intake) tooMany(workspace string) bool {
+func (in *Intake) tooMany(workspace string, loads []link.Load) bool {
 	limit := in.Settings.Limits.WaitingPerSpace
-	for _, l := range in.Loads() {
+	for _, l := range loads {
 		if l.Unfinished[workspace] < limit {
 			return false
 		}
 	}
-	return len(in.Loads()) > 0
+	return len(loads) > 0
 }
--- a/internal/intake/once.go
+++ b/internal/intake/once.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/pulleyring/pulleyring/internal/interval"
+	"github.com/pulleyring/pulleyring/internal/object"
 	"github.com/pulleyring/pulleyring/internal/settlement"
 	"github.com/pulleyring/pulleyring/internal/table"
 	"github.com/pulleyring/pulleyring/internal/upstream"
@@ -171,12 +172,12 @@
 	if err != nil {
 		return s.record.Reply()
 	}
-	if len(record.Answer) > in.Settings.Limits.AnswerInlineBytes {
-		record.AnswerObject = "answer/" + record.Identity.String()
-		if err := in.Objects.Put(ctx, record.AnswerObject, record.Answer); err != nil {
-			return unresolved("the object store did not take the answer")
-		}
-		record.Answer = nil
+	key, err := object.PutLarge(ctx, in.Objects, record.Identity.String(), record.Answer, in.Settings.Limits.AnswerInlineBytes)
+	if err != nil {
+		return unresolved("the object store did not take the answer")
+	}
+	if key != "" {
+		record.Answer, record.AnswerObject = nil, key
 	}
 	requestKey, openKey := settlement.RequestKey(record.Identity), settlement.OpenKey(record.Identity)
 	_, err = in.Committer.Do(ctx, table.Op{
--- a/internal/object/object.go
+++ b/internal/object/object.go
@@ -25,6 +25,16 @@
 	Get(ctx context.Context, key string) ([]byte, error)
 }
 
+// PutLarge keeps an answer that is larger than what a row takes in the store and returns its key, or an empty key
+// where it stays in the row.
+func PutLarge(ctx context.Context, s Store, owner string, answer []byte, inRow int) (key string, err error) {
+	if len(answer) <= inRow {
+		return "", nil
+	}
+	key = "answer/" + owner
+	return key, s.Put(ctx, key, answer)
+}
+
 // Client speaks to the object store over HTTP.
 type Client struct {
 	Base string // Base URL, http://IP:port.
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/pulleyring/pulleyring/pkg/request"
 )
 
@@ -120,16 +121,7 @@
 	}
 }
 
-func pause(ctx context.Context) bool {
-	t := time.NewTimer(pauseBetween)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
+func pause(ctx context.Context) bool { return interval.Sleep(ctx, pauseBetween) }
 
 // unanswered reports whether no box said anything about the request; a box that can't tell callers apart yet has not.
 func unanswered(err error) bool {
