Wait without timer channels, so that race tests of bubbles don't crash

Change: internal/interval fills an ordinary channel from time.AfterFunc; committer, box and tests wait through it.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -246,11 +246,9 @@
 // drain waits until nothing of this box is under way.
 func (b *Box) drain(ctx context.Context) {
 	for !b.quiet() {
-		select {
-		case <-ctx.Done():
+		if !interval.Sleep(ctx, 20*time.Millisecond) {
 			b.Log.Warn("box: left with work under way")
 			return
-		case <-time.After(20 * time.Millisecond):
 		}
 	}
 }
--- a/internal/box/world_test.go
+++ b/internal/box/world_test.go
@@ -13,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/pulleyring/pulleyring/internal/intake"
+	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/pulleyring/pulleyring/internal/judge"
 	"github.com/pulleyring/pulleyring/internal/link"
 	"github.com/pulleyring/pulleyring/internal/settings"
@@ -425,11 +426,13 @@
 			c <- answer{reply, err}
 		}
 	}()
+	over, stop := interval.After(callTimeout + 500*time.Millisecond)
+	defer stop()
 	select {
 	case got := <-c:
 		return got.reply, got.err == nil
 	case <-a.gone:
-	case <-time.After(callTimeout + 500*time.Millisecond):
+	case <-over:
 	}
 	return request.Reply{}, false
 }
--- a/internal/table/committer.go
+++ b/internal/table/committer.go
@@ -156,12 +156,12 @@
 	if c.takeBack(p) {
 		return 0, ErrUnavailable
 	}
-	t := time.NewTimer(abandonGrace)
-	defer t.Stop()
+	over, stop := interval.After(abandonGrace)
+	defer stop()
 	select {
 	case r := <-p.done:
 		return r.revision, r.err
-	case <-t.C:
+	case <-over:
 	}
 	if c.takeBack(p) {
 		return 0, ErrUnavailable
