--- a/internal/cli/box.go
+++ b/internal/cli/box.go
@@ -14,6 +14,7 @@
 	"github.com/pulleyring/pulleyring/internal/identity"
 	"github.com/pulleyring/pulleyring/internal/link"
 	"github.com/pulleyring/pulleyring/internal/settings"
+	"github.com/pulleyring/pulleyring/platform"
 	"go.uber.org/zap"
 )
 
@@ -23,6 +24,9 @@
 	if code, done := e.parse(set, args); done {
 		return code
 	}
+	if path := os.Getenv(platform.EnvSettings); *file == "" && path != "" && set.NArg() == 0 {
+		return runOnPlatform(e, path)
+	}
 	if *file == "" || set.NArg() > 0 {
 		return e.usageError("box", "-settings FILE is required and nothing else")
 	}
--- /dev/null
+++ b/internal/cli/platform.go
@@ -0,0 +1,78 @@
+package cli
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pulleyring/pulleyring/internal/logsink"
+	"github.com/pulleyring/pulleyring/internal/node"
+	"github.com/pulleyring/pulleyring/platform"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// runOnPlatform runs a box with the settings file that the platform names, until SIGTERM.
+func runOnPlatform(e *env, file string) int {
+	s, err := loadPlatform(file)
+	if err != nil {
+		return e.fail(exitUsage, err)
+	}
+	sink := logsink.New(e.out)
+	defer sink.Close()
+	log := platformLog(sink, s.Box)
+	n := node.New(s, platformParts(s, log), log)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	go reloadOnHangup(n, file, log)
+	if err := n.Run(ctx); err != nil {
+		return e.fail(exitBad, err)
+	}
+	return exitGood
+}
+
+func loadPlatform(file string) (*node.Settings, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return platform.ParseSettings(file, raw)
+}
+
+// platformParts puts the platform's adapters together. The feeds have connections of their own, so that a call never
+// waits behind one.
+func platformParts(s *node.Settings, log *zap.Logger) node.Platform {
+	st := &platform.Store{Address: s.Store, Client: platform.NewClient()}
+	return node.Platform{
+		Store:          st,
+		Configurations: &platform.Configurations{Store: st},
+		Directory:      &platform.Directory{Store: st, Log: log},
+		Orders:         &platform.Workers{Client: platform.NewClient()},
+		Front:          platform.Front,
+		Readiness:      platform.Readiness,
+	}
+}
+
+// reloadOnHangup reads the settings again at each SIGHUP; a file with mistakes changes nothing.
+func reloadOnHangup(n *node.Node, file string, log *zap.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	for range signals {
+		s, err := loadPlatform(file)
+		if err != nil {
+			log.Error("cli: settings not reloaded", zap.Error(err))
+			continue
+		}
+		n.Reload(s)
+	}
+}
+
+// platformLog is a log of JSON lines.
+func platformLog(sink *logsink.Sink, box string) *zap.Logger {
+	c := zap.NewProductionEncoderConfig()
+	c.TimeKey, c.EncodeTime = "time", zapcore.RFC3339NanoTimeEncoder
+	c.EncodeDuration = zapcore.StringDurationEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(c), sink, zap.InfoLevel)
+	return zap.New(core).With(zap.String("box", box))
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,101 @@
+// Package fleet is what the system needs of the workers: who they are, and the orders they take.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/job"
+)
+
+// Worker is one life of a worker as it records itself in the store. A restarted worker is a new one.
+type Worker struct {
+	ID       string
+	Service  string
+	Address  string // IP:port.
+	Hall     string
+	Draining bool          // It takes no new runs; what runs there ends when it leaves.
+	Leaves   time.Duration // While draining: least time that is left.
+	Labels   []string
+	Rack     string
+	Capacity job.Resources
+}
+
+// ErrNoAnswer says that an order may have been carried out, or may be seconds later.
+var ErrNoAnswer = errors.New("fleet: no answer")
+
+// Refusal is why a worker surely did not carry out an order.
+type Refusal int
+
+// Refusals.
+const (
+	Fenced    Refusal = iota // The worker has seen a higher fencing token.
+	Outdated                 // That run, or a later one, was stopped or has ended there.
+	TooLate                  // The lease named was over.
+	NoRoom                   // It does not fit.
+	OtherLife                // The worker has restarted: everything of the old life is gone.
+	Unhealthy                // The worker takes no orders now.
+	Invalid                  // It does not understand the order.
+)
+
+// Error implements error.
+func (r Refusal) Error() string {
+	names := [...]string{"fenced", "outdated run", "lease over", "no room", "other life", "unhealthy", "invalid order"}
+	return fmt.Sprintf("fleet: refused: %s", names[r])
+}
+
+// Start orders a run.
+type Start struct {
+	job.Order
+	Payload string
+	Lease   int64 // Worker's clock, milliseconds, until which everything that runs there may run.
+	Token   int64 // Fencing token.
+}
+
+// Stop orders the end of a run, also of one that has not arrived yet.
+type Stop struct {
+	Task  job.Task
+	Run   int
+	Token int64
+}
+
+// Look renews the lease of everything that runs on a worker and asks what runs and what has ended.
+type Look struct {
+	Token        int64
+	Acknowledged int64         // Number of the last end that may be forgotten.
+	Lease        int64         // As in Start; 0 to leave it.
+	Wait         time.Duration // How long the answer may wait for an end.
+}
+
+// Run is a run on a worker.
+type Run struct {
+	Task  job.Task
+	Run   int
+	Saved string
+}
+
+// End is a run that has ended on a worker.
+type End struct {
+	Number  int64
+	Task    job.Task
+	Run     int
+	Outcome job.Outcome
+	Saved   string
+}
+
+// Report is the answer to a look.
+type Report struct {
+	Clock   int64 // Worker's clock in milliseconds.
+	Running []Run
+	Ended   []End
+}
+
+// Orders gives orders to workers. Errors are a Refusal or ErrNoAnswer; the clock is the worker's, 0 where not told.
+// Each call is bounded in time by ctx.
+type Orders interface {
+	Start(ctx context.Context, w *Worker, o *Start) (clock int64, err error)
+	Stop(ctx context.Context, w *Worker, o *Stop) (clock int64, err error)
+	Look(ctx context.Context, w *Worker, o *Look) (Report, error)
+}
--- /dev/null
+++ b/internal/job/progress.go
@@ -0,0 +1,69 @@
+package job
+
+// State is what a caller is shown of a job.
+type State int
+
+// States of a job. The last three are final.
+const (
+	Queued State = iota
+	Running
+	Completed
+	Failed
+	Cancelled
+)
+
+// String returns the state's name for logs.
+func (s State) String() string {
+	return [...]string{"queued", "running", "completed", "failed", "cancelled"}[s]
+}
+
+// Final reports whether the state never changes again.
+func (s State) Final() bool { return s >= Completed }
+
+// TaskState is where a task stands.
+type TaskState int
+
+// States of a task.
+const (
+	Waiting  TaskState = iota
+	Placed             // A run of it was ordered, or is about to be, and its end is not known.
+	Finished           // It has ended well.
+)
+
+// TaskProgress is what is kept of a task.
+type TaskProgress struct {
+	_        struct{} `cbor:",toarray"`
+	State    TaskState
+	Run      int    // Number of the last run.
+	Failures int    // Runs that failed; a gang counts at its first task.
+	Worker   string // Life of the worker of the last run.
+	Saved    string // Newest saved state; a gang's stands at its first task.
+}
+
+// Progress is what has become of a job; it is one row of the store.
+type Progress struct {
+	_        struct{} `cbor:",toarray"`
+	State    State
+	EndedAt  int64 // Unix time in milliseconds at which the state became final.
+	GangRuns []int // For each gang, by occurrence and step: the last run that was counted as failed.
+	Tasks    []TaskProgress
+}
+
+// Outcome is how a run ended.
+type Outcome int
+
+// Outcomes of a run.
+const (
+	Succeeded   Outcome = iota
+	FailedRun           // Through its own fault or the worker's; the only outcome that counts as an attempt.
+	Stopped             // On an order.
+	Lapsed              // Its lease was over, or its worker is gone.
+	GangBroken          // Another member ended.
+	GangMissing         // It waited for the other members in vain.
+	NeverRan            // The order was surely not carried out and never will be.
+)
+
+// String returns the outcome's name for logs.
+func (o Outcome) String() string {
+	return [...]string{"succeeded", "failed", "stopped", "lapsed", "gang broken", "gang missing", "never ran"}[o]
+}
--- /dev/null
+++ b/internal/ledger/lease.go
@@ -0,0 +1,167 @@
+package ledger
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/job"
+	"github.com/pulleyring/pulleyring/internal/store"
+)
+
+// Lease is the row that says who schedules a shard. It changes with every commit of the holder, which makes it the
+// holder's heartbeat as well as the condition that shuts out a box that was replaced.
+type Lease struct {
+	_        struct{} `cbor:",toarray"`
+	Holder   string   // The box with its start, empty when the lease was given back.
+	Epoch    int64    // Rises with each holder; the fencing token towards workers.
+	Sequence int64    // Rises with each attempt to commit within an epoch.
+	Version  int64    `cbor:"-"` // Version of the row as it was read.
+}
+
+// ErrReplaced says that another box holds the lease.
+var ErrReplaced = errors.New("ledger: replaced by another box")
+
+// Lease reads the shard's lease; the zero value where nobody ever held it.
+func (l *Ledger) Lease(ctx context.Context) (Lease, error) {
+	page, err := l.readOne(ctx, tableLease, l.Shard)
+	if err != nil || len(page.Rows) == 0 {
+		return Lease{}, err
+	}
+	return decodeLease(&page.Rows[0])
+}
+
+// WatchRelease waits up to wait for a lease to be given back after a version and returns the version to go on from.
+func (l *Ledger) WatchRelease(ctx context.Context, since int64, wait time.Duration) (int64, error) {
+	page, err := l.Store.Watch(ctx, tableRelease, since, wait)
+	return page.Version, err
+}
+
+func decodeLease(row *store.Row) (Lease, error) {
+	lease := Lease{}
+	err := cbor.Unmarshal(row.Value, &lease)
+	lease.Version = row.Version
+	return lease, errors.Wrap(err, "ledger: unable to decode a lease")
+}
+
+// Tenure is the time in which a box holds a shard's lease. Only one goroutine may commit.
+type Tenure struct {
+	ledger *Ledger
+	lease  Lease
+}
+
+// Claim takes the lease from its holder as it was seen. The error is ErrReplaced where another box was faster.
+func (l *Ledger) Claim(ctx context.Context, holder string, seen Lease) (*Tenure, error) {
+	t := &Tenure{ledger: l, lease: Lease{Holder: holder, Epoch: seen.Epoch + 1, Version: seen.Version}}
+	raw, err := cbor.Marshal(t.lease)
+	if err != nil {
+		return nil, errors.Wrap(err, "ledger: unable to encode a lease")
+	}
+	key := l.key(tableLease, l.Shard)
+	version, err := l.Store.Commit(ctx, &store.Transaction{
+		Conditions: []store.Condition{{Key: key, Version: seen.Version}},
+		Writes:     []store.Row{{Key: key, Value: raw}},
+	})
+	var conflict *store.Conflict
+	if errors.As(err, &conflict) {
+		return nil, ErrReplaced
+	}
+	t.lease.Version = version
+	return t, err
+}
+
+// Epoch is the tenure's fencing token.
+func (t *Tenure) Epoch() int64 { return t.lease.Epoch }
+
+// Batch is what a scheduler commits at once.
+type Batch struct {
+	Progress map[job.ID]*job.Progress
+	Summary  *Summary // nil to leave it.
+	Forget   []job.ID // Jobs whose rows are deleted.
+	Release  bool     // Give the lease back.
+}
+
+// Limits of one batch, so that its transaction stays under the store's 100 entries and 1 MB.
+const (
+	MaxBatchRows  = 80
+	MaxForget     = 5     // Three rows each.
+	MaxBatchTasks = 15000 // About 45 bytes each.
+)
+
+// Commit writes a batch if the lease is still held. After ErrReplaced nothing was written and nothing will be. After any
+// other error the batch may have been written; committing it again, whole and possibly with more, is always right:
+// an attempt that comes late fails, because the one that took effect has changed the lease's version.
+func (t *Tenure) Commit(ctx context.Context, b *Batch) error {
+	key := t.ledger.key(tableLease, t.ledger.Shard)
+	for {
+		t.lease.Sequence++
+		next := t.lease
+		if b.Release {
+			next.Holder = ""
+		}
+		tx, err := t.transaction(b, next)
+		if err != nil {
+			return err
+		}
+		tx.Conditions = []store.Condition{{Key: key, Version: t.lease.Version}}
+		version, err := t.ledger.Store.Commit(ctx, tx)
+		if err == nil {
+			t.lease.Version = version
+			return nil
+		}
+		var conflict *store.Conflict
+		if !errors.As(err, &conflict) {
+			return err
+		}
+		if !t.adopt(conflict) {
+			return ErrReplaced
+		}
+	}
+}
+
+// adopt takes over the version of an own earlier commit whose answer was lost.
+func (t *Tenure) adopt(conflict *store.Conflict) bool {
+	for i := range conflict.Rows {
+		row := &conflict.Rows[i]
+		lease, err := decodeLease(row)
+		if err == nil && lease.Holder == t.lease.Holder && lease.Epoch == t.lease.Epoch && lease.Version != t.lease.Version {
+			t.lease.Version = lease.Version
+			return true
+		}
+	}
+	return false
+}
+
+func (t *Tenure) transaction(b *Batch, lease Lease) (*store.Transaction, error) {
+	tx := &store.Transaction{}
+	add := func(table, name string, value any) error {
+		raw, err := cbor.Marshal(value)
+		tx.Writes = append(tx.Writes, store.Row{Key: t.ledger.key(table, name), Value: raw})
+		return errors.Wrap(err, "ledger: unable to encode a row")
+	}
+	if err := add(tableLease, t.ledger.Shard, lease); err != nil {
+		return nil, err
+	}
+	for id, p := range b.Progress {
+		if err := add(tableProgress, string(id), p); err != nil {
+			return nil, err
+		}
+	}
+	if b.Summary != nil {
+		if err := add(tableSummary, t.ledger.Shard, b.Summary); err != nil {
+			return nil, err
+		}
+	}
+	if b.Release {
+		if err := add(tableRelease, t.ledger.Shard, lease.Epoch); err != nil {
+			return nil, err
+		}
+	}
+	for _, id := range b.Forget {
+		for _, key := range []store.Key{t.ledger.key(tableJobs, string(id)), t.ledger.key(tableJobs, string(id)+cancelSuffix), t.ledger.key(tableProgress, string(id))} {
+			tx.Deletes = append(tx.Deletes, key)
+		}
+	}
+	return tx, nil
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,201 @@
+// Package ledger keeps jobs and what has become of them as rows of the platform's store. Each kind of row has a single
+// writer: requests and cancellations are written by whichever box took the call, everything else by the box that holds
+// the shard's lease.
+package ledger
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/job"
+	"github.com/pulleyring/pulleyring/internal/store"
+)
+
+// Tables of the system's own rows.
+const (
+	tableJobs     = "jobs"     // Requests, and cancellations under the request's name with cancelSuffix.
+	tableProgress = "progress" // What has become of a job.
+	tableLease    = "lease"    // Who schedules a shard.
+	tableRelease  = "release"  // Changes when a lease is given back, to wake the other boxes.
+	tableSummary  = "summary"  // Counts for each queue.
+)
+
+const cancelSuffix = "/cancel"
+
+// Ledger reads and writes one shard's rows.
+type Ledger struct {
+	Store store.Store
+	Shard string // Part of the store that the shard's rows lie in.
+}
+
+func (l *Ledger) key(table, name string) store.Key {
+	return store.Key{Table: table, Part: l.Shard, Name: name}
+}
+
+// ErrCancelled says that a job was cancelled before its request was written; the request never will be.
+var ErrCancelled = errors.New("ledger: cancelled before it was accepted")
+
+// ErrOther says that a job of another workspace has the same name.
+var ErrOther = errors.New("ledger: the name belongs to another workspace's job")
+
+// Submit writes a request unless it is there already. It returns ErrCancelled, ErrOther or the store's error.
+func (l *Ledger) Submit(ctx context.Context, r *job.Request) error {
+	raw, err := cbor.Marshal(r)
+	if err != nil {
+		return errors.Wrap(err, "ledger: unable to encode a request")
+	}
+	request, cancel := l.key(tableJobs, string(r.ID)), l.key(tableJobs, string(r.ID)+cancelSuffix)
+	_, err = l.Store.Commit(ctx, &store.Transaction{
+		Conditions: []store.Condition{{Key: request}, {Key: cancel}},
+		Writes:     []store.Row{{Key: request, Value: raw}},
+	})
+	var conflict *store.Conflict
+	if !errors.As(err, &conflict) {
+		return err
+	}
+	result := ErrCancelled
+	for i := range conflict.Rows {
+		if conflict.Rows[i].Name != request.Name {
+			continue
+		}
+		known, err := decodeRequest(conflict.Rows[i].Value)
+		if err != nil {
+			return err
+		}
+		result = nil
+		if known.Terms.Workspace != r.Terms.Workspace {
+			result = ErrOther
+		}
+	}
+	return result
+}
+
+// Cancel notes that a job is cancelled, whether it is known or not, so that a request still under way can't become one.
+func (l *Ledger) Cancel(ctx context.Context, id job.ID) error {
+	row := store.Row{Key: l.key(tableJobs, string(id)+cancelSuffix), Value: []byte{1}}
+	_, err := l.Store.Commit(ctx, &store.Transaction{Writes: []store.Row{row}})
+	return err
+}
+
+// Request returns a job's request, nil where there is none.
+func (l *Ledger) Request(ctx context.Context, id job.ID) (*job.Request, error) {
+	page, err := l.readOne(ctx, tableJobs, string(id))
+	if err != nil || len(page.Rows) == 0 {
+		return nil, err
+	}
+	return decodeRequest(page.Rows[0].Value)
+}
+
+// State returns the state that a job's scheduler committed last; Queued where it committed none yet.
+func (l *Ledger) State(ctx context.Context, id job.ID) (job.State, error) {
+	page, err := l.readOne(ctx, tableProgress, string(id))
+	if err != nil || len(page.Rows) == 0 {
+		return job.Queued, err
+	}
+	p, err := decodeProgress(page.Rows[0].Value)
+	if err != nil {
+		return job.Queued, err
+	}
+	return p.State, nil
+}
+
+func (l *Ledger) readOne(ctx context.Context, table, name string) (store.Page, error) {
+	return l.Store.Read(ctx, store.Range{Table: table, Part: l.Shard, From: name, To: name + "\x00", Limit: 1})
+}
+
+// Summary is what the scheduler tells the other boxes of the queues.
+type Summary struct {
+	_       struct{}       `cbor:",toarray"`
+	Pending map[string]int // For each queue: accepted jobs of which nothing was started.
+}
+
+// Summary reads the newest summary.
+func (l *Ledger) Summary(ctx context.Context) (*Summary, error) {
+	s := &Summary{}
+	page, err := l.readOne(ctx, tableSummary, l.Shard)
+	if err != nil || len(page.Rows) == 0 {
+		return s, err
+	}
+	return s, errors.Wrap(cbor.Unmarshal(page.Rows[0].Value, s), "ledger: unable to decode a summary")
+}
+
+// Change is a request or a cancellation that came in, or one that was deleted.
+type Change struct {
+	ID        job.ID
+	Request   *job.Request // Set for a request.
+	Cancelled bool
+}
+
+// Changes is a list of changes in order; a feed goes on from its version.
+type Changes struct {
+	List    []Change
+	Version int64
+}
+
+// Jobs reads all requests and cancellations.
+func (l *Ledger) Jobs(ctx context.Context) (Changes, error) {
+	page, err := store.ReadAll(ctx, l.Store, store.Range{Table: tableJobs, Part: l.Shard})
+	if err != nil {
+		return Changes{}, err
+	}
+	return l.changes(page)
+}
+
+// WatchJobs waits up to wait for requests and cancellations after a version.
+func (l *Ledger) WatchJobs(ctx context.Context, since int64, wait time.Duration) (Changes, error) {
+	page, err := l.Store.Watch(ctx, tableJobs, since, wait)
+	if err != nil {
+		return Changes{}, err
+	}
+	return l.changes(page)
+}
+
+func (l *Ledger) changes(page store.Page) (Changes, error) {
+	c := Changes{Version: page.Version}
+	for i := range page.Rows {
+		row := &page.Rows[i]
+		if row.Part != l.Shard || row.Deleted {
+			continue
+		}
+		if id, ok := strings.CutSuffix(row.Name, cancelSuffix); ok {
+			c.List = append(c.List, Change{ID: job.ID(id), Cancelled: true})
+			continue
+		}
+		r, err := decodeRequest(row.Value)
+		if err != nil {
+			return Changes{}, err
+		}
+		c.List = append(c.List, Change{ID: r.ID, Request: r})
+	}
+	return c, nil
+}
+
+// Progress reads what has become of all jobs.
+func (l *Ledger) Progress(ctx context.Context) (map[job.ID]*job.Progress, error) {
+	page, err := store.ReadAll(ctx, l.Store, store.Range{Table: tableProgress, Part: l.Shard})
+	if err != nil {
+		return nil, err
+	}
+	all := make(map[job.ID]*job.Progress, len(page.Rows))
+	for i := range page.Rows {
+		p, err := decodeProgress(page.Rows[i].Value)
+		if err != nil {
+			return nil, err
+		}
+		all[job.ID(page.Rows[i].Name)] = p
+	}
+	return all, nil
+}
+
+func decodeRequest(raw []byte) (*job.Request, error) {
+	r := &job.Request{}
+	return r, errors.Wrap(cbor.Unmarshal(raw, r), "ledger: unable to decode a request")
+}
+
+func decodeProgress(raw []byte) (*job.Progress, error) {
+	p := &job.Progress{}
+	return p, errors.Wrap(cbor.Unmarshal(raw, p), "ledger: unable to decode progress")
+}
--- /dev/null
+++ b/internal/node/follow.go
@@ -0,0 +1,171 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/interval"
+	"github.com/pulleyring/pulleyring/internal/ledger"
+	"github.com/pulleyring/pulleyring/internal/scheduler"
+	"github.com/pulleyring/pulleyring/internal/store"
+	"go.uber.org/zap"
+)
+
+const (
+	// leasePoll is how often a box looks whether the lease is being renewed (every 300 ms).
+	leasePoll = 400 * time.Millisecond
+	// leaseSilence is how long the lease may stand unchanged before another box takes it: several missed renewals.
+	leaseSilence = 1200 * time.Millisecond
+	// storeSilence is how long the store may leave a box without an answer before the box counts itself out.
+	storeSilence = 1500 * time.Millisecond
+	// configPoll bounds the time in which a deaf feed of the configuration stays unnoticed.
+	configPoll = 800 * time.Millisecond
+	// feedWait is how long a feed waits for a change.
+	feedWait = 10 * time.Second
+	// retryPause is the pause after a call to the store failed.
+	retryPause = 150 * time.Millisecond
+)
+
+func (n *Node) storeHealthy() bool {
+	return time.Since(time.Unix(0, n.storeSeen.Load())) < storeSilence
+}
+
+// noteStore takes in whether the store answered a call.
+func (n *Node) noteStore(err error) {
+	if err == nil || errors.Is(err, store.ErrHistoryGone) {
+		healthy := n.storeHealthy()
+		n.storeSeen.Store(time.Now().UnixNano())
+		if !healthy {
+			n.log.Info("node: the store answers")
+		}
+		return
+	}
+	n.log.Warn("node: the store does not answer", zap.Error(err),
+		zap.Duration("last_answer_ago", time.Since(time.Unix(0, n.storeSeen.Load()))))
+}
+
+// followConfiguration keeps the newest configuration: a feed tells of changes at once, and the row is read every now and
+// then in case the feed is deaf.
+func (n *Node) followConfiguration(ctx context.Context) {
+	changed := make(chan struct{}, 1)
+	var group sync.WaitGroup
+	defer group.Wait()
+	version := int64(0)
+	for ctx.Err() == nil {
+		config, at, err := n.platform.Configurations.Read(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		n.noteStore(err)
+		if err != nil {
+			interval.Sleep(ctx, retryPause)
+			continue
+		}
+		if old := n.config.Load(); config != nil && (old == nil || config.Version > old.Version) {
+			n.config.Store(config)
+			n.log.Info("node: configuration in force", zap.Int64("version", config.Version), zap.Int("queues", len(config.Queues)),
+				zap.Int("workspaces", len(config.Workspaces)))
+		}
+		if version == 0 {
+			version = at
+			group.Go(func() { n.watchConfiguration(ctx, at, changed) })
+		}
+		interval.SleepOrWoken(ctx, configPoll, changed)
+	}
+}
+
+func (n *Node) watchConfiguration(ctx context.Context, version int64, changed chan<- struct{}) {
+	for ctx.Err() == nil {
+		next, err := n.platform.Configurations.Wait(ctx, version, feedWait)
+		if errors.Is(err, store.ErrHistoryGone) {
+			_, next, err = n.platform.Configurations.Read(ctx)
+		}
+		if err != nil {
+			interval.Sleep(ctx, retryPause)
+			continue
+		}
+		if next == version {
+			continue
+		}
+		version = next
+		select {
+		case changed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// schedule takes the lease whenever nobody renews it, and schedules for as long as it is held.
+func (n *Node) schedule(ctx context.Context) {
+	released := make(chan struct{}, 1)
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { n.watchRelease(ctx, released) })
+	var seen ledger.Lease
+	var since time.Time
+	for ctx.Err() == nil {
+		lease, err := n.ledger.Lease(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		n.noteStore(err)
+		if err != nil {
+			since = time.Now() // Only silence that was watched counts.
+			interval.Sleep(ctx, retryPause)
+			continue
+		}
+		if lease.Version != seen.Version || since.IsZero() {
+			seen, since = lease, time.Now()
+		}
+		if lease.Holder == "" || lease.Holder == n.holder || time.Since(since) > leaseSilence {
+			n.hold(ctx, lease)
+			since = time.Time{}
+			continue
+		}
+		interval.SleepOrWoken(ctx, leasePoll, released)
+	}
+}
+
+func (n *Node) watchRelease(ctx context.Context, released chan<- struct{}) {
+	version := int64(0)
+	for ctx.Err() == nil {
+		next, err := n.ledger.WatchRelease(ctx, version, feedWait)
+		if errors.Is(err, store.ErrHistoryGone) {
+			var lease ledger.Lease
+			lease, err = n.ledger.Lease(ctx)
+			next = lease.Version
+		}
+		if err != nil {
+			interval.Sleep(ctx, retryPause)
+			continue
+		}
+		if next != version {
+			version = next
+			select {
+			case released <- struct{}{}:
+			default:
+			}
+		}
+	}
+}
+
+// hold claims the lease and schedules until it is lost.
+func (n *Node) hold(ctx context.Context, lease ledger.Lease) {
+	tenure, err := n.ledger.Claim(ctx, n.holder, lease)
+	if err != nil {
+		if !errors.Is(err, ledger.ErrReplaced) {
+			n.log.Warn("node: unable to claim the lease", zap.Error(err))
+			interval.Sleep(ctx, retryPause)
+		}
+		return
+	}
+	n.log.Info("node: lease claimed", zap.Int64("epoch", tenure.Epoch()), zap.String("from", lease.Holder))
+	s := &scheduler.Scheduler{
+		Ledger: n.ledger, Directory: n.platform.Directory, Orders: n.platform.Orders, Configuration: n.Configuration,
+		Committed: n.noteStore, Bounds: n.settings.Load().Bounds, Log: n.log,
+	}
+	err = s.Run(ctx, tenure)
+	n.log.Info("node: lease over", zap.Int64("epoch", tenure.Epoch()), zap.Error(err))
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,145 @@
+// Package node is the life of a box on the platform: it follows the configuration, serves clients, takes the lease when
+// nobody holds it, and stops as planned.
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/entry"
+	"github.com/pulleyring/pulleyring/internal/fleet"
+	"github.com/pulleyring/pulleyring/internal/ledger"
+	"github.com/pulleyring/pulleyring/internal/queue"
+	"github.com/pulleyring/pulleyring/internal/scheduler"
+	"github.com/pulleyring/pulleyring/internal/store"
+	"github.com/rs/xid"
+	"go.uber.org/zap"
+)
+
+// Shard is the only shard of a site today; a site of thousands of workers has several, each with its own scheduler.
+const Shard = "main"
+
+// Configurations reads the configuration that the operator put in force.
+type Configurations interface {
+	// Read returns the configuration, nil for none, and the store's newest version.
+	Read(ctx context.Context) (*queue.Configuration, int64, error)
+	// Wait returns after a change past a version, or after a time, with the version to go on from.
+	Wait(ctx context.Context, since int64, wait time.Duration) (int64, error)
+}
+
+// Platform is what a box needs of the platform.
+type Platform struct {
+	Store          store.Store
+	Configurations Configurations
+	Directory      scheduler.Directory
+	Orders         fleet.Orders
+	Front          func(n *Node) http.Handler // Serves clients.
+	Readiness      func(n *Node) http.Handler // Serves the balancer.
+}
+
+// Node is one box. Make it with New.
+type Node struct {
+	Entry *entry.Entry
+
+	settings  atomic.Pointer[Settings]
+	platform  Platform
+	ledger    *ledger.Ledger
+	holder    string // The box with this start of it.
+	log       *zap.Logger
+	config    atomic.Pointer[queue.Configuration]
+	storeSeen atomic.Int64 // When the store last answered, UnixNano.
+	stopping  atomic.Bool
+}
+
+// New returns a box that is not running yet.
+func New(s *Settings, p Platform, log *zap.Logger) *Node {
+	n := &Node{platform: p, ledger: &ledger.Ledger{Store: p.Store, Shard: Shard}, log: log}
+	n.holder = s.Box + "/" + xid.New().String()
+	n.settings.Store(s)
+	n.Entry = &entry.Entry{Ledger: n.ledger, Configuration: n.Configuration, Healthy: n.storeHealthy, Log: log}
+	return n
+}
+
+// Configuration returns the configuration in force, nil before the first.
+func (n *Node) Configuration() *queue.Configuration { return n.config.Load() }
+
+// Stopping reports whether the box has been told to stop.
+func (n *Node) Stopping() bool { return n.stopping.Load() }
+
+// Ready reports whether the box should get new connections.
+func (n *Node) Ready() bool {
+	return !n.Stopping() && n.Configuration() != nil && n.storeHealthy()
+}
+
+// Reload takes in changed settings; addresses stay as they were at the start.
+func (n *Node) Reload(s *Settings) {
+	n.settings.Store(s)
+	n.log.Info("node: settings reloaded", zap.Duration("max_lease", s.Bounds.MaxLease))
+}
+
+const (
+	// balancerDelay is the time in which the balancer notices that a box is not ready: two checks a second apart, and some.
+	balancerDelay = 2500 * time.Millisecond
+	// stopReserve is left of the time between SIGTERM and SIGKILL when the last requests are cut.
+	stopReserve = 700 * time.Millisecond
+	// headerTimeout bounds the reading of a request's header.
+	headerTimeout = 5 * time.Second
+)
+
+// Run serves until ctx ends, and then stops as planned: new connections go elsewhere, the lease is given back, what is in
+// flight is answered.
+func (n *Node) Run(ctx context.Context) error {
+	s := n.settings.Load()
+	n.log.Info("node: start", zap.String("box", s.Box), zap.String("hall", s.Hall), zap.String("holder", n.holder))
+	front, err := serve(s.Front, n.platform.Front(n), n.log)
+	if err != nil {
+		return err
+	}
+	ready, err := serve(s.Ready, n.platform.Readiness(n), n.log)
+	if err != nil {
+		return err
+	}
+	var group sync.WaitGroup
+	inner, cancel := context.WithCancel(context.Background())
+	group.Go(func() { n.followConfiguration(inner) })
+	group.Go(func() { n.schedule(ctx) })
+	<-ctx.Done()
+	n.stopping.Store(true)
+	n.log.Info("node: stopping")
+	n.drain(front, s)
+	cancel()
+	group.Wait()
+	_ = ready.Close() // The process ends.
+	n.log.Info("node: stopped")
+	return nil
+}
+
+// drain waits until the balancer sends no more connections and the last requests are answered.
+func (n *Node) drain(front *http.Server, s *Settings) {
+	began := time.Now()
+	time.Sleep(min(balancerDelay, s.StopAfter/2))
+	ctx, cancel := context.WithTimeout(context.Background(), s.StopAfter-stopReserve-time.Since(began))
+	defer cancel()
+	if err := front.Shutdown(ctx); err != nil {
+		n.log.Warn("node: requests were cut", zap.Error(err))
+	}
+}
+
+func serve(address string, handler http.Handler, log *zap.Logger) (*http.Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "node: unable to listen")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(log)}
+	go func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			log.Error("node: server ended", zap.Error(err))
+		}
+	}()
+	return server, nil
+}
--- /dev/null
+++ b/internal/node/settings.go
@@ -0,0 +1,19 @@
+package node
+
+import (
+	"time"
+
+	"github.com/pulleyring/pulleyring/internal/scheduler"
+)
+
+// Settings is what a box is told about itself and its site.
+type Settings struct {
+	Box       string // Name, unique in the site.
+	Hall      string
+	Front     string        // IP:port for clients.
+	Ready     string        // IP:port where the balancer asks whether the box is ready.
+	Metrics   string        // IP:port for counters and histograms; empty for none.
+	Store     string        // IP:port of the platform's store.
+	StopAfter time.Duration // Time from SIGTERM to SIGKILL.
+	Bounds    scheduler.Bounds
+}
--- /dev/null
+++ b/internal/placement/decide.go
@@ -0,0 +1,307 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/pulleyring/pulleyring/internal/job"
+)
+
+// board is the state of one decision.
+type board struct {
+	view    *View
+	free    []job.Resources // By worker: free and not claimed by others.
+	index   map[string]int
+	racks   [][]int // Workers by rack, in the order of the view.
+	outcome Outcome
+	stopped map[int]bool // Holdings stopped by this decision.
+}
+
+// Decide places the demands: guaranteed work first, stopping other work where it must, then the rest by what it earns for
+// the room it takes.
+func Decide(v *View) Outcome {
+	b := newBoard(v)
+	for _, i := range b.order() {
+		d := &v.Demands[i]
+		b.unclaim(d)
+		if b.place(i) {
+			continue
+		}
+		b.reclaim(d)
+		if d.Covered && d.Claim == nil && b.patienceOver(d) {
+			b.makeRoom(i)
+		}
+	}
+	return b.outcome
+}
+
+func newBoard(v *View) *board {
+	b := &board{view: v, free: make([]job.Resources, len(v.Workers)), index: make(map[string]int, len(v.Workers)), stopped: map[int]bool{}}
+	racks := map[string]int{}
+	for i := range v.Workers {
+		w := &v.Workers[i]
+		b.free[i] = w.Free
+		b.index[w.ID] = i
+		r, ok := racks[w.Rack]
+		if !ok {
+			r = len(b.racks)
+			racks[w.Rack] = r
+			b.racks = append(b.racks, nil)
+		}
+		b.racks[r] = append(b.racks[r], i)
+	}
+	for i := range v.Demands {
+		b.reclaim(&v.Demands[i])
+	}
+	return b
+}
+
+// unclaim gives the room claimed for a demand back to the board, for the demand itself.
+func (b *board) unclaim(d *Demand) {
+	for _, worker := range d.Claim {
+		if k, ok := b.index[worker]; ok {
+			b.free[k] = b.free[k].Add(d.Step.Each)
+		}
+	}
+}
+
+// reclaim sets the claimed room aside.
+func (b *board) reclaim(d *Demand) {
+	for _, worker := range d.Claim {
+		if k, ok := b.index[worker]; ok {
+			b.free[k] = b.free[k].Sub(d.Step.Each)
+		}
+	}
+}
+
+// order returns the demands' indexes, first served first.
+func (b *board) order() []int {
+	order := make([]int, len(b.view.Demands))
+	scores := make([]float64, len(order))
+	for i := range order {
+		order[i] = i
+		scores[i] = b.score(&b.view.Demands[i])
+	}
+	slices.SortFunc(order, func(x, y int) int {
+		p, q := &b.view.Demands[x], &b.view.Demands[y]
+		if p.Covered != q.Covered {
+			return cmp.Compare(rank(q.Covered), rank(p.Covered))
+		}
+		if !p.Covered {
+			if c := cmp.Compare(scores[y], scores[x]); c != 0 {
+				return c
+			}
+		}
+		return cmp.Or(p.Since.Compare(q.Since), cmp.Compare(p.Job, q.Job), cmp.Compare(p.Group.Occurrence, q.Group.Occurrence), cmp.Compare(p.Group.Step, q.Group.Step))
+	})
+	return order
+}
+
+func rank(covered bool) int {
+	if covered {
+		return 1
+	}
+	return 0
+}
+
+// neverInTime is the share of its value that work counts for once it can't earn anything any more; it is served last, but
+// it is served.
+const neverInTime = 0.02
+
+// score is what a demand earns for each core-second if it starts now.
+func (b *board) score(d *Demand) float64 {
+	end := b.view.Now.Add(d.Remaining)
+	value := d.Value * neverInTime
+	switch {
+	case !end.After(d.Goal):
+		value = d.Value
+	case !end.After(d.LastGoal):
+		value = d.LateValue
+	}
+	return value / max(d.Work, 1e-3)
+}
+
+// place starts what fits of a demand and reports whether nothing of it is left waiting.
+func (b *board) place(i int) bool {
+	d := &b.view.Demands[i]
+	var workers map[int]string
+	if d.Step.Gang {
+		workers = b.layGang(d)
+	} else {
+		workers = b.laySingles(d)
+	}
+	if len(workers) == 0 {
+		return false
+	}
+	for _, w := range workers {
+		k := b.index[w]
+		b.free[k] = b.free[k].Sub(d.Step.Each)
+	}
+	b.outcome.Starts = append(b.outcome.Starts, Start{i, workers})
+	return len(workers) == len(d.Waiting)
+}
+
+// suits reports whether a worker may run tasks of a demand, room aside.
+func (b *board) suits(d *Demand, k int) bool {
+	w := &b.view.Workers[k]
+	if !w.Usable || w.Service != d.Service || d.Avoid[w.ID] {
+		return false
+	}
+	return d.Step.Label == "" || slices.Contains(w.Labels, d.Step.Label)
+}
+
+// copies is how many tasks of a demand a worker could take.
+func (b *board) copies(d *Demand, k int, free job.Resources) int {
+	if !b.suits(d, k) {
+		return 0
+	}
+	n := len(d.Waiting)
+	n = atMost(n, free.MilliCPU, d.Step.Each.MilliCPU)
+	n = atMost(n, free.MemoryMB, d.Step.Each.MemoryMB)
+	n = atMost(n, free.Accelerators, d.Step.Each.Accelerators)
+	if d.Step.MostPerWorker > 0 {
+		n = min(n, d.Step.MostPerWorker-d.Placed[b.view.Workers[k].ID])
+	}
+	return max(n, 0)
+}
+
+func atMost(n int, free, each int64) int {
+	if each <= 0 {
+		return n
+	}
+	return min(n, int(max(free, 0)/each))
+}
+
+// layGang finds room for a whole gang: in the fullest rack that takes it, or over racks where that costs nothing or can't
+// be helped.
+func (b *board) layGang(d *Demand) map[int]string {
+	if !d.Step.RackLocal {
+		return b.spread(d, b.all(), len(d.Waiting))
+	}
+	var best map[int]string
+	bestFree := int64(0)
+	for _, rack := range b.racks {
+		workers := b.spread(d, rack, len(d.Waiting))
+		if workers == nil {
+			continue
+		}
+		free := b.rackFree(rack)
+		if best == nil || free < bestFree {
+			best, bestFree = workers, free
+		}
+	}
+	if best == nil && (b.patienceOver(d) || !b.anyRackCould(d)) {
+		return b.spread(d, b.all(), len(d.Waiting))
+	}
+	return best
+}
+
+func (b *board) all() []int {
+	all := make([]int, len(b.view.Workers))
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
+
+// anyRackCould reports whether a rack could hold the gang if it were empty.
+func (b *board) anyRackCould(d *Demand) bool {
+	for _, rack := range b.racks {
+		room := 0
+		for _, k := range rack {
+			room += b.copies(d, k, b.view.Workers[k].Capacity)
+		}
+		if room >= len(d.Waiting) {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *board) rackFree(rack []int) int64 {
+	sum := int64(0)
+	for _, k := range rack {
+		if b.view.Workers[k].Usable {
+			sum += b.free[k].Accelerators
+		}
+	}
+	return sum
+}
+
+// spread lays need tasks onto some of the workers, the fullest that fit first; nil where they don't all fit.
+func (b *board) spread(d *Demand, among []int, need int) map[int]string {
+	order := b.fullestFirst(d, among)
+	workers := map[int]string{}
+	for _, k := range order {
+		for range b.copies(d, k, b.free[k]) {
+			if len(workers) == need {
+				break
+			}
+			workers[d.Waiting[len(workers)]] = b.view.Workers[k].ID
+		}
+	}
+	if len(workers) < need {
+		return nil
+	}
+	return workers
+}
+
+// fullestFirst orders workers that fit at least one task: trusted ones first, then those with the least room left.
+func (b *board) fullestFirst(d *Demand, among []int) []int {
+	var order []int
+	for _, k := range among {
+		if b.copies(d, k, b.free[k]) > 0 {
+			order = append(order, k)
+		}
+	}
+	slices.SortStableFunc(order, func(x, y int) int {
+		return cmp.Or(
+			cmp.Compare(b.view.Workers[x].Doubt, b.view.Workers[y].Doubt),
+			cmp.Compare(b.free[x].Cores(), b.free[y].Cores()),
+			cmp.Compare(b.view.Workers[x].ID, b.view.Workers[y].ID))
+	})
+	return order
+}
+
+// nearPatience is how long, as a share of the time to its goal, a task waits for room near its data.
+const nearPatience = 0.25
+
+// laySingles lays as many tasks as fit, near their data where they have any.
+func (b *board) laySingles(d *Demand) map[int]string {
+	among := b.all()
+	if d.Step.DataRack != "" && b.view.Now.Sub(d.Since) < time.Duration(nearPatience*float64(d.Goal.Sub(d.Since))) {
+		among = b.near(d.Step.DataRack)
+	}
+	workers := map[int]string{}
+	for _, k := range b.fullestFirst(d, among) {
+		for range b.copies(d, k, b.free[k]) {
+			if len(workers) == len(d.Waiting) {
+				return workers
+			}
+			workers[d.Waiting[len(workers)]] = b.view.Workers[k].ID
+		}
+	}
+	return workers
+}
+
+func (b *board) near(rack string) []int {
+	for _, workers := range b.racks {
+		if b.view.Workers[workers[0]].Rack == rack {
+			return workers
+		}
+	}
+	return nil
+}
+
+// patience is how long guaranteed work waits for room before other work is stopped for it: little, as a stop takes
+// StopTime and two commits before the start.
+const patience = 150 * time.Millisecond
+
+func (b *board) patienceOver(d *Demand) bool {
+	if d.Covered {
+		return b.view.Now.Sub(d.Since) >= patience
+	}
+	// Others accept a slow spread over racks only when waiting longer would cost more than the slowness.
+	return b.view.Now.Add(time.Duration(float64(d.Remaining) * b.view.Policy.FarFactor)).After(d.Goal)
+}
--- /dev/null
+++ b/internal/scheduler/commit.go
@@ -0,0 +1,199 @@
+package scheduler
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/interval"
+	"github.com/pulleyring/pulleyring/internal/job"
+	"github.com/pulleyring/pulleyring/internal/ledger"
+	"go.uber.org/zap"
+)
+
+// commitLoop decides and commits until the tenure is over.
+func (h *shard) commitLoop(ctx context.Context) error {
+	lastCommit := time.Time{}
+	for ctx.Err() == nil {
+		f := h.prepare(time.Since(lastCommit) >= beatEvery)
+		if f == nil {
+			interval.SleepOrWoken(ctx, h.nextWake(lastCommit), h.wake)
+			continue
+		}
+		lastCommit = time.Now()
+		if err := h.commit(ctx, f); errors.Is(err, ledger.ErrReplaced) {
+			h.Log.Warn("scheduler: replaced by another box", zap.Int64("epoch", h.tenure.Epoch()))
+			return err
+		}
+		interval.Sleep(ctx, commitSpacing-time.Since(lastCommit))
+	}
+	return h.giveBack()
+}
+
+func (h *shard) nextWake(lastCommit time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	wait := beatEvery - time.Since(lastCommit)
+	if h.anyWaiting() {
+		wait = min(wait, passEvery-time.Since(h.lastPass))
+	}
+	return max(wait, time.Millisecond)
+}
+
+// flight is a batch with what is to happen once it is committed.
+type flight struct {
+	batch    ledger.Batch
+	launches []*run
+	applied  map[*workerState]int64 // Ends that the batch takes note of.
+}
+
+// prepare decides and collects what is to be committed; nil where there is nothing.
+func (h *shard) prepare(beat bool) *flight {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.changed || h.anyWaiting() && time.Since(h.lastPass) >= passEvery {
+		h.pass()
+	}
+	old := h.old()
+	pending := h.countPending()
+	if len(h.dirty) == 0 && !beat && maps.Equal(pending, h.pending) {
+		return nil
+	}
+	f := &flight{batch: ledger.Batch{Progress: map[job.ID]*job.Progress{}}, applied: map[*workerState]int64{}}
+	tasks := 0
+	for id := range h.dirty {
+		j := h.jobs[id]
+		if len(f.batch.Progress) >= ledger.MaxBatchRows || tasks > 0 && tasks+len(j.Progress.Tasks) > ledger.MaxBatchTasks {
+			break
+		}
+		tasks += len(j.Progress.Tasks)
+		f.batch.Progress[id] = copyProgress(&j.Progress)
+		delete(h.dirty, id)
+	}
+	h.collect(f)
+	f.batch.Forget = old
+	if !maps.Equal(pending, h.pending) {
+		f.batch.Summary = &ledger.Summary{Pending: pending}
+		h.pending = pending
+	}
+	return f
+}
+
+// collect adds the launches that the batch covers, and the ends that are taken note of once no progress is left over.
+func (h *shard) collect(f *flight) {
+	var later []*run
+	for _, r := range h.launches {
+		if f.batch.Progress[r.task.Job] == nil {
+			later = append(later, r)
+			continue
+		}
+		f.launches = append(f.launches, r)
+	}
+	h.launches = later
+	if len(h.dirty) > 0 {
+		return
+	}
+	for _, w := range h.workers {
+		if w.applied > w.acknowledged {
+			f.applied[w] = w.applied
+		}
+	}
+}
+
+func copyProgress(p *job.Progress) *job.Progress {
+	c := *p
+	c.Tasks = append([]job.TaskProgress(nil), p.Tasks...)
+	c.GangRuns = append([]int(nil), p.GangRuns...)
+	return &c
+}
+
+// commit writes a batch and then sets off what had to wait for it.
+func (h *shard) commit(ctx context.Context, f *flight) error {
+	timed, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	err := h.tenure.Commit(timed, &f.batch)
+	if !errors.Is(err, ledger.ErrReplaced) && h.Committed != nil {
+		h.Committed(err)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err != nil {
+		h.restore(f)
+		if !errors.Is(err, ledger.ErrReplaced) {
+			h.Log.Warn("scheduler: unable to commit", zap.Error(err), zap.Int("rows", len(f.batch.Progress)))
+		}
+		return err
+	}
+	for w, n := range f.applied {
+		w.acknowledged = max(w.acknowledged, n)
+		w.signal()
+	}
+	for _, r := range f.launches {
+		h.launch(r)
+	}
+	for _, id := range f.batch.Forget {
+		delete(h.jobs, id)
+		delete(h.early, id)
+	}
+	return nil
+}
+
+// restore puts back what a failed commit had taken.
+func (h *shard) restore(f *flight) {
+	for id := range f.batch.Progress {
+		h.dirty[id] = true
+	}
+	h.launches = append(f.launches, h.launches...)
+	if f.batch.Summary != nil {
+		h.pending = nil
+	}
+}
+
+// releaseTimeout bounds the give-back of a lease at a planned stop; past it the others find out by its silence.
+const releaseTimeout = 500 * time.Millisecond
+
+// giveBack commits what is left and gives the lease back.
+func (h *shard) giveBack() error {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	h.mu.Lock()
+	f := &flight{batch: ledger.Batch{Progress: map[job.ID]*job.Progress{}, Release: true}}
+	for id := range h.dirty {
+		if len(f.batch.Progress) < ledger.MaxBatchRows {
+			f.batch.Progress[id] = copyProgress(&h.jobs[id].Progress)
+		}
+	}
+	h.mu.Unlock()
+	err := h.tenure.Commit(ctx, &f.batch)
+	h.Log.Info("scheduler: gave the lease back", zap.Int64("epoch", h.tenure.Epoch()), zap.Error(err))
+	return err
+}
+
+// countPending counts, by queue, the jobs of which nothing was started.
+func (h *shard) countPending() map[string]int {
+	pending := map[string]int{}
+	for _, j := range h.jobs {
+		if j.Progress.State == job.Queued {
+			pending[j.Request.Terms.Queue]++
+		}
+	}
+	return pending
+}
+
+// old returns a few of the jobs, and of the cancellations without a job, that need not be shown any more.
+func (h *shard) old() []job.ID {
+	oldest := time.Now().Add(-h.Bounds.Retain)
+	var ids []job.ID
+	for id, j := range h.jobs {
+		if len(ids) < ledger.MaxForget && j.Progress.State.Final() && j.Progress.EndedAt < oldest.UnixMilli() && len(j.Running()) == 0 && !h.dirty[id] {
+			ids = append(ids, id)
+		}
+	}
+	for id, at := range h.early {
+		if len(ids) < ledger.MaxForget && at.Before(oldest) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/internal/scheduler/pass.go
@@ -0,0 +1,277 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/pulleyring/pulleyring/internal/job"
+	"github.com/pulleyring/pulleyring/internal/placement"
+	"go.uber.org/zap"
+)
+
+// claimKey names the group that room is being freed for.
+type claimKey struct {
+	job   job.ID
+	group job.Group
+}
+
+// claimed is room that is being freed.
+type claimed struct {
+	workers map[int]string
+	until   time.Time // After that the plan is made anew.
+}
+
+// claimSlack is how much longer than a stop a claim is kept: two commits and the talk with the worker.
+const claimSlack = 600 * time.Millisecond
+
+// pass has placement decide and takes in what it decided.
+func (h *shard) pass() {
+	h.changed = false
+	now := time.Now()
+	h.lastPass = now
+	view, holdings := h.view(now)
+	if len(view.Demands) == 0 {
+		return
+	}
+	out := placement.Decide(view)
+	for _, i := range out.Stops {
+		for _, r := range holdings[i] {
+			h.stop(h.workers[r.job.workerOf(r.task)], r, "room for guaranteed work")
+		}
+	}
+	for _, c := range out.Claims {
+		d := &view.Demands[c.Demand]
+		h.claims[claimKey{d.Job, d.Group}] = claimed{c.Workers, now.Add(h.Bounds.StopTime + claimSlack)}
+		h.Log.Info("scheduler: room is being freed", zap.String("job", string(d.Job)), zap.String("workspace", d.Workspace),
+			zap.Duration("waited", now.Sub(d.Since)), zap.Int("stops", len(out.Stops)))
+	}
+	for _, s := range out.Starts {
+		h.place(&view.Demands[s.Demand], s.Workers, now)
+	}
+}
+
+// place notes a placement; it is ordered once it is committed.
+func (h *shard) place(d *placement.Demand, workers map[int]string, now time.Time) {
+	j := h.jobs[d.Job]
+	delete(h.claims, claimKey{d.Job, d.Group})
+	orders := j.Place(d.Group, workers)
+	for _, o := range orders {
+		r := &run{task: o.Task, number: o.Run, saved: o.Saved, each: d.Step.Each, job: j, placed: now}
+		h.addRun(h.workers[o.Worker], r)
+		h.launches = append(h.launches, r)
+	}
+	h.touch(d.Job)
+	h.Log.Info("scheduler: placed", zap.String("job", string(d.Job)), zap.Int("occurrence", d.Group.Occurrence),
+		zap.Int("step", d.Group.Step), zap.Int("tasks", len(orders)), zap.Int("waiting", len(d.Waiting)),
+		zap.Duration("waited", now.Sub(d.Since)), zap.Duration("to_goal", d.Goal.Sub(now)), zap.Bool("covered", d.Covered))
+}
+
+// view collects what a decision is made from; holdings are the runs behind the view's holdings.
+func (h *shard) view(now time.Time) (*placement.View, [][]*run) {
+	v := &placement.View{Now: now, Policy: h.Bounds.Policy}
+	covered := h.covered()
+	for id, w := range h.workers {
+		v.Workers = append(v.Workers, h.viewWorker(id, w, now))
+	}
+	slices.SortFunc(v.Workers, func(x, y placement.Worker) int { return cmp.Compare(x.ID, y.ID) })
+	for id, j := range h.jobs {
+		for _, g := range j.Ready(now.UnixMilli()) {
+			v.Demands = append(v.Demands, h.demand(j, g, covered[id], now))
+		}
+	}
+	slices.SortFunc(v.Demands, func(x, y placement.Demand) int {
+		return cmp.Or(cmp.Compare(x.Job, y.Job), cmp.Compare(x.Group.Occurrence, y.Group.Occurrence), cmp.Compare(x.Group.Step, y.Group.Step))
+	})
+	holdings := h.viewHoldings(v, covered, now)
+	return v, holdings
+}
+
+func (h *shard) viewWorker(id string, w *workerState, now time.Time) placement.Worker {
+	freeing := job.Resources{}
+	for _, r := range w.runs {
+		if r.stopping {
+			freeing = freeing.Add(r.each)
+		}
+	}
+	return placement.Worker{
+		ID: id, Service: w.Service, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.Capacity.Sub(w.used), Freeing: freeing,
+		Usable: w.usable(now) && !w.doubt.barred(now), Doubt: w.doubt.level(now),
+	}
+}
+
+// Weights of queues by priority, and the part that late work earns: the configuration does not tell what a job earns, the
+// users' sheets give 4, 3 and 1 for priorities 0, 1 and 2 and about 0.3 of it when late.
+var priorityValue = [...]float64{4, 3, 1}
+
+const (
+	lateShare = 0.3
+	// baseShare of a job's value does not depend on its size, and a large job counts sizeCap times the mean at most
+	// (the users' rules).
+	baseShare = 0.3
+	sizeCap   = 4
+	// lateFactor times its objective a job still earns a part.
+	lateFactor = 3
+)
+
+func (h *shard) demand(j *liveJob, g job.Group, covered bool, now time.Time) placement.Demand {
+	since, ok := j.since[g]
+	if !ok {
+		since = now
+		j.since[g] = now
+	}
+	r := j.Request
+	d := placement.Demand{
+		Job: r.ID, Group: g, Workspace: r.Terms.Workspace, Service: r.Terms.Service, Priority: r.Terms.Priority,
+		Step: &r.Steps[g.Step], Since: since, Remaining: h.learned.chain(r, g.Step), Covered: covered,
+		Avoid: j.avoid[g], Placed: map[string]int{}, Work: h.workLeft(j, g),
+	}
+	for i, t := range j.Tasks(g) {
+		switch t.State {
+		case job.Waiting:
+			d.Waiting = append(d.Waiting, i)
+		case job.Placed:
+			d.Placed[t.Worker]++
+		}
+	}
+	allowed := time.Duration(r.Terms.Stretch*float64(h.learned.whole(r))) + r.Terms.Objective
+	from := time.UnixMilli(r.Due(g.Occurrence))
+	d.Goal, d.LastGoal = from.Add(allowed), from.Add(lateFactor*allowed)
+	d.Value = h.value(r)
+	d.LateValue = lateShare * d.Value
+	if c, ok := h.claims[claimKey{r.ID, g}]; ok && now.Before(c.until) {
+		d.Claim = c.workers
+	}
+	return d
+}
+
+// value is what one occurrence of a job earns at most, in the weights above.
+func (h *shard) value(r *job.Request) float64 {
+	weight := priorityValue[min(max(r.Terms.Priority, 0), len(priorityValue)-1)]
+	mean := max(h.learned.of(r.Terms.Queue).work, 1)
+	return weight * (baseShare + (1-baseShare)*min(declaredWork(r)/mean, sizeCap)) / float64(r.Occurrences())
+}
+
+// workLeft is the expected core-seconds until an occurrence has ended.
+func (h *shard) workLeft(j *liveJob, g job.Group) float64 {
+	sum := 0.0
+	for s := range j.Request.Steps {
+		step := &j.Request.Steps[s]
+		left := 0
+		for _, t := range j.Tasks(job.Group{Occurrence: g.Occurrence, Step: s}) {
+			if t.State == job.Waiting {
+				left++
+			}
+		}
+		sum += float64(left) * step.Each.Cores() * h.learned.task(j.Request, s).Seconds()
+	}
+	return sum
+}
+
+// covered says which jobs of priority 0 are within their workspace's guarantee: the oldest first, as far as it goes.
+func (h *shard) covered() map[job.ID]bool {
+	left := map[string]int64{}
+	if c := h.Configuration(); c != nil {
+		for i := range c.Workspaces {
+			left[c.Workspaces[i].Name] = c.Workspaces[i].Guaranteed
+		}
+	}
+	var urgent []*liveJob
+	for _, j := range h.jobs {
+		if j.Request.Terms.Priority == 0 && !j.Progress.State.Final() {
+			urgent = append(urgent, j)
+		}
+	}
+	slices.SortFunc(urgent, func(x, y *liveJob) int {
+		return cmp.Or(cmp.Compare(x.Request.Accepted, y.Request.Accepted), cmp.Compare(x.Request.ID, y.Request.ID))
+	})
+	covered := map[job.ID]bool{}
+	for _, j := range urgent {
+		need := accelerators(j.Request)
+		if need <= left[j.Request.Terms.Workspace] {
+			left[j.Request.Terms.Workspace] -= need
+			covered[j.Request.ID] = true
+		}
+	}
+	return covered
+}
+
+// accelerators is what a job takes at once at most, its steps taken as running together.
+func accelerators(r *job.Request) int64 {
+	sum := int64(0)
+	for i := range r.Steps {
+		sum += int64(r.Steps[i].Count) * r.Steps[i].Each.Accelerators
+	}
+	return sum
+}
+
+// viewHoldings adds what runs to a view and returns the runs behind each holding.
+func (h *shard) viewHoldings(v *placement.View, covered map[job.ID]bool, now time.Time) [][]*run {
+	type key struct {
+		claimKey
+		index int // -1 for a gang.
+	}
+	at := map[key]int{}
+	var runs [][]*run
+	for _, id := range sortedWorkers(v) {
+		w := h.workers[id]
+		for _, r := range w.runs {
+			k := key{claimKey{r.task.Job, r.group()}, r.task.Index}
+			step := &r.job.Request.Steps[r.task.Step]
+			if step.Gang {
+				k.index = -1
+			}
+			i, ok := at[k]
+			if !ok {
+				i = len(runs)
+				at[k] = i
+				runs = append(runs, nil)
+				v.Holdings = append(v.Holdings, placement.Holding{
+					Job: r.task.Job, Group: r.group(), Priority: r.job.Request.Terms.Priority, Covered: covered[r.task.Job],
+					Each: r.each, Tasks: map[int]string{}, Remaining: max(h.learned.task(r.job.Request, r.task.Step)-now.Sub(r.placed), 0),
+				})
+			}
+			runs[i] = append(runs[i], r)
+			holding := &v.Holdings[i]
+			holding.Tasks[r.task.Index] = id
+			holding.Stopping = holding.Stopping || r.stopping
+			holding.Loss += h.loss(r, step, now)
+		}
+	}
+	return runs
+}
+
+func sortedWorkers(v *placement.View) []string {
+	ids := make([]string, len(v.Workers))
+	for i := range v.Workers {
+		ids[i] = v.Workers[i].ID
+	}
+	return ids
+}
+
+// loss is the core-seconds that stopping a run throws away.
+func (h *shard) loss(r *run, step *job.Step, now time.Time) float64 {
+	lost := now.Sub(r.placed)
+	if step.Checkpoints {
+		lost = min(lost, checkpointLoss)
+	}
+	return lost.Seconds() * r.each.Cores()
+}
+
+// checkpointLoss is the work that is lost at a stop of a run that saves its state: at a stop it saves once more, so that
+// only the stop itself and the restore are lost.
+const checkpointLoss = 500 * time.Millisecond
+
+// anyWaiting reports whether a group of tasks waits, now or for its time.
+func (h *shard) anyWaiting() bool {
+	now := time.Now().UnixMilli()
+	for _, j := range h.jobs {
+		if j.Progress.State.Final() {
+			continue
+		}
+		if len(j.Ready(now)) > 0 || j.NextDue(now) > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/scheduler/run.go
@@ -0,0 +1,300 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"github.com/pulleyring/pulleyring/internal/fleet"
+	"github.com/pulleyring/pulleyring/internal/interval"
+	"github.com/pulleyring/pulleyring/internal/job"
+	"go.uber.org/zap"
+)
+
+const (
+	// startTries is how often a start without an answer is sent; the same run starts only once at a worker.
+	startTries = 2
+	// stopRetry is the pause between two tries of a stop without an answer.
+	stopRetry = 150 * time.Millisecond
+)
+
+// launch orders a run whose placement is committed.
+func (h *shard) launch(r *run) {
+	w := h.workers[r.job.workerOf(r.task)]
+	if w == nil || w.runs[r.task] != r || r.stopping {
+		return
+	}
+	r.ordering = true
+	h.ordering.Go(func() { h.start(w, r) })
+}
+
+func (j *liveJob) workerOf(t job.Task) string {
+	p, _ := j.Task(t)
+	return p.Worker
+}
+
+// start sends the start of a run and takes in the answer.
+func (h *shard) start(w *workerState, r *run) {
+	for try := 1; ; try++ {
+		order := h.nextStart(w, r)
+		if order == nil {
+			return
+		}
+		ctx, cancel := context.WithTimeout(h.ctx, answerTimeout)
+		clock, err := h.Orders.Start(ctx, &w.Worker, order)
+		cancel()
+		if h.ctx.Err() != nil {
+			return
+		}
+		if h.started(w, r, clock, err, try) {
+			return
+		}
+	}
+}
+
+// nextStart is the order to send, nil once the run is not to start any more.
+func (h *shard) nextStart(w *workerState, r *run) *fleet.Start {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if w.runs[r.task] != r || r.stopping {
+		r.ordering = false
+		return nil
+	}
+	w.lastOrder = time.Now()
+	return &fleet.Start{
+		Order:   job.Order{Task: r.task, Run: r.number, Worker: w.ID, Saved: r.saved},
+		Payload: r.job.Request.Payload,
+		Lease:   w.now() + h.Bounds.MaxLease.Milliseconds(),
+		Token:   h.tenure.Epoch(),
+	}
+}
+
+// started takes in the answer to a start and reports whether the matter is settled.
+func (h *shard) started(w *workerState, r *run, clock int64, err error, try int) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	w.heard(clock)
+	if err == nil {
+		r.ordering = false
+		r.confirmed = time.Now()
+		w.signal()
+		return true
+	}
+	h.Log.Info("scheduler: start not taken", zap.String("task", r.task.String()), zap.Int("run", r.number),
+		zap.String("worker", w.ID), zap.Int("try", try), zap.Error(err))
+	h.noteFailure(w, err, "start")
+	if _, refused := refusalOf(err); refused {
+		r.ordering = false
+		h.refused(w, r)
+		return true
+	}
+	if try < startTries && !w.Draining && !w.gone {
+		return false
+	}
+	r.ordering = false
+	r.gaveUp = time.Now()
+	h.stop(w, r, "the start got no answer")
+	h.stopGang(r, "a member's start got no answer")
+	return true
+}
+
+// refused ends a run that surely did not start.
+func (h *shard) refused(w *workerState, r *run) {
+	if w.runs[r.task] != r {
+		return
+	}
+	h.endRun(w, r, job.NeverRan, "")
+}
+
+// stop orders the end of a run; the end counts only once the worker has listed it.
+func (h *shard) stop(w *workerState, r *run, why string) {
+	if r.stopping {
+		return
+	}
+	r.stopping, r.stopAsked = true, time.Now()
+	h.Log.Info("scheduler: stopping a run", zap.String("task", r.task.String()), zap.Int("run", r.number),
+		zap.String("worker", w.ID), zap.String("why", why))
+	if w.Address == "" {
+		return
+	}
+	h.ordering.Go(func() { h.sendStop(w, r) })
+}
+
+// sendStop sends a stop until the worker has taken it or the run is gone.
+func (h *shard) sendStop(w *workerState, r *run) {
+	for h.ctx.Err() == nil {
+		h.mu.Lock()
+		current := w.runs[r.task] == r && !w.gone
+		h.mu.Unlock()
+		if !current {
+			return
+		}
+		ctx, cancel := context.WithTimeout(h.ctx, answerTimeout)
+		clock, err := h.Orders.Stop(ctx, &w.Worker, &fleet.Stop{Task: r.task, Run: r.number, Token: h.tenure.Epoch()})
+		cancel()
+		if h.ctx.Err() != nil {
+			return
+		}
+		h.mu.Lock()
+		w.heard(clock)
+		refusal, refused := refusalOf(err)
+		if err == nil || refused && refusal == fleet.Outdated {
+			r.stopKnown = time.Now()
+			w.signal()
+			h.mu.Unlock()
+			return
+		}
+		h.noteFailure(w, err, "stop")
+		h.mu.Unlock()
+		interval.Sleep(h.ctx, stopRetry)
+	}
+}
+
+// stopGang stops the other members of a run's gang.
+func (h *shard) stopGang(r *run, why string) {
+	if !r.job.Request.Steps[r.task.Step].Gang {
+		return
+	}
+	h.eachMember(r, func(w *workerState, m *run) { h.stop(w, m, why) })
+}
+
+// eachMember calls f for the other members of a run's gang that are placed.
+func (h *shard) eachMember(r *run, f func(w *workerState, m *run)) {
+	g := r.group()
+	for i, t := range r.job.Tasks(g) {
+		if i == r.task.Index {
+			continue
+		}
+		name := r.job.Name(g, i)
+		if w := h.workers[t.Worker]; w != nil && w.runs[name] != nil && w.runs[name].number == r.number {
+			f(w, w.runs[name])
+		}
+	}
+}
+
+// endRun takes in how a run ended.
+func (h *shard) endRun(w *workerState, r *run, outcome job.Outcome, saved string) {
+	h.dropRun(w, r)
+	j := r.job
+	g := r.group()
+	before := j.Progress.State
+	if !j.End(r.task, r.number, outcome, saved, time.Now().UnixMilli()) {
+		return
+	}
+	h.touch(j.Request.ID)
+	if outcome != job.Succeeded {
+		h.Log.Info("scheduler: run ended", zap.String("task", r.task.String()), zap.Int("run", r.number),
+			zap.String("worker", w.ID), zap.Stringer("outcome", outcome), zap.Duration("age", time.Since(r.placed)))
+		h.stopGang(r, "another member ended")
+	}
+	h.learn(w, r, outcome)
+	if outcome == job.FailedRun || outcome == job.NeverRan {
+		if j.avoid[g] == nil {
+			j.avoid[g] = map[string]bool{}
+		}
+		j.avoid[g][w.ID] = outcome == job.FailedRun
+	}
+	delete(j.since, g)
+	if j.Progress.State != before && j.Progress.State.Final() {
+		h.Log.Info("scheduler: job ended", zap.String("job", string(j.Request.ID)), zap.Stringer("state", j.Progress.State))
+		h.stopJob(j.Request.ID, "the job has ended")
+	}
+}
+
+// takeReport takes in what a worker says and reports whether it brought ends.
+func (h *shard) takeReport(w *workerState, report *fleet.Report, sent time.Time, acknowledged int64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if w.gone {
+		return false
+	}
+	if w.failures > 0 || w.clock == 0 {
+		h.changed = true
+		h.signal()
+	}
+	w.heard(report.Clock)
+	w.failures = 0
+	w.told = max(w.told, acknowledged)
+	present := map[job.Task]int{}
+	for i := range report.Running {
+		x := &report.Running[i]
+		present[x.Task] = x.Run
+		h.seen(w, x)
+	}
+	for i := range report.Ended {
+		e := &report.Ended[i]
+		present[e.Task] = max(present[e.Task], e.Run)
+		if e.Number <= w.applied {
+			continue
+		}
+		w.applied = e.Number
+		if r := w.runs[e.Task]; r != nil && r.number == e.Run {
+			h.endRun(w, r, e.Outcome, e.Saved)
+		}
+	}
+	h.settleAbsent(w, present, sent)
+	h.signal()
+	return w.applied > w.acknowledged
+}
+
+// seen takes in a run that a worker has.
+func (h *shard) seen(w *workerState, x *fleet.Run) {
+	r := w.runs[x.Task]
+	if r == nil || r.number != x.Run {
+		h.stray(w, x)
+		return
+	}
+	if r.confirmed.IsZero() {
+		r.confirmed = time.Now()
+	}
+	r.job.Save(x.Task, x.Run, x.Saved)
+	if r.job.Progress.State.Final() {
+		h.stop(w, r, "the job has ended")
+	}
+}
+
+// stray stops a run that nobody placed, or that was given up.
+func (h *shard) stray(w *workerState, x *fleet.Run) {
+	if p, ok := h.jobTask(x.Task); ok && p.State == job.Finished && p.Run == x.Run {
+		return // A gang's member whose end is about to be listed.
+	}
+	r := &run{task: x.Task, number: x.Run, confirmed: time.Now(), placed: time.Now(), job: h.jobs[x.Task.Job]}
+	if r.job == nil || w.runs[x.Task] != nil {
+		h.Log.Warn("scheduler: unknown run", zap.String("task", x.Task.String()), zap.Int("run", x.Run), zap.String("worker", w.ID))
+		order := &fleet.Stop{Task: x.Task, Run: x.Run, Token: h.tenure.Epoch()}
+		h.ordering.Go(func() {
+			ctx, cancel := context.WithTimeout(h.ctx, answerTimeout)
+			defer cancel()
+			if _, err := h.Orders.Stop(ctx, &w.Worker, order); err != nil {
+				h.Log.Warn("scheduler: unable to stop an unknown run", zap.String("task", x.Task.String()), zap.Error(err))
+			}
+		})
+		return
+	}
+	r.each = r.job.Request.Steps[x.Task.Step].Each
+	h.addRun(w, r)
+	h.stop(w, r, "nobody placed it here")
+}
+
+func (h *shard) jobTask(t job.Task) (job.TaskProgress, bool) {
+	j := h.jobs[t.Job]
+	if j == nil {
+		return job.TaskProgress{}, false
+	}
+	return j.Task(t)
+}
+
+// settleAbsent ends the runs that a worker does not have and never will: those whose stop it has taken, and those of a
+// predecessor, whose orders it refuses since it has seen this tenure's token.
+func (h *shard) settleAbsent(w *workerState, present map[job.Task]int, sent time.Time) {
+	for task, r := range w.runs {
+		if present[task] == r.number {
+			continue
+		}
+		stopped := !r.stopKnown.IsZero() && r.stopKnown.Before(sent)
+		fenced := r.adopted && r.confirmed.IsZero()
+		lost := !r.confirmed.IsZero() && r.confirmed.Before(sent)
+		if stopped || fenced || lost {
+			h.endRun(w, r, job.NeverRan, "")
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduler/scheduler.go
@@ -0,0 +1,260 @@
+// Package scheduler runs one shard of jobs: it follows requests and workers, has placement decide, commits every
+// placement before it is ordered, and gives and follows up the orders. It runs in the box that holds the shard's lease.
+package scheduler
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/fleet"
+	"github.com/pulleyring/pulleyring/internal/interval"
+	"github.com/pulleyring/pulleyring/internal/job"
+	"github.com/pulleyring/pulleyring/internal/ledger"
+	"github.com/pulleyring/pulleyring/internal/placement"
+	"github.com/pulleyring/pulleyring/internal/queue"
+	"github.com/pulleyring/pulleyring/internal/store"
+	"go.uber.org/zap"
+)
+
+// Directory lists the workers that have recorded themselves.
+type Directory interface {
+	Workers(ctx context.Context) (Listing, error)
+	WatchWorkers(ctx context.Context, since int64, wait time.Duration) (Listing, error)
+}
+
+// Listing is workers as they recorded themselves, and the names of those whose record is gone.
+type Listing struct {
+	Workers []fleet.Worker
+	Gone    []string
+	Version int64
+}
+
+// Bounds are the site's times that bear on orders.
+type Bounds struct {
+	MaxLease time.Duration // Longest lease that a worker grants.
+	StopTime time.Duration // Longest time that a stop takes.
+	GangWait time.Duration // How long a gang's member waits for the others.
+	Retain   time.Duration // How long a job is shown after its end.
+	Policy   placement.Policy
+}
+
+// Scheduler holds what a shard's scheduler needs; Run does the work.
+type Scheduler struct {
+	Ledger        *ledger.Ledger
+	Directory     Directory
+	Orders        fleet.Orders
+	Configuration func() *queue.Configuration
+	Committed     func(err error) // Told of the outcome of each commit.
+	Bounds        Bounds
+	Log           *zap.Logger
+}
+
+// Timing of the scheduler itself.
+const (
+	// beatEvery is the longest time between two commits; other boxes take the lease after a few missed ones.
+	beatEvery = 300 * time.Millisecond
+	// commitSpacing is the least time between two commits: a call to the store costs money and each row is written whole.
+	commitSpacing = 15 * time.Millisecond
+	// commitTimeout bounds a commit; the store at its slowest takes about 80 times its usual 5 ms.
+	commitTimeout = 1500 * time.Millisecond
+	// passEvery is the longest time between two decisions while work waits, for those that depend on time.
+	passEvery = 100 * time.Millisecond
+	// retryPause is the pause after a call to the store failed.
+	retryPause = 100 * time.Millisecond
+	// feedWait is how long a feed waits for changes.
+	feedWait = 5 * time.Second
+	// relistEvery bounds the time in which a deaf feed of workers or jobs stays unnoticed.
+	relistEvery = 4 * time.Second
+)
+
+// shard is the state of one tenure, under its own lock.
+type shard struct {
+	*Scheduler
+	tenure *ledger.Tenure
+	ctx    context.Context // Ends with the tenure.
+	wake   chan struct{}
+
+	mu       sync.Mutex
+	jobs     map[job.ID]*liveJob
+	workers  map[string]*workerState
+	dirty    map[job.ID]bool // Jobs whose progress is to be committed.
+	launches []*run          // Placed runs to be ordered once they are committed.
+	claims   map[claimKey]claimed
+	changed  bool // Something happened that a decision may depend on.
+	lastPass time.Time
+	learned  estimates
+	pending  map[string]int       // As last committed.
+	early    map[job.ID]time.Time // Cancellations that came without a request, by when they were seen.
+	ordering sync.WaitGroup
+}
+
+type liveJob struct {
+	*job.Life
+	since map[job.Group]time.Time // Since when a group could have started.
+	avoid map[job.Group]map[string]bool
+}
+
+// Run schedules the shard until the lease is lost or ctx ends; in the latter case the lease is given back. It returns
+// ledger.ErrReplaced where another box took over.
+func (s *Scheduler) Run(ctx context.Context, tenure *ledger.Tenure) error {
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	h := &shard{
+		Scheduler: s, tenure: tenure, ctx: inner, wake: make(chan struct{}, 1),
+		jobs: map[job.ID]*liveJob{}, workers: map[string]*workerState{}, dirty: map[job.ID]bool{},
+		claims: map[claimKey]claimed{}, early: map[job.ID]time.Time{}, learned: estimates{},
+	}
+	defer h.ordering.Wait()
+	defer cancel()
+	began := time.Now()
+	version, listing, err := h.load(ctx)
+	if err != nil {
+		return err
+	}
+	s.Log.Info("scheduler: took over", zap.Int64("epoch", tenure.Epoch()), zap.Int("jobs", len(h.jobs)),
+		zap.Int("workers", len(h.workers)), zap.Duration("took", time.Since(began)))
+	h.ordering.Go(func() { h.followJobs(version) })
+	h.ordering.Go(func() { h.followWorkers(listing) })
+	return h.commitLoop(ctx)
+}
+
+// load reads the shard's rows and the workers.
+func (h *shard) load(ctx context.Context) (jobsVersion, workersVersion int64, err error) {
+	var (
+		changes  ledger.Changes
+		progress map[job.ID]*job.Progress
+		listing  Listing
+		failed   [3]error
+		group    sync.WaitGroup
+	)
+	group.Go(func() { changes, failed[0] = h.Ledger.Jobs(ctx) })
+	group.Go(func() { progress, failed[1] = h.Ledger.Progress(ctx) })
+	group.Go(func() { listing, failed[2] = h.Directory.Workers(ctx) })
+	group.Wait()
+	for _, err := range failed {
+		if err != nil {
+			return 0, 0, err
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.takeListing(listing, true)
+	h.takeChanges(changes.List, progress)
+	return changes.Version, listing.Version, nil
+}
+
+func (h *shard) signal() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+// touch notes that a job's progress changed.
+func (h *shard) touch(id job.ID) {
+	h.dirty[id] = true
+	h.changed = true
+	h.signal()
+}
+
+// takeChanges adds requests and cancellations; progress is that of a predecessor, nil in a running tenure.
+func (h *shard) takeChanges(list []ledger.Change, progress map[job.ID]*job.Progress) {
+	for i := range list {
+		c := &list[i]
+		if c.Request != nil {
+			h.addJob(c.Request, progress[c.ID])
+		}
+	}
+	for i := range list {
+		if list[i].Cancelled {
+			h.cancelJob(list[i].ID)
+		}
+	}
+}
+
+func (h *shard) addJob(r *job.Request, p *job.Progress) {
+	if h.jobs[r.ID] != nil {
+		return
+	}
+	j := &liveJob{Life: job.NewLife(r, p), since: map[job.Group]time.Time{}, avoid: map[job.Group]map[string]bool{}}
+	h.jobs[r.ID] = j
+	h.learned.seen(r)
+	h.changed = true
+	for _, o := range j.Running() {
+		h.adopt(j, o)
+	}
+	if p == nil {
+		h.Log.Info("scheduler: job seen", zap.String("job", string(r.ID)), zap.String("queue", r.Terms.Queue),
+			zap.Int("tasks", len(j.Progress.Tasks)), zap.Int("steps", len(r.Steps)))
+	}
+	h.signal()
+}
+
+func (h *shard) cancelJob(id job.ID) {
+	j := h.jobs[id]
+	if j == nil {
+		h.early[id] = time.Now()
+		return
+	}
+	if !j.Cancel(time.Now().UnixMilli()) {
+		return
+	}
+	h.Log.Info("scheduler: job cancelled", zap.String("job", string(id)))
+	h.touch(id)
+	h.stopJob(id, "cancelled")
+}
+
+// stopJob stops every run of a job.
+func (h *shard) stopJob(id job.ID, why string) {
+	for _, w := range h.workers {
+		for task, r := range w.runs {
+			if task.Job == id {
+				h.stop(w, r, why)
+			}
+		}
+	}
+}
+
+// followJobs takes in requests and cancellations as they are written.
+func (h *shard) followJobs(version int64) {
+	listed := time.Now()
+	for h.ctx.Err() == nil {
+		changes, err := h.Ledger.WatchJobs(h.ctx, version, feedWait)
+		if errors.Is(err, store.ErrHistoryGone) || time.Since(listed) > relistEvery {
+			changes, err = h.Ledger.Jobs(h.ctx)
+			listed = time.Now()
+		}
+		if err != nil {
+			h.Log.Warn("scheduler: unable to follow requests", zap.Error(err))
+			interval.Sleep(h.ctx, retryPause)
+			continue
+		}
+		version = changes.Version
+		h.mu.Lock()
+		h.takeChanges(changes.List, nil)
+		h.mu.Unlock()
+	}
+}
+
+// followWorkers takes in the workers' records as they change.
+func (h *shard) followWorkers(version int64) {
+	listed := time.Now()
+	for h.ctx.Err() == nil {
+		listing, err := h.Directory.WatchWorkers(h.ctx, version, feedWait)
+		whole := false
+		if errors.Is(err, store.ErrHistoryGone) || time.Since(listed) > relistEvery {
+			listing, err = h.Directory.Workers(h.ctx)
+			listed, whole = time.Now(), true
+		}
+		if err != nil {
+			h.Log.Warn("scheduler: unable to follow workers", zap.Error(err))
+			interval.Sleep(h.ctx, retryPause)
+			continue
+		}
+		version = listing.Version
+		h.mu.Lock()
+		h.takeListing(listing, whole)
+		h.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/scheduler/worker.go
@@ -0,0 +1,347 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/fleet"
+	"github.com/pulleyring/pulleyring/internal/interval"
+	"github.com/pulleyring/pulleyring/internal/job"
+	"go.uber.org/zap"
+)
+
+// Timing of the talk with workers.
+const (
+	// lookWait is how long a look waits for an end; each look costs as much as a health check.
+	lookWait = 1500 * time.Millisecond
+	// answerTimeout bounds the answer to an order beyond its own wait: a worker answers within a few ms, so that this is
+	// for lost packets, which come again after 200 ms and more.
+	answerTimeout = 700 * time.Millisecond
+	// lookRetry is the pause after a look failed; it doubles up to lookRetryMost.
+	lookRetry     = 100 * time.Millisecond
+	lookRetryMost = 800 * time.Millisecond
+	// commitPatience is how long a look waits for the commit of the ends that the last one brought.
+	commitPatience = 300 * time.Millisecond
+	// clockDrift is how much slower than ours a worker's clock may be (the pages: 2%), with a little more for rounding.
+	clockDrift = 0.03
+	// idlePause is how often a worker with nothing to see is thought of again.
+	idlePause = time.Second
+)
+
+// run is a run that is placed and whose end is not known.
+type run struct {
+	task      job.Task
+	number    int
+	saved     string // State to continue from.
+	each      job.Resources
+	job       *liveJob
+	placed    time.Time
+	confirmed time.Time // Known to be there since then; zero while not known.
+	adopted   bool      // Ordered by a predecessor.
+	ordering  bool      // A start is on its way.
+	gaveUp    time.Time // The start got no answer and is not sent again.
+	stopping  bool
+	stopAsked time.Time
+	stopKnown time.Time // The worker has taken the stop: the run can't start there any more.
+}
+
+func (r *run) group() job.Group { return job.Group{Occurrence: r.task.Occurrence, Step: r.task.Step} }
+
+// workerState is a life of a worker as the scheduler knows it.
+type workerState struct {
+	fleet.Worker
+	listed       bool // Its record is in the store.
+	runs         map[job.Task]*run
+	used         job.Resources
+	wake         chan struct{}
+	clock        int64     // Worker's clock at clockAt; 0 before the first answer.
+	clockAt      time.Time // When that answer came.
+	lastOrder    time.Time // When the last order that renews the lease was sent.
+	applied      int64     // Number of the last end that was taken in.
+	acknowledged int64     // Number of the last end whose effect is committed.
+	told         int64     // Number of the last end that the worker was told to forget.
+	failures     int       // Orders in a row without an answer.
+	unhealthy    time.Time // Takes no new runs until then.
+	doubt        doubt
+	gone         bool
+}
+
+func (w *workerState) signal() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+// now estimates the worker's clock.
+func (w *workerState) now() int64 {
+	return w.clock + time.Since(w.clockAt).Milliseconds()
+}
+
+func (w *workerState) heard(clock int64) {
+	if clock == 0 {
+		return
+	}
+	w.clock, w.clockAt = clock, time.Now()
+}
+
+// usable reports whether the worker takes new runs.
+func (w *workerState) usable(now time.Time) bool {
+	return w.listed && !w.gone && !w.Draining && w.clock != 0 && w.failures == 0 && now.After(w.unhealthy)
+}
+
+// takeListing takes in workers' records; a whole listing also tells which are gone.
+func (h *shard) takeListing(l Listing, whole bool) {
+	listed := map[string]bool{}
+	for i := range l.Workers {
+		listed[l.Workers[i].ID] = true
+		h.addWorker(&l.Workers[i])
+	}
+	for _, id := range l.Gone {
+		h.unlist(id)
+	}
+	if whole {
+		for id := range h.workers {
+			if !listed[id] {
+				h.unlist(id)
+			}
+		}
+	}
+}
+
+func (h *shard) addWorker(record *fleet.Worker) {
+	w := h.workers[record.ID]
+	if w == nil {
+		w = h.newWorker(record.ID)
+	}
+	first := w.Address == ""
+	if record.Draining != w.Draining || first || !w.listed {
+		h.Log.Info("scheduler: worker recorded", zap.String("worker", record.ID), zap.String("rack", record.Rack),
+			zap.Bool("draining", record.Draining), zap.Duration("leaves", record.Leaves))
+		h.changed = true
+		h.signal()
+	}
+	w.Worker, w.listed = *record, true
+	if first {
+		h.sendStops(w)
+	}
+	w.signal()
+}
+
+// sendStops sends the stops that were asked for before the worker's address was known.
+func (h *shard) sendStops(w *workerState) {
+	for _, r := range w.runs {
+		if r.stopping {
+			h.ordering.Go(func() { h.sendStop(w, r) })
+		}
+	}
+}
+
+// newWorker adds a life of a worker. Its address may not be known: a predecessor placed runs there and its record is gone.
+func (h *shard) newWorker(id string) *workerState {
+	w := &workerState{runs: map[job.Task]*run{}, wake: make(chan struct{}, 1), lastOrder: time.Now(), failures: 1}
+	w.ID = id
+	h.workers[id] = w
+	h.ordering.Go(func() { h.talk(w) })
+	return w
+}
+
+func (h *shard) unlist(id string) {
+	w := h.workers[id]
+	if w == nil || !w.listed {
+		return
+	}
+	w.listed = false
+	h.Log.Info("scheduler: worker's record is gone", zap.String("worker", id), zap.Int("runs", len(w.runs)))
+	w.signal()
+	h.changed = true
+	h.signal()
+}
+
+// adopt takes over a run that a predecessor placed.
+func (h *shard) adopt(j *liveJob, o job.Order) {
+	w := h.workers[o.Worker]
+	if w == nil {
+		w = h.newWorker(o.Worker)
+	}
+	h.addRun(w, &run{task: o.Task, number: o.Run, saved: o.Saved, job: j, each: j.Request.Steps[o.Task.Step].Each, placed: time.Now(), adopted: true})
+}
+
+func (h *shard) addRun(w *workerState, r *run) {
+	w.runs[r.task] = r
+	w.used = w.used.Add(r.each)
+	w.signal()
+}
+
+func (h *shard) dropRun(w *workerState, r *run) {
+	if w.runs[r.task] != r {
+		return
+	}
+	delete(w.runs, r.task)
+	w.used = w.used.Sub(r.each)
+	h.changed = true
+	h.signal()
+}
+
+// talk looks at a worker for as long as there is something to see, and follows up what it finds.
+func (h *shard) talk(w *workerState) {
+	pause := lookRetry
+	for h.ctx.Err() == nil {
+		look, idle, gone := h.nextLook(w)
+		if gone {
+			return
+		}
+		if idle {
+			interval.SleepOrWoken(h.ctx, idlePause, w.wake)
+			continue
+		}
+		sent := time.Now()
+		ctx, cancel := context.WithTimeout(h.ctx, look.Wait+answerTimeout)
+		report, err := h.Orders.Look(ctx, &w.Worker, look)
+		cancel()
+		if h.ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			h.lookFailed(w, err)
+			interval.SleepOrWoken(h.ctx, pause, nil)
+			pause = min(2*pause, lookRetryMost)
+			continue
+		}
+		pause = lookRetry
+		if h.takeReport(w, &report, sent, look.Acknowledged) {
+			h.awaitCommit(w)
+		}
+	}
+}
+
+// nextLook says what to look for: nothing while the worker has no runs and nothing to forget.
+func (h *shard) nextLook(w *workerState) (look *fleet.Look, idle, gone bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.judgeSilence(w)
+	if w.gone {
+		return nil, false, true
+	}
+	if w.Address == "" {
+		return nil, true, false
+	}
+	if len(w.runs) == 0 && w.clock != 0 && w.told >= w.acknowledged && w.failures == 0 {
+		return nil, true, false
+	}
+	look = &fleet.Look{Token: h.tenure.Epoch(), Acknowledged: w.acknowledged}
+	if w.clock != 0 && len(w.runs) > 0 {
+		look.Lease = w.now() + h.Bounds.MaxLease.Milliseconds()
+		w.lastOrder = time.Now()
+		if w.failures == 0 && !w.unsettled() {
+			look.Wait = lookWait
+		}
+	}
+	return look, false, false
+}
+
+// unsettled reports whether a run is to be looked for soon: one that was adopted, or whose start or stop is not settled.
+func (w *workerState) unsettled() bool {
+	for _, r := range w.runs {
+		if r.adopted && r.confirmed.IsZero() || !r.gaveUp.IsZero() && r.confirmed.IsZero() || !r.stopKnown.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitCommit waits for the commit of the ends just taken in, so that the next look can acknowledge them.
+func (h *shard) awaitCommit(w *workerState) {
+	deadline := time.Now().Add(commitPatience)
+	for time.Now().Before(deadline) && h.ctx.Err() == nil {
+		h.mu.Lock()
+		done := w.acknowledged >= w.applied
+		h.mu.Unlock()
+		if done {
+			return
+		}
+		interval.SleepOrWoken(h.ctx, time.Until(deadline), w.wake)
+	}
+}
+
+func (h *shard) lookFailed(w *workerState, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.noteFailure(w, err, "look")
+}
+
+// refusalOf returns the refusal behind an error, false where the worker did not answer.
+func refusalOf(err error) (fleet.Refusal, bool) {
+	var r fleet.Refusal
+	ok := errors.As(err, &r)
+	return r, ok
+}
+
+// noteFailure takes in that a worker refused an order or did not answer it.
+func (h *shard) noteFailure(w *workerState, err error, order string) {
+	refusal, refused := refusalOf(err)
+	if !refused {
+		w.failures++
+		if w.failures == 1 {
+			h.Log.Warn("scheduler: worker does not answer", zap.String("worker", w.ID), zap.String("order", order), zap.Error(err))
+			h.changed = true
+		}
+		return
+	}
+	switch refusal {
+	case fleet.OtherLife:
+		h.loseWorker(w, "another life answers at its address")
+	case fleet.Fenced:
+		h.Log.Warn("scheduler: fenced", zap.String("worker", w.ID), zap.Int64("epoch", h.tenure.Epoch()))
+		w.unhealthy = time.Now().Add(unhealthyFor)
+	case fleet.Unhealthy, fleet.NoRoom:
+		w.unhealthy = time.Now().Add(unhealthyFor)
+	}
+	h.changed = true
+	h.signal()
+}
+
+// unhealthyFor is how long a worker that refused a start gets no other.
+const unhealthyFor = 500 * time.Millisecond
+
+// judgeSilence gives up a worker that does not answer once everything on it has surely ended: its lease is over, or it
+// said that it would leave and its record is gone.
+func (h *shard) judgeSilence(w *workerState) {
+	if w.gone || w.failures == 0 && w.listed {
+		return
+	}
+	if !w.listed && w.Draining && w.failures > 0 {
+		h.loseWorker(w, "it has left")
+		return
+	}
+	if !w.listed && len(w.runs) == 0 {
+		h.loseWorker(w, "its record is gone")
+		return
+	}
+	if w.failures == 0 || len(w.runs) == 0 {
+		return
+	}
+	if time.Now().After(w.lastOrder.Add(h.leaseSurelyOver())) {
+		h.Log.Warn("scheduler: leases of a silent worker are over", zap.String("worker", w.ID), zap.Int("runs", len(w.runs)))
+		h.loseRuns(w)
+	}
+}
+
+// leaseSurelyOver is the time after the last order by which a silent worker has ended everything.
+func (h *shard) leaseSurelyOver() time.Duration {
+	return time.Duration(float64(h.Bounds.MaxLease)*(1+clockDrift)) + h.Bounds.StopTime + answerTimeout
+}
+
+func (h *shard) loseWorker(w *workerState, why string) {
+	h.Log.Warn("scheduler: worker is gone", zap.String("worker", w.ID), zap.String("why", why), zap.Int("runs", len(w.runs)))
+	w.gone = true
+	h.loseRuns(w)
+	delete(h.workers, w.ID)
+}
+
+func (h *shard) loseRuns(w *workerState) {
+	for _, r := range w.runs {
+		h.endRun(w, r, job.Lapsed, "")
+	}
+}
