--- /dev/null
+++ b/internal/emulator/judge.go
@@ -0,0 +1,168 @@
+package emulator
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pulleyring/pulleyring/internal/fleet"
+	"github.com/pulleyring/pulleyring/internal/job"
+)
+
+// judge notes what the workers were ordered and finds what must never happen.
+type judge struct {
+	running map[job.Task]string // Where a task runs now.
+	done    map[job.Task]bool
+	counts  Verdict
+}
+
+// Verdict counts broken promises and what ran.
+type Verdict struct {
+	Twice    []string // Two runs of a task at a time, or one after it was done.
+	Unasked  []string // Starts of what nobody handed in, or with another payload.
+	TooEarly []string // Starts before an earlier step was done.
+	Starts   int
+	Ends     map[job.Outcome]int
+}
+
+func newJudge() judge {
+	return judge{running: map[job.Task]string{}, done: map[job.Task]bool{}, counts: Verdict{Ends: map[job.Outcome]int{}}}
+}
+
+// Verdict returns what was found so far.
+func (f *Fleet) Verdict() Verdict {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.judge.counts
+}
+
+// activity turns a start into a run with the length that the job was said to have.
+func (f *Fleet) activity(o *fleet.Start) *activity {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	a := &activity{task: o.Task, number: o.Run, began: time.Now()}
+	r := f.jobs[o.Task.Job]
+	if r == nil || o.Payload != r.Payload {
+		f.judge.counts.Unasked = append(f.judge.counts.Unasked, o.Task.String())
+		return a
+	}
+	step := &r.Steps[o.Task.Step]
+	a.each, a.work, a.saves = step.Each, f.work[o.Task.Job], step.Checkpoints
+	if step.Gang {
+		a.gang = step.Count
+	}
+	if o.Saved != "" {
+		a.saved = o.Saved
+		a.done = savedProgress(o.Saved)
+	}
+	return a
+}
+
+func savedProgress(saved string) time.Duration {
+	for i := range saved {
+		if saved[i] == '@' {
+			d, err := time.ParseDuration(saved[i+1:])
+			if err != nil {
+				return 0
+			}
+			return d
+		}
+	}
+	return 0
+}
+
+func (a *activity) gangRun() gangRun {
+	return gangRun{a.task.Job, job.Group{Occurrence: a.task.Occurrence, Step: a.task.Step}, a.number}
+}
+
+// started notes a start and judges it.
+func (f *Fleet) started(w *worker, a *activity) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := &f.judge.counts
+	c.Starts++
+	if at := f.judge.running[a.task]; at != "" {
+		c.Twice = append(c.Twice, fmt.Sprintf("%s on %s and %s", a.task, at, w.record.ID))
+	}
+	if f.judge.done[a.task] && a.gang == 0 {
+		c.Twice = append(c.Twice, fmt.Sprintf("%s on %s after it was done", a.task, w.record.ID))
+	}
+	f.judgeOrder(a)
+	f.judge.running[a.task] = w.record.ID
+	if a.gang == 0 {
+		return
+	}
+	g := f.gangs[a.gangRun()]
+	if g == nil {
+		g = &gang{size: a.gang, present: map[int]bool{}}
+		f.gangs[a.gangRun()] = g
+	}
+	g.present[a.task.Index] = true
+}
+
+func (f *Fleet) judgeOrder(a *activity) {
+	r := f.jobs[a.task.Job]
+	if r == nil {
+		return
+	}
+	for _, s := range r.Steps[a.task.Step].After {
+		for i := range r.Steps[s].Count {
+			if !f.judge.done[job.Task{Job: r.ID, Occurrence: a.task.Occurrence, Step: s, Index: i}] {
+				f.judge.counts.TooEarly = append(f.judge.counts.TooEarly, a.task.String())
+				return
+			}
+		}
+	}
+}
+
+// ended notes an end.
+func (f *Fleet) ended(w *worker, a *activity, outcome job.Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.judge.running[a.task] == w.record.ID {
+		delete(f.judge.running, a.task)
+	}
+	f.judge.counts.Ends[outcome]++
+	if outcome == job.Succeeded {
+		f.noteDone(a)
+	}
+	if a.gang == 0 {
+		return
+	}
+	g := f.gangs[a.gangRun()]
+	if g == nil {
+		return
+	}
+	g.over = g.over || outcome != job.Succeeded
+	g.done = g.done || outcome == job.Succeeded
+}
+
+// noteDone notes that a task is done; of a gang one such end stands for all members.
+func (f *Fleet) noteDone(a *activity) {
+	t := a.task
+	f.judge.done[t] = true
+	for i := range a.gang {
+		t.Index = i
+		f.judge.done[t] = true
+	}
+}
+
+// gangState tells a member where its gang stands.
+func (f *Fleet) gangState(a *activity) gangState {
+	if a.gang == 0 {
+		return gangRunning
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g := f.gangs[a.gangRun()]
+	switch {
+	case g == nil:
+		return gangRunning
+	case g.done:
+		return gangDone
+	case g.over:
+		return gangOver
+	case len(g.present) < g.size:
+		return gangIncomplete
+	}
+	return gangRunning
+}
--- /dev/null
+++ b/internal/emulator/store.go
@@ -0,0 +1,237 @@
+package emulator
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pulleyring/pulleyring/internal/interval"
+	"github.com/pulleyring/pulleyring/internal/store"
+)
+
+// Store is the platform's store. Make it with NewStore.
+type Store struct {
+	mu      sync.Mutex
+	random  *rand.Rand
+	version int64
+	rows    map[store.Key]store.Row
+	history []store.Row // Every change in order.
+	oldest  int64       // Feeds from before this version are refused.
+	changed chan struct{}
+
+	latency  time.Duration
+	outage   outage
+	cut      map[string]outage // By box.
+	loseRate float64           // Share of writes that are done and not answered.
+}
+
+// outage is how the store fails.
+type outage int
+
+const (
+	up outage = iota
+	busy
+	silent
+)
+
+// Latencies of the store (the pages: 5 ms a transaction).
+const storeLatency = 5 * time.Millisecond
+
+// NewStore returns an empty store whose faults are drawn from a seed.
+func NewStore(seed uint64) *Store {
+	return &Store{
+		random: rand.New(rand.NewPCG(seed, 1)), rows: map[store.Key]store.Row{}, changed: make(chan struct{}),
+		cut: map[string]outage{}, latency: storeLatency,
+	}
+}
+
+// SetBusy makes the store refuse every call.
+func (s *Store) SetBusy() { s.set(func() { s.outage = busy }) }
+
+// SetSilent makes the store answer nobody; nothing is done.
+func (s *Store) SetSilent() { s.set(func() { s.outage = silent }) }
+
+// SetUp ends an outage, slowness and lost answers.
+func (s *Store) SetUp() {
+	s.set(func() { s.outage, s.latency, s.loseRate, s.cut = up, storeLatency, 0, map[string]outage{} })
+}
+
+// SetSlow sets how long a call takes.
+func (s *Store) SetSlow(d time.Duration) { s.set(func() { s.latency = d }) }
+
+// SetLose makes a share of the writes go unanswered although they are done.
+func (s *Store) SetLose(share float64) { s.set(func() { s.loseRate = share }) }
+
+// Cut makes the store answer one box nothing.
+func (s *Store) Cut(box string) { s.set(func() { s.cut[box] = silent }) }
+
+// Refuse makes the store refuse one box's calls.
+func (s *Store) Refuse(box string) { s.set(func() { s.cut[box] = busy }) }
+
+// Compact drops the history, so that feeds must begin anew.
+func (s *Store) Compact() { s.set(func() { s.oldest, s.history = s.version, nil }) }
+
+func (s *Store) set(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+// For returns the store as one box sees it.
+func (s *Store) For(box string, gate *Gate) store.Store { return &storeView{s, box, gate} }
+
+type storeView struct {
+	store *Store
+	box   string
+	gate  *Gate
+}
+
+// callTimeout bounds a call, as the adapter's does.
+const callTimeout = 1200 * time.Millisecond
+
+// begin waits for a call's turn and reports how the store treats it.
+func (v *storeView) begin(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
+	if !v.gate.pass(ctx) {
+		return ctx, cancel, store.ErrUnknown
+	}
+	v.store.mu.Lock()
+	o, latency := max(v.store.outage, v.store.cut[v.box]), v.store.latency
+	v.store.mu.Unlock()
+	switch o {
+	case busy:
+		return ctx, cancel, store.ErrRefused
+	case silent:
+		<-ctx.Done()
+		return ctx, cancel, store.ErrUnknown
+	}
+	if !interval.Sleep(ctx, latency) {
+		return ctx, cancel, store.ErrUnknown
+	}
+	return ctx, cancel, nil
+}
+
+// Commit implements store.Store.
+func (v *storeView) Commit(ctx context.Context, tx *store.Transaction) (int64, error) {
+	ctx, cancel, err := v.begin(ctx, 0)
+	defer cancel()
+	if err != nil {
+		return 0, err
+	}
+	version, conflict, lost := v.store.apply(tx)
+	if lost {
+		<-ctx.Done()
+		return 0, store.ErrUnknown
+	}
+	if conflict != nil {
+		return 0, conflict
+	}
+	if !v.gate.pass(ctx) {
+		return 0, store.ErrUnknown
+	}
+	return version, nil
+}
+
+func (s *Store) apply(tx *store.Transaction) (version int64, conflict *store.Conflict, lost bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost = s.random.Float64() < s.loseRate
+	holds := true
+	c := &store.Conflict{}
+	for _, condition := range tx.Conditions {
+		row, ok := s.rows[condition.Key]
+		if ok {
+			c.Rows = append(c.Rows, row)
+		}
+		holds = holds && row.Version == condition.Version
+	}
+	if !holds {
+		return 0, c, lost
+	}
+	s.version++
+	for _, w := range tx.Writes {
+		w.Version = s.version
+		s.rows[w.Key] = w
+		s.history = append(s.history, w)
+	}
+	for _, key := range tx.Deletes {
+		if _, ok := s.rows[key]; ok {
+			delete(s.rows, key)
+			s.history = append(s.history, store.Row{Key: key, Version: s.version, Deleted: true})
+		}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.version, nil, lost
+}
+
+// Read implements store.Store.
+func (v *storeView) Read(ctx context.Context, r store.Range) (store.Page, error) {
+	_, cancel, err := v.begin(ctx, 0)
+	defer cancel()
+	if err != nil {
+		return store.Page{}, err
+	}
+	v.store.mu.Lock()
+	defer v.store.mu.Unlock()
+	page := store.Page{Version: v.store.version}
+	for key, row := range v.store.rows {
+		if key.Table == r.Table && key.Part == r.Part && key.Name >= r.From && (r.To == "" || key.Name < r.To) {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	slices.SortFunc(page.Rows, func(x, y store.Row) int {
+		if x.Name < y.Name {
+			return -1
+		}
+		return 1
+	})
+	if r.Limit > 0 && len(page.Rows) > r.Limit {
+		page.Rows, page.More = page.Rows[:r.Limit], true
+	}
+	return page, nil
+}
+
+// Watch implements store.Store.
+func (v *storeView) Watch(ctx context.Context, table string, since int64, wait time.Duration) (store.Page, error) {
+	ctx, cancel, err := v.begin(ctx, wait)
+	defer cancel()
+	if err != nil {
+		return store.Page{}, err
+	}
+	over, stop := interval.After(wait)
+	defer stop()
+	for {
+		page, changed, gone := v.store.since(table, since)
+		if gone {
+			return store.Page{}, store.ErrHistoryGone
+		}
+		if len(page.Rows) > 0 {
+			return page, nil
+		}
+		select {
+		case <-ctx.Done():
+			return store.Page{}, store.ErrUnknown
+		case <-over:
+			return page, nil
+		case <-changed:
+		}
+	}
+}
+
+func (s *Store) since(table string, since int64) (page store.Page, changed <-chan struct{}, gone bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if since < s.oldest {
+		return store.Page{}, nil, true
+	}
+	page.Version = s.version
+	for i := range s.history {
+		if row := &s.history[i]; row.Version > since && row.Table == table {
+			page.Rows = append(page.Rows, *row)
+		}
+	}
+	return page, s.changed, false
+}
--- /dev/null
+++ b/internal/emulator/worker.go
@@ -0,0 +1,204 @@
+package emulator
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pulleyring/pulleyring/internal/fleet"
+	"github.com/pulleyring/pulleyring/internal/interval"
+	"github.com/pulleyring/pulleyring/internal/job"
+)
+
+// worker is one life of a worker.
+type worker struct {
+	mu       sync.Mutex
+	fleet    *Fleet
+	record   fleet.Worker
+	born     time.Time
+	token    int64
+	lease    time.Time
+	runs     map[job.Task]*activity
+	rejected map[job.Task]int // Runs up to this number never start.
+	ended    []fleet.End
+	count    int64
+	changed  chan struct{}
+
+	dead   bool // Answers nobody and runs nothing.
+	cut    bool // Answers nobody and runs on.
+	fails  bool // Everything that starts there fails.
+	stuck  bool // Nothing makes progress.
+	late   int  // So many orders get no answer and are carried out late.
+	refuse bool // Takes no starts.
+}
+
+// activity is a run on a worker.
+type activity struct {
+	task    job.Task
+	number  int
+	each    job.Resources
+	work    time.Duration
+	gang    int // Members that must be present; 0 for a single task.
+	began   time.Time
+	done    time.Duration
+	saved   string
+	saves   bool
+	stopped bool
+}
+
+// lateBy is how late a delayed order is carried out.
+const lateBy = 2 * time.Second
+
+// tick is how often a worker looks at its runs.
+const tick = 10 * time.Millisecond
+
+func (w *worker) clock() int64 { return time.Since(w.born).Milliseconds() + 1 }
+
+func (w *worker) notify() {
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// run ends leases, finishes work and breaks gangs until ctx ends.
+func (w *worker) run(ctx context.Context) {
+	interval.Every(ctx, tick, func(context.Context) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.dead {
+			return
+		}
+		if len(w.runs) > 0 && time.Now().After(w.lease) {
+			for _, a := range w.sorted() {
+				w.end(a, job.Lapsed)
+			}
+		}
+		for _, a := range w.sorted() {
+			w.advance(a)
+		}
+	})
+}
+
+func (w *worker) sorted() []*activity {
+	var list []*activity
+	for _, a := range w.runs {
+		list = append(list, a)
+	}
+	slices.SortFunc(list, func(x, y *activity) int {
+		if x.task.String() < y.task.String() {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+func (w *worker) advance(a *activity) {
+	switch state := w.fleet.gangState(a); {
+	case a.stopped:
+		w.end(a, job.Stopped)
+	case state == gangOver:
+		w.end(a, job.GangBroken)
+	case state == gangDone:
+		w.end(a, job.Succeeded)
+	case state == gangIncomplete:
+		if time.Since(a.began) > w.fleet.GangWait {
+			w.end(a, job.GangMissing)
+		}
+	case w.stuck:
+	case w.fails:
+		w.end(a, job.FailedRun)
+	default:
+		a.done += tick
+		if a.saves {
+			a.saved = a.task.String() + "@" + a.done.String()
+		}
+		if a.done >= a.work {
+			w.end(a, job.Succeeded)
+		}
+	}
+}
+
+func (w *worker) end(a *activity, outcome job.Outcome) {
+	delete(w.runs, a.task)
+	w.rejected[a.task] = max(w.rejected[a.task], a.number)
+	w.count++
+	w.ended = append(w.ended, fleet.End{Number: w.count, Task: a.task, Run: a.number, Outcome: outcome, Saved: a.saved})
+	w.fleet.ended(w, a, outcome)
+	w.notify()
+}
+
+// admit takes a call in: it fences, and tells whether the worker answers.
+func (w *worker) admit(token int64) error {
+	if w.dead || w.cut {
+		return fleet.ErrNoAnswer
+	}
+	if token < w.token {
+		return fleet.Fenced
+	}
+	w.token = token
+	return nil
+}
+
+func (w *worker) extend(until int64) {
+	end := w.born.Add(time.Duration(until) * time.Millisecond)
+	if most := time.Now().Add(w.fleet.MaxLease); end.After(most) {
+		end = most
+	}
+	if end.After(w.lease) {
+		w.lease = end
+	}
+}
+
+func (w *worker) start(o *fleet.Start) error {
+	if err := w.admit(o.Token); err != nil {
+		return err
+	}
+	if w.refuse {
+		return fleet.Unhealthy
+	}
+	w.extend(o.Lease)
+	if a := w.runs[o.Task]; a != nil && a.number == o.Run {
+		return nil
+	}
+	if o.Run <= w.rejected[o.Task] || w.runs[o.Task] != nil {
+		return fleet.Outdated
+	}
+	a := w.fleet.activity(o)
+	used := a.each
+	for _, other := range w.runs {
+		used = used.Add(other.each)
+	}
+	if !w.record.Capacity.Fits(used) {
+		return fleet.NoRoom
+	}
+	w.runs[o.Task] = a
+	w.fleet.started(w, a)
+	return nil
+}
+
+func (w *worker) stop(o *fleet.Stop) error {
+	if err := w.admit(o.Token); err != nil {
+		return err
+	}
+	w.rejected[o.Task] = max(w.rejected[o.Task], o.Run)
+	if a := w.runs[o.Task]; a != nil && a.number <= o.Run {
+		a.stopped = true
+	}
+	return nil
+}
+
+func (w *worker) report(o *fleet.Look) (fleet.Report, error) {
+	if err := w.admit(o.Token); err != nil {
+		return fleet.Report{}, err
+	}
+	if o.Lease > 0 {
+		w.extend(o.Lease)
+	}
+	w.ended = slices.DeleteFunc(w.ended, func(e fleet.End) bool { return e.Number <= o.Acknowledged })
+	r := fleet.Report{Clock: w.clock(), Ended: slices.Clone(w.ended)}
+	for _, a := range w.sorted() {
+		r.Running = append(r.Running, fleet.Run{Task: a.task, Run: a.number, Saved: a.saved})
+	}
+	return r, nil
+}
--- a/internal/interval/interval.go
+++ b/internal/interval/interval.go
@@ -1,7 +1,8 @@
 // Package interval waits and repeats until a context ends.
 //
-// It has no timer channels: go1.26 can crash (runtime.(*timer).maybeRunChan) when a timer channel of a synctest bubble
-// stands in a select under the race detector. An ordinary channel that time.AfterFunc fills does not.
+// Its timers neither have channels nor are due at once. In a synctest bubble, go1.26 runs a timer that is due on the
+// goroutine that arms it or selects on it (runtime.(*timer).modify and maybeRunChan), with the race detector's context of
+// the bubble, which two threads then use at a time: the race detector crashes.
 package interval
 
 import (
@@ -42,6 +43,10 @@
 // After returns a channel that receives once after d, and a function that releases the timer.
 func After(d time.Duration) (over <-chan struct{}, stop func()) {
 	c := make(chan struct{}, 1)
+	if d <= 0 {
+		c <- struct{}{}
+		return c, func() {}
+	}
 	t := time.AfterFunc(d, func() { c <- struct{}{} })
 	return c, func() { t.Stop() }
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,8 +106,7 @@
 	}
 	var group sync.WaitGroup
 	inner, cancel := context.WithCancel(context.Background())
-	group.Go(func() { n.followConfiguration(inner) })
-	group.Go(func() { n.schedule(ctx) })
+	group.Go(func() { n.Work(ctx, inner) })
 	<-ctx.Done()
 	n.stopping.Store(true)
 	n.log.Info("node: stopping")
@@ -119,6 +118,15 @@
 	return nil
 }
 
+// Work does all but serving: it follows the configuration until ctx ends, and schedules until planned ends, at which it
+// gives the lease back.
+func (n *Node) Work(planned, ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { n.followConfiguration(ctx) })
+	group.Go(func() { n.schedule(planned) })
+	group.Wait()
+}
+
 // drain waits until the balancer sends no more connections and the last requests are answered.
 func (n *Node) drain(front *http.Server, s *Settings) {
 	began := time.Now()
--- /dev/null
+++ b/internal/node/script_test.go
@@ -0,0 +1,350 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pulleyring/pulleyring/internal/job"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest"
+)
+
+// TestScripts plays every script of testdata/scripts on the emulator. A script is a list of commands, one a line:
+//
+//	boxes N                            start boxes box-1 to box-N and wait until they serve
+//	workers N [rack N] [gpu N]         add workers w1 to wN, so many to a rack
+//	submit ID QUEUE KEY [WORDS]        hand a job in: tasks N, gpu N, cpu N, work DURATION, gang, local, saves, then N (a second step)
+//	sleep DURATION
+//	kill|start|stop|freeze BOX [D]     of a box
+//	crash|cut|heal|fail|well|stick|refuse|take|forget WORKER
+//	late WORKER N                      so many orders are carried out late
+//	drain WORKER DURATION
+//	store busy|silent|up|compact|slow D|lose SHARE|cut BOX|refuse BOX
+//	cancel ID
+//	state ID STATE within DURATION     wait for a state; fail where it does not come
+//	never ID STATE                     fail where the job has the state
+//	starts N                           fail where more runs were started in all
+//	ends OUTCOME N                     fail where more runs ended so
+//
+// At the end no promise may be broken.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/scripts/*.txt")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playScript(t, file) })
+		})
+	}
+}
+
+func playScript(t *testing.T, file string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	log := zap.NewNop()
+	if testing.Verbose() {
+		log = zaptest.NewLogger(t)
+	}
+	w := newWorld(ctx, 1, log)
+	defer func() {
+		cancel()
+		w.group.Wait()
+	}()
+	f, err := os.Open(file)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer f.Close()
+	lines := bufio.NewScanner(f)
+	for n := 1; lines.Scan(); n++ {
+		words := strings.Fields(lines.Text())
+		if len(words) == 0 || words[0] == "#" {
+			continue
+		}
+		if err := w.command(words); err != nil {
+			t.Fatalf("%s:%d: %s: %v", file, n, lines.Text(), err)
+		}
+	}
+	quicktest.Assert(t, w.broken(), quicktest.HasLen, 0)
+}
+
+// broken lists every promise that was broken.
+func (w *world) broken() []string {
+	v := w.fleet.Verdict()
+	var broken []string
+	broken = append(broken, v.Twice...)
+	broken = append(broken, v.Unasked...)
+	return append(broken, v.TooEarly...)
+}
+
+func (w *world) command(words []string) error {
+	switch words[0] {
+	case "boxes", "workers":
+		return w.setUp(words)
+	case "submit":
+		return w.submitWords(words[1:])
+	case "sleep":
+		return w.sleep(words[1])
+	case "kill", "start", "stop", "freeze":
+		return w.boxCommand(words)
+	case "store":
+		return w.storeCommand(words[1:])
+	case "cancel":
+		return w.cancel(job.ID(words[1]))
+	case "state":
+		return w.await(job.ID(words[1]), words[2], words[4])
+	case "never":
+		return w.never(job.ID(words[1]), words[2])
+	case "starts", "ends":
+		return w.countCommand(words)
+	}
+	return w.workerCommand(words)
+}
+
+func (w *world) sleep(text string) error {
+	d, err := time.ParseDuration(text)
+	time.Sleep(d)
+	return err
+}
+
+func (w *world) setUp(words []string) error {
+	n, err := strconv.Atoi(words[1])
+	if err != nil {
+		return err
+	}
+	if words[0] == "boxes" {
+		for i := range n {
+			w.startBox(fmt.Sprintf("box-%d", i+1))
+		}
+		time.Sleep(time.Second)
+		return nil
+	}
+	rack, gpu := 8, 8
+	for i := 2; i+1 < len(words); i += 2 {
+		value, err := strconv.Atoi(words[i+1])
+		if err != nil {
+			return err
+		}
+		switch words[i] {
+		case "rack":
+			rack = value
+		case "gpu":
+			gpu = value
+		}
+	}
+	for i := range n {
+		w.addWorker(fmt.Sprintf("w%d", i+1), i/rack, job.Resources{MilliCPU: 64000, MemoryMB: 256000, Accelerators: int64(gpu)})
+	}
+	return nil
+}
+
+// submitWords hands in a job that a script describes.
+func (w *world) submitWords(words []string) error {
+	r := &job.Request{ID: job.ID(words[0]), Payload: "payload of " + words[0]}
+	step := job.Step{Count: 1, Each: job.Resources{MilliCPU: 1000, MemoryMB: 1000, Accelerators: 1}, Estimate: time.Second}
+	work, second := time.Second, 0
+	for i := 3; i < len(words); i++ {
+		switch words[i] {
+		case "gang":
+			step.Gang = true
+			continue
+		case "local":
+			step.RackLocal = true
+			continue
+		case "saves":
+			step.Checkpoints = true
+			continue
+		}
+		if i+1 == len(words) {
+			return fmt.Errorf("%s has no value", words[i])
+		}
+		i++
+		if words[i-1] == "work" {
+			d, err := time.ParseDuration(words[i])
+			if err != nil {
+				return err
+			}
+			work, step.Estimate = d, d
+			continue
+		}
+		n, err := strconv.Atoi(words[i])
+		if err != nil {
+			return err
+		}
+		switch words[i-1] {
+		case "tasks":
+			step.Count = n
+		case "gpu":
+			step.Each.Accelerators = int64(n)
+		case "cpu":
+			step.Each.MilliCPU = int64(n) * 1000
+		case "then":
+			second = n
+		default:
+			return fmt.Errorf("unknown word %q", words[i-1])
+		}
+	}
+	r.Steps = []job.Step{step}
+	if second > 0 {
+		next := step
+		next.Count, next.After = second, []int{0}
+		r.Steps = append(r.Steps, next)
+	}
+	w.fleet.Expect(r, work)
+	return w.submit(words[1], words[2], r)
+}
+
+func (w *world) boxCommand(words []string) error {
+	name := words[1]
+	if name == "holder" {
+		name = w.holder()
+	}
+	b := w.boxes[name]
+	if b == nil {
+		return fmt.Errorf("no box %q", name)
+	}
+	switch words[0] {
+	case "kill":
+		b.gate.Kill()
+		b.kill()
+	case "stop":
+		b.plan()
+	case "start":
+		w.startBox(name)
+	case "freeze":
+		d, err := time.ParseDuration(words[2])
+		if err != nil {
+			return err
+		}
+		b.gate.Freeze(d)
+	}
+	return nil
+}
+
+// holder is the box that holds the lease.
+func (w *world) holder() string {
+	lease, err := w.boxes[w.order[0]].node.ledger.Lease(w.ctx)
+	for _, name := range w.order[1:] {
+		if err != nil {
+			lease, err = w.boxes[name].node.ledger.Lease(w.ctx)
+		}
+	}
+	name, _, _ := strings.Cut(lease.Holder, "/")
+	return name
+}
+
+func (w *world) workerCommand(words []string) error {
+	if len(words) < 2 {
+		return fmt.Errorf("unknown command")
+	}
+	id := words[1]
+	switch words[0] {
+	case "crash":
+		return w.fleet.Crash(id)
+	case "forget":
+		w.fleet.Forget(id)
+		return nil
+	case "cut", "heal":
+		return w.fleet.Cut(id, words[0] == "cut")
+	case "fail", "well":
+		return w.fleet.Fail(id, words[0] == "fail")
+	case "stick":
+		return w.fleet.Stick(id, true)
+	case "refuse", "take":
+		return w.fleet.Refuse(id, words[0] == "refuse")
+	case "late":
+		n, err := strconv.Atoi(words[2])
+		if err != nil {
+			return err
+		}
+		return w.fleet.Late(id, n)
+	case "drain":
+		d, err := time.ParseDuration(words[2])
+		w.fleet.Drain(id, d)
+		return err
+	}
+	return fmt.Errorf("unknown command")
+}
+
+func (w *world) storeCommand(words []string) error {
+	switch words[0] {
+	case "busy":
+		w.store.SetBusy()
+	case "silent":
+		w.store.SetSilent()
+	case "up":
+		w.store.SetUp()
+	case "compact":
+		w.store.Compact()
+	case "slow":
+		d, err := time.ParseDuration(words[1])
+		w.store.SetSlow(d)
+		return err
+	case "lose":
+		share, err := strconv.ParseFloat(words[1], 64)
+		w.store.SetLose(share)
+		return err
+	case "cut":
+		w.store.Cut(w.named(words[1]))
+	case "refuse":
+		w.store.Refuse(w.named(words[1]))
+	default:
+		return fmt.Errorf("unknown condition")
+	}
+	return nil
+}
+
+func (w *world) named(box string) string {
+	if box == "holder" {
+		return w.holder()
+	}
+	return box
+}
+
+// await waits for a job's state.
+func (w *world) await(id job.ID, want, within string) error {
+	d, err := time.ParseDuration(within)
+	if err != nil {
+		return err
+	}
+	end := time.Now().Add(d)
+	var got job.State
+	for time.Now().Before(end) {
+		if got, err = w.state(id); err == nil && got.String() == want {
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return fmt.Errorf("it is %s, %v", got, err)
+}
+
+func (w *world) never(id job.ID, unwanted string) error {
+	got, err := w.state(id)
+	if err == nil && got.String() == unwanted {
+		return fmt.Errorf("it is %s", got)
+	}
+	return err
+}
+
+func (w *world) countCommand(words []string) error {
+	v := w.fleet.Verdict()
+	got, most := v.Starts, words[len(words)-1]
+	if words[0] == "ends" {
+		got = 0
+		for outcome, n := range v.Ends {
+			if strings.ReplaceAll(outcome.String(), " ", "_") == words[1] {
+				got = n
+			}
+		}
+	}
+	n, err := strconv.Atoi(most)
+	if err == nil && got > n {
+		err = fmt.Errorf("%d", got)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/node/world_test.go
@@ -0,0 +1,183 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pulleyring/pulleyring/internal/emulator"
+	"github.com/pulleyring/pulleyring/internal/fleet"
+	"github.com/pulleyring/pulleyring/internal/job"
+	"github.com/pulleyring/pulleyring/internal/placement"
+	"github.com/pulleyring/pulleyring/internal/queue"
+	"github.com/pulleyring/pulleyring/internal/scheduler"
+	"github.com/pulleyring/pulleyring/internal/store"
+	"go.uber.org/zap"
+)
+
+// Bounds of the scripts' site; they are like those of the users' sites.
+const (
+	testMaxLease = 6 * time.Second
+	testGangWait = 3 * time.Second
+	testStopTime = 400 * time.Millisecond
+)
+
+// world is a site on the emulator: boxes, workers, a store and a client.
+type world struct {
+	ctx    context.Context
+	store  *emulator.Store
+	fleet  *emulator.Fleet
+	config *fixedConfiguration
+	log    *zap.Logger
+
+	mu       sync.Mutex
+	boxes    map[string]*testBox
+	order    []string
+	group    sync.WaitGroup
+	accepted map[job.ID]*job.Request
+	refused  map[job.ID]bool
+}
+
+// testBox is a box with the means to end it.
+type testBox struct {
+	node *Node
+	gate *emulator.Gate
+	plan context.CancelFunc // Ends it as planned.
+	kill context.CancelFunc
+}
+
+// fixedConfiguration is a configuration that tests change.
+type fixedConfiguration struct {
+	mu      sync.Mutex
+	current queue.Configuration
+}
+
+// Read implements Configurations.
+func (c *fixedConfiguration) Read(context.Context) (*queue.Configuration, int64, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	copied := c.current
+	return &copied, copied.Version, nil
+}
+
+// Wait implements Configurations.
+func (c *fixedConfiguration) Wait(ctx context.Context, since int64, _ time.Duration) (int64, error) {
+	<-ctx.Done()
+	return since, store.ErrUnknown
+}
+
+func newWorld(ctx context.Context, seed uint64, log *zap.Logger) *world {
+	config := queue.Configuration{
+		Version: 1,
+		Queues: []queue.Queue{
+			{Name: "urgent", Host: "h", Prefix: "/urgent/", Service: "s", Priority: 0, Attempts: 2, Stretch: 1.5, Objective: 250 * time.Millisecond},
+			{Name: "normal", Host: "h", Prefix: "/normal/", Service: "s", Priority: 1, Attempts: 3, Stretch: 3, Objective: time.Second},
+			{Name: "bulk", Host: "h", Prefix: "/bulk/", Service: "s", Priority: 2, Attempts: 3, Stretch: 3, Objective: 3 * time.Second},
+		},
+		Services:   []queue.Service{{Name: "s", Guards: true}},
+		Workspaces: []queue.Workspace{{Name: "desk", Keys: []string{"desk-key"}, Guaranteed: 16}, {Name: "court", Keys: []string{"court-key"}, Guaranteed: 8}},
+	}
+	return &world{
+		ctx: ctx, store: emulator.NewStore(seed), fleet: emulator.NewFleet(ctx, testMaxLease, testGangWait), log: log,
+		config: &fixedConfiguration{current: config}, boxes: map[string]*testBox{},
+		accepted: map[job.ID]*job.Request{}, refused: map[job.ID]bool{},
+	}
+}
+
+// startBox starts a box; a box of that name that was killed is started anew.
+func (w *world) startBox(name string) {
+	gate := &emulator.Gate{}
+	view := w.fleet.For(gate)
+	p := Platform{Store: w.store.For(name, gate), Configurations: w.config, Directory: view, Orders: view}
+	s := &Settings{Box: name, StopAfter: 6 * time.Second, Bounds: scheduler.Bounds{
+		MaxLease: testMaxLease, StopTime: testStopTime, GangWait: testGangWait, Retain: time.Minute,
+		Policy: placement.Policy{FarFactor: 3, Reclaim: 3 * time.Second, StopTime: testStopTime},
+	}}
+	n := New(s, p, w.log.With(zap.String("box", name)))
+	killed, kill := context.WithCancel(w.ctx)
+	planned, plan := context.WithCancel(killed)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.boxes[name] == nil {
+		w.order = append(w.order, name)
+	}
+	w.boxes[name] = &testBox{n, gate, plan, kill}
+	w.group.Go(func() { n.Work(planned, killed) })
+}
+
+func (w *world) addWorker(name string, rack int, capacity job.Resources) {
+	label := fmt.Sprintf("r%d", rack)
+	w.fleet.Add(fleet.Worker{ID: name, Service: "s", Address: name, Labels: []string{"a", label}, Rack: label, Capacity: capacity})
+}
+
+// submit hands a job in, at one box after the other until it is accepted or the tries are used up.
+func (w *world) submit(queueName, key string, r *job.Request) error {
+	w.mu.Lock()
+	order := append([]string(nil), w.order...)
+	w.mu.Unlock()
+	var err error
+	for try := range 8 {
+		b := w.boxes[order[try%len(order)]]
+		copied := *r
+		if err = w.submitAt(b.node, queueName, key, &copied); err == nil {
+			w.mu.Lock()
+			w.accepted[r.ID] = r
+			w.mu.Unlock()
+			return nil
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	return err
+}
+
+func (w *world) submitAt(n *Node, queueName, key string, r *job.Request) error {
+	ctx, cancel := context.WithTimeout(w.ctx, 3*time.Second)
+	defer cancel()
+	caller, err := n.Entry.Admit("h", "/"+queueName+"/", key)
+	if err != nil {
+		return err
+	}
+	return n.Entry.Submit(ctx, caller, r)
+}
+
+// state asks the boxes for a job's state.
+func (w *world) state(id job.ID) (job.State, error) {
+	var err error
+	for _, name := range w.order {
+		n := w.boxes[name].node
+		c, admitErr := n.Entry.Admit("h", "/normal/", "desk-key")
+		if admitErr != nil {
+			err = admitErr
+			continue
+		}
+		c.Workspace = "" // The client asks as whoever handed it in.
+		ctx, cancel := context.WithTimeout(w.ctx, 2*time.Second)
+		state, stateErr := n.Entry.State(ctx, c, id)
+		cancel()
+		if stateErr == nil {
+			return state, nil
+		}
+		err = stateErr
+	}
+	return job.Queued, err
+}
+
+func (w *world) cancel(id job.ID) error {
+	var err error
+	for _, name := range w.order {
+		n := w.boxes[name].node
+		c, admitErr := n.Entry.Admit("h", "/normal/", "desk-key")
+		if admitErr != nil {
+			err = admitErr
+			continue
+		}
+		ctx, cancel := context.WithTimeout(w.ctx, 2*time.Second)
+		err = n.Entry.Cancel(ctx, c, id)
+		cancel()
+		if err == nil {
+			return nil
+		}
+	}
+	return err
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -231,10 +231,11 @@
 		return nil, true, false
 	}
 	look = &fleet.Look{Token: h.tenure.Epoch(), Acknowledged: w.acknowledged}
-	if w.clock != 0 && len(w.runs) > 0 {
+	// A silent worker's leases are not renewed: they must be surely over some time.
+	if w.clock != 0 && len(w.runs) > 0 && w.failures == 0 {
 		look.Lease = w.now() + h.Bounds.MaxLease.Milliseconds()
 		w.lastOrder = time.Now()
-		if w.failures == 0 && !w.unsettled() {
+		if !w.unsettled() {
 			look.Wait = lookWait
 		}
 	}
