--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -25,6 +25,7 @@
 	outage   outage
 	cut      map[string]outage // By box.
 	loseRate float64           // Share of writes that are done and not answered.
+	deaf     bool              // Feeds tell of nothing.
 }
 
 // outage is how the store fails.
@@ -55,7 +56,9 @@
 
 // SetUp ends an outage, slowness and lost answers.
 func (s *Store) SetUp() {
-	s.set(func() { s.outage, s.latency, s.loseRate, s.cut = up, storeLatency, 0, map[string]outage{} })
+	s.set(func() {
+		s.outage, s.latency, s.loseRate, s.cut, s.deaf = up, storeLatency, 0, map[string]outage{}, false
+	})
 }
 
 // SetSlow sets how long a call takes.
@@ -70,6 +73,9 @@
 // Refuse makes the store refuse one box's calls.
 func (s *Store) Refuse(box string) { s.set(func() { s.cut[box] = busy }) }
 
+// SetDeaf makes feeds tell of nothing, as before a loss of history.
+func (s *Store) SetDeaf() { s.set(func() { s.deaf = true }) }
+
 // Compact drops the history, so that feeds must begin anew.
 func (s *Store) Compact() { s.set(func() { s.oldest, s.history = s.version, nil }) }
 
@@ -229,7 +235,7 @@
 	}
 	page.Version = s.version
 	for i := range s.history {
-		if row := &s.history[i]; row.Version > since && row.Table == table {
+		if row := &s.history[i]; row.Version > since && row.Table == table && !s.deaf {
 			page.Rows = append(page.Rows, *row)
 		}
 	}
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -28,7 +28,7 @@
 //	crash|cut|heal|fail|well|stick|refuse|take|forget WORKER
 //	late WORKER N                      so many orders are carried out late
 //	drain WORKER DURATION
-//	store busy|silent|up|compact|slow D|lose SHARE|cut BOX|refuse BOX
+//	store busy|silent|up|compact|deaf|slow D|lose SHARE|cut BOX|refuse BOX
 //	cancel ID
 //	state ID STATE within DURATION     wait for a state; fail where it does not come
 //	never ID STATE                     fail where the job has the state
@@ -281,6 +281,8 @@
 		w.store.SetUp()
 	case "compact":
 		w.store.Compact()
+	case "deaf":
+		w.store.SetDeaf()
 	case "slow":
 		d, err := time.ParseDuration(words[1])
 		w.store.SetSlow(d)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -7,14 +7,12 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/pulleyring/pulleyring/internal/fleet"
 	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/pulleyring/pulleyring/internal/job"
 	"github.com/pulleyring/pulleyring/internal/ledger"
 	"github.com/pulleyring/pulleyring/internal/placement"
 	"github.com/pulleyring/pulleyring/internal/queue"
-	"github.com/pulleyring/pulleyring/internal/store"
 	"go.uber.org/zap"
 )
 
@@ -65,8 +63,11 @@
 	retryPause = 100 * time.Millisecond
 	// feedWait is how long a feed waits for changes.
 	feedWait = 5 * time.Second
-	// relistEvery bounds the time in which a deaf feed of workers or jobs stays unnoticed.
-	relistEvery = 4 * time.Second
+	// jobsQuiet is how long the feed of jobs may tell of nothing before the rows are read: a feed can be deaf for a
+	// second and more, and then end without a word.
+	jobsQuiet = 700 * time.Millisecond
+	// workersQuiet is the same for workers, whose records change seldom.
+	workersQuiet = 2 * time.Second
 )
 
 // shard is the state of one tenure, under its own lock.
@@ -218,12 +219,10 @@
 
 // followJobs takes in requests and cancellations as they are written.
 func (h *shard) followJobs(version int64) {
-	listed := time.Now()
 	for h.ctx.Err() == nil {
-		changes, err := h.Ledger.WatchJobs(h.ctx, version, feedWait)
-		if errors.Is(err, store.ErrHistoryGone) || time.Since(listed) > relistEvery {
+		changes, err := h.Ledger.WatchJobs(h.ctx, version, jobsQuiet)
+		if err != nil || len(changes.List) == 0 {
 			changes, err = h.Ledger.Jobs(h.ctx)
-			listed = time.Now()
 		}
 		if err != nil {
 			h.Log.Warn("scheduler: unable to follow requests", zap.Error(err))
@@ -239,13 +238,11 @@
 
 // followWorkers takes in the workers' records as they change.
 func (h *shard) followWorkers(version int64) {
-	listed := time.Now()
 	for h.ctx.Err() == nil {
-		listing, err := h.Directory.WatchWorkers(h.ctx, version, feedWait)
-		whole := false
-		if errors.Is(err, store.ErrHistoryGone) || time.Since(listed) > relistEvery {
+		listing, err := h.Directory.WatchWorkers(h.ctx, version, workersQuiet)
+		whole := err != nil || len(listing.Workers)+len(listing.Gone) == 0
+		if whole {
 			listing, err = h.Directory.Workers(h.ctx)
-			listed, whole = time.Now(), true
 		}
 		if err != nil {
 			h.Log.Warn("scheduler: unable to follow workers", zap.Error(err))
