Refuse at once while the store is known to be out of reach; settle what is undecided

During an outage each box tried every request for 250 ms and then had to call it undecided, which the client may not repeat. Change: a box learns from all its calls whether the store can be reached (two failures in a row, or silence for 0.7 s); while it can't, a request is refused at once with the time to come back, truly not run. A write without an answer is repeated for as long as the client waits. Five tests of accepting; two fail before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -117,8 +117,9 @@
 	return err
 }
 
-// write carries out a write that may be repeated. Once a try got no answer the write counts as undecided, whatever the
-// tries after it say, unless one succeeds.
+// write carries out a write that may be repeated. A write that the store surely did not do is given up soon, so that the
+// client can go elsewhere. Once a try got no answer, only another answer can settle what became of it: it is repeated for
+// as long as the client waits, and counts as undecided after that.
 func (e *Entry) write(ctx context.Context, f func(ctx context.Context) error) error {
 	if !e.Healthy() {
 		return ErrUnavailable
@@ -133,7 +134,10 @@
 		case !errors.Is(err, store.ErrRefused):
 			return err
 		}
-		if ctx.Err() != nil || time.Since(began) > storePatience || !interval.Sleep(ctx, storeRetry) {
+		if !undecided && (!e.Healthy() || time.Since(began) > storePatience) {
+			return ErrUnavailable
+		}
+		if ctx.Err() != nil || !interval.Sleep(ctx, storeRetry) {
 			break
 		}
 	}
--- /dev/null
+++ b/internal/node/accept_test.go
@@ -0,0 +1,92 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pulleyring/pulleyring/internal/entry"
+	"github.com/pulleyring/pulleyring/internal/job"
+	"go.uber.org/zap"
+)
+
+// inWorld runs f in a bubble with three boxes that serve.
+func inWorld(t *testing.T, f func(t *testing.T, w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		w := newWorld(ctx, 1, zap.NewNop())
+		defer func() {
+			cancel()
+			w.group.Wait()
+		}()
+		quicktest.Assert(t, w.command([]string{"boxes", "3"}), quicktest.IsNil)
+		f(t, w)
+	})
+}
+
+// handIn submits a small job at one box and returns what became of it and how long that took.
+func handIn(w *world, box, id string) (time.Duration, error) {
+	r := &job.Request{ID: job.ID(id), Steps: []job.Step{{Count: 1, Estimate: time.Second}}}
+	began := time.Now()
+	err := w.submitAt(w.boxes[box].node, "normal", "desk-key", r)
+	return time.Since(began), err
+}
+
+func TestRefusedSoonWhileTheStoreRefuses(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.store.SetBusy()
+		took, err := handIn(w, "box-1", "a")
+		quicktest.Assert(t, err, quicktest.ErrorIs, entry.ErrUnavailable)
+		quicktest.Assert(t, took < 400*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%v", took))
+		time.Sleep(time.Second)
+		took, err = handIn(w, "box-2", "b")
+		quicktest.Assert(t, err, quicktest.ErrorIs, entry.ErrUnavailable)
+		quicktest.Assert(t, took, quicktest.Equals, time.Duration(0))
+	})
+}
+
+func TestRefusedAtOnceOnceTheStoreIsKnownToBeSilent(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.store.SetSilent()
+		time.Sleep(1500 * time.Millisecond)
+		took, err := handIn(w, "box-1", "a")
+		quicktest.Assert(t, err, quicktest.ErrorIs, entry.ErrUnavailable)
+		quicktest.Assert(t, took, quicktest.Equals, time.Duration(0))
+		quicktest.Assert(t, w.boxes["box-1"].node.Ready(), quicktest.IsFalse)
+		w.store.SetUp()
+		time.Sleep(1500 * time.Millisecond)
+		quicktest.Assert(t, w.boxes["box-1"].node.Ready(), quicktest.IsTrue)
+		_, err = handIn(w, "box-1", "a")
+		quicktest.Assert(t, err, quicktest.IsNil)
+	})
+}
+
+func TestUndecidedIsSettledOnceTheStoreIsBack(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.store.SetSilent()
+		time.AfterFunc(1500*time.Millisecond, w.store.SetUp)
+		took, err := handIn(w, "box-1", "a")
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, took < 2900*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%v", took))
+	})
+}
+
+func TestUndecidedIsNeverCalledNotRun(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.store.SetSilent()
+		_, err := handIn(w, "box-1", "a")
+		quicktest.Assert(t, err, quicktest.ErrorIs, entry.ErrUndecided)
+	})
+}
+
+func TestSlowStoreStillAccepts(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.store.SetSlow(400 * time.Millisecond)
+		time.Sleep(3 * time.Second)
+		_, err := handIn(w, "box-1", "a")
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, w.boxes["box-1"].node.Ready(), quicktest.IsTrue)
+	})
+}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -18,8 +18,9 @@
 	leasePoll = 400 * time.Millisecond
 	// leaseSilence is how long the lease may stand unchanged before another box takes it: several missed renewals.
 	leaseSilence = 1200 * time.Millisecond
-	// storeSilence is how long the store may leave a box without an answer before the box counts itself out.
-	storeSilence = 1500 * time.Millisecond
+	// leaseTimeout bounds one such look, so that the end of a silence is found soon; the store at its slowest answers
+	// after about 400 ms.
+	leaseTimeout = 700 * time.Millisecond
 	// configPoll bounds the time in which a deaf feed of the configuration stays unnoticed.
 	configPoll = 800 * time.Millisecond
 	// feedWait is how long a feed waits for a change.
@@ -28,24 +29,6 @@
 	retryPause = 150 * time.Millisecond
 )
 
-func (n *Node) storeHealthy() bool {
-	return time.Since(time.Unix(0, n.storeSeen.Load())) < storeSilence
-}
-
-// noteStore takes in whether the store answered a call.
-func (n *Node) noteStore(err error) {
-	if err == nil || errors.Is(err, store.ErrHistoryGone) {
-		healthy := n.storeHealthy()
-		n.storeSeen.Store(time.Now().UnixNano())
-		if !healthy {
-			n.log.Info("node: the store answers")
-		}
-		return
-	}
-	n.log.Warn("node: the store does not answer", zap.Error(err),
-		zap.Duration("last_answer_ago", time.Since(time.Unix(0, n.storeSeen.Load()))))
-}
-
 // followConfiguration keeps the newest configuration: a feed tells of changes at once, and the row is read every now and
 // then in case the feed is deaf.
 func (n *Node) followConfiguration(ctx context.Context) {
@@ -58,7 +41,6 @@
 		if ctx.Err() != nil {
 			return
 		}
-		n.noteStore(err)
 		if err != nil {
 			interval.Sleep(ctx, retryPause)
 			continue
@@ -106,11 +88,10 @@
 	var seen ledger.Lease
 	var since time.Time
 	for ctx.Err() == nil {
-		lease, err := n.ledger.Lease(ctx)
+		lease, err := n.readLease(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		n.noteStore(err)
 		if err != nil {
 			since = time.Now() // Only silence that was watched counts.
 			interval.Sleep(ctx, retryPause)
@@ -128,6 +109,12 @@
 	}
 }
 
+func (n *Node) readLease(ctx context.Context) (ledger.Lease, error) {
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	return n.ledger.Lease(ctx)
+}
+
 func (n *Node) watchRelease(ctx context.Context, released chan<- struct{}) {
 	version := int64(0)
 	for ctx.Err() == nil {
@@ -164,7 +151,7 @@
 	n.log.Info("node: lease claimed", zap.Int64("epoch", tenure.Epoch()), zap.String("from", lease.Holder))
 	s := &scheduler.Scheduler{
 		Ledger: n.ledger, Directory: n.platform.Directory, Orders: n.platform.Orders, Configuration: n.Configuration,
-		Committed: n.noteStore, Bounds: n.settings.Load().Bounds, Log: n.log,
+		Bounds: n.settings.Load().Bounds, Log: n.log,
 	}
 	err = s.Run(ctx, tenure)
 	n.log.Info("node: lease over", zap.Int64("epoch", tenure.Epoch()), zap.Error(err))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,22 +46,23 @@
 type Node struct {
 	Entry *entry.Entry
 
-	settings  atomic.Pointer[Settings]
-	platform  Platform
-	ledger    *ledger.Ledger
-	holder    string // The box with this start of it.
-	log       *zap.Logger
-	config    atomic.Pointer[queue.Configuration]
-	storeSeen atomic.Int64 // When the store last answered, UnixNano.
-	stopping  atomic.Bool
+	settings atomic.Pointer[Settings]
+	platform Platform
+	ledger   *ledger.Ledger
+	holder   string // The box with this start of it.
+	log      *zap.Logger
+	config   atomic.Pointer[queue.Configuration]
+	store    *watchedStore
+	stopping atomic.Bool
 }
 
 // New returns a box that is not running yet.
 func New(s *Settings, p Platform, log *zap.Logger) *Node {
-	n := &Node{platform: p, ledger: &ledger.Ledger{Store: p.Store, Shard: Shard}, log: log}
+	watched := &watchedStore{Store: p.Store, log: log}
+	n := &Node{platform: p, store: watched, ledger: &ledger.Ledger{Store: watched, Shard: Shard}, log: log}
 	n.holder = s.Box + "/" + xid.New().String()
 	n.settings.Store(s)
-	n.Entry = &entry.Entry{Ledger: n.ledger, Configuration: n.Configuration, Healthy: n.storeHealthy, Log: log}
+	n.Entry = &entry.Entry{Ledger: n.ledger, Configuration: n.Configuration, Healthy: watched.Healthy, Log: log}
 	return n
 }
 
@@ -73,7 +74,7 @@
 
 // Ready reports whether the box should get new connections.
 func (n *Node) Ready() bool {
-	return !n.Stopping() && n.Configuration() != nil && n.storeHealthy()
+	return !n.Stopping() && n.Configuration() != nil && n.store.Healthy()
 }
 
 // Reload takes in changed settings; addresses stay as they were at the start.
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -113,9 +113,6 @@
 	timed, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	err := h.tenure.Commit(timed, &f.batch)
-	if !errors.Is(err, ledger.ErrReplaced) && h.Committed != nil {
-		h.Committed(err)
-	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if err != nil {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -44,7 +44,6 @@
 	Directory     Directory
 	Orders        fleet.Orders
 	Configuration func() *queue.Configuration
-	Committed     func(err error) // Told of the outcome of each commit.
 	Bounds        Bounds
 	Log           *zap.Logger
 }
