Make room for urgent work, and in one rack

Guaranteed gangs were spread over racks after 150 ms, where they run three times as long, and urgent work without a guarantee waited behind bulk work. Change: guaranteed gangs have room made in one rack and are spread only when their time runs out; urgent work without a guarantee stops work of lower priority where its being in time is worth more than what is thrown away and put at risk. Cases for placement in testdata; two fail before.

--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -92,7 +92,7 @@
 	p := Platform{Store: w.store.For(name, gate), Configurations: w.config, Directory: view, Orders: view}
 	s := &Settings{Box: name, StopAfter: 6 * time.Second, Bounds: scheduler.Bounds{
 		MaxLease: testMaxLease, StopTime: testStopTime, GangWait: testGangWait, Retain: time.Minute,
-		Policy: placement.Policy{FarFactor: 3, Reclaim: 3 * time.Second, StopTime: testStopTime},
+		Policy: placement.Policy{FarFactor: 3, Reclaim: 3 * time.Second, StopTime: testStopTime, WasteCost: 0.0015},
 	}}
 	n := New(s, p, w.log.With(zap.String("box", name)))
 	killed, kill := context.WithCancel(w.ctx)
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		b.reclaim(d)
-		if d.Covered && d.Claim == nil && b.patienceOver(d) {
+		if d.Priority == 0 && d.Claim == nil && b.view.Now.Sub(d.Since) >= patience {
 			b.makeRoom(i)
 		}
 	}
@@ -191,7 +191,7 @@
 			best, bestFree = workers, free
 		}
 	}
-	if best == nil && (b.patienceOver(d) || !b.anyRackCould(d)) {
+	if best == nil && (b.mustSpread(d) || !b.anyRackCould(d)) {
 		return b.spread(d, b.all(), len(d.Waiting))
 	}
 	return best
@@ -294,14 +294,18 @@
 	return nil
 }
 
-// patience is how long guaranteed work waits for room before other work is stopped for it: little, as a stop takes
-// StopTime and two commits before the start.
+// patience is how long urgent work waits for room before other work is stopped for it: little, as a stop takes StopTime
+// and two commits before the start.
 const patience = 150 * time.Millisecond
 
-func (b *board) patienceOver(d *Demand) bool {
+// spreadAfter is the share of the time within which guaranteed work must have begun that it waits for room in one rack.
+const spreadAfter = 0.55
+
+// mustSpread reports whether a gang is to run slowly over several racks rather than wait for one: guaranteed work when its
+// time runs out, other work only when waiting longer would cost more than the slowness.
+func (b *board) mustSpread(d *Demand) bool {
 	if d.Covered {
-		return b.view.Now.Sub(d.Since) >= patience
+		return b.view.Now.Sub(d.Since) >= time.Duration(spreadAfter*float64(b.view.Policy.Reclaim))
 	}
-	// Others accept a slow spread over racks only when waiting longer would cost more than the slowness.
 	return b.view.Now.Add(time.Duration(float64(d.Remaining) * b.view.Policy.FarFactor)).After(d.Goal)
 }
--- a/internal/placement/reclaim.go
+++ b/internal/placement/reclaim.go
@@ -4,19 +4,12 @@
 	"github.com/pulleyring/pulleyring/internal/job"
 )
 
-// makeRoom stops the work whose loss is least so that a guaranteed demand fits, and claims the room.
+// makeRoom stops the work whose loss is least so that an urgent demand fits, and claims the room. Guaranteed work gets its
+// room whatever that costs; other urgent work only what its being in time is worth.
 func (b *board) makeRoom(i int) {
 	d := &b.view.Demands[i]
-	best := b.planRoom(d, b.all())
-	if d.Step.Gang && d.Step.RackLocal {
-		for _, rack := range b.racks {
-			p := b.planRoom(d, rack)
-			if p != nil && (best == nil || p.loss <= best.loss*rackLocalWorth) {
-				best = p
-			}
-		}
-	}
-	if best == nil {
+	best := b.bestRoom(d)
+	if best == nil || !d.Covered && !b.worthStopping(d, best) {
 		return
 	}
 	for _, h := range best.stops {
@@ -32,8 +25,35 @@
 	b.outcome.Claims = append(b.outcome.Claims, Claim{i, best.workers})
 }
 
-// rackLocalWorth is how much more loss is accepted to lay a gang into one rack, where it runs FarFactor times as fast.
-const rackLocalWorth = 3
+// bestRoom is the cheapest way to make room, in one rack where the demand must be in one and that is possible.
+func (b *board) bestRoom(d *Demand) *roomPlan {
+	if !d.Step.Gang || !d.Step.RackLocal {
+		return b.planRoom(d, b.all())
+	}
+	var best *roomPlan
+	for _, rack := range b.racks {
+		if p := b.planRoom(d, rack); p != nil && (best == nil || p.loss < best.loss) {
+			best = p
+		}
+	}
+	if best == nil && b.mustSpread(d) {
+		best = b.planRoom(d, b.all())
+	}
+	return best
+}
+
+// worthStopping reports whether a demand without a guarantee gains more by starting once room is made than that costs.
+func (b *board) worthStopping(d *Demand, p *roomPlan) bool {
+	if b.view.Now.Add(b.view.Policy.StopTime + d.Remaining).After(d.Goal) {
+		return false
+	}
+	return d.Value-d.LateValue > p.loss*b.view.Policy.WasteCost
+}
+
+// lossOf is what stopping a holding costs, in core-seconds: the work thrown away and what starting anew puts at risk.
+func (b *board) lossOf(h *Holding) float64 {
+	return h.Loss + h.Risk/max(b.view.Policy.WasteCost, 1e-6)
+}
 
 // roomPlan is a way to make room.
 type roomPlan struct {
@@ -67,7 +87,7 @@
 		taken[h] = true
 		b.addRoom(room, h)
 		p.stops = append(p.stops, h)
-		p.loss += b.view.Holdings[h].Loss
+		p.loss += b.lossOf(&b.view.Holdings[h])
 	}
 }
 
@@ -109,14 +129,14 @@
 	best, bestCost := -1, 0.0
 	for h := range b.view.Holdings {
 		holding := &b.view.Holdings[h]
-		if taken[h] || b.stopped[h] || holding.Stopping || holding.Covered || holding.Priority < d.Priority {
+		if taken[h] || b.stopped[h] || holding.Stopping || holding.Covered || !mayStop(d, holding) {
 			continue
 		}
 		gain := b.gain(d, room, holding)
 		if gain <= 0 {
 			continue
 		}
-		cost := (holding.Loss + 1) / gain
+		cost := (b.lossOf(holding) + 1) / gain
 		if best < 0 || cost < bestCost {
 			best, bestCost = h, cost
 		}
@@ -124,6 +144,12 @@
 	return best
 }
 
+// mayStop reports whether a demand may take a holding's room: guaranteed work that of anything without a guarantee, other
+// work that of lower priorities.
+func mayStop(d *Demand, h *Holding) bool {
+	return d.Covered || h.Priority > d.Priority
+}
+
 // gain is how many more tasks of the demand fit once the holding is gone; a part of a task counts a little, so that
 // several holdings that only together make room for one are found too.
 func (b *board) gain(d *Demand, room map[int]job.Resources, h *Holding) float64 {
@@ -173,7 +199,7 @@
 		}
 		if workers := b.layInto(d, among, room); workers != nil {
 			kept, p.workers = without, workers
-			p.loss -= b.view.Holdings[h].Loss
+			p.loss -= b.lossOf(&b.view.Holdings[h])
 		}
 	}
 	return kept
--- /dev/null
+++ b/internal/placement/script_test.go
@@ -0,0 +1,288 @@
+package placement
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pulleyring/pulleyring/internal/job"
+)
+
+// TestDecisions plays the cases of testdata. A case is a list of lines:
+//
+//	worker NAME rack RACK gpu FREE [freeing N] [doubt X] [slow X] [label L] [unusable]
+//	holding NAME priority N gpu EACH on WORKER... [loss N] [covered] [stopping]
+//	demand NAME priority N tasks N gpu EACH [gang] [local] [covered] [waited D] [goal D] [takes D] [value X] [near RACK] [most N] [avoid W] [claim W...]
+//	start NAME WORKER...    exactly these starts, one worker a task in any order
+//	wait NAME               no start
+//	stop NAME               exactly these holdings are stopped (none without a line)
+//	claim NAME WORKER...
+func TestDecisions(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) { playCase(t, file) })
+	}
+}
+
+// decisionCase is a case as it was read.
+type decisionCase struct {
+	view     View
+	demands  []string // Names by index.
+	holdings []string
+	starts   map[string][]string
+	claims   map[string][]string
+	stops    []string
+	waits    []string
+}
+
+func playCase(t *testing.T, file string) {
+	f, err := os.Open(file)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer f.Close()
+	c := &decisionCase{starts: map[string][]string{}, claims: map[string][]string{}}
+	c.view.Now = time.Unix(1000, 0)
+	c.view.Policy = Policy{FarFactor: 3, Reclaim: 3 * time.Second, StopTime: 500 * time.Millisecond, WasteCost: 0.0015}
+	lines := bufio.NewScanner(f)
+	for n := 1; lines.Scan(); n++ {
+		words := strings.Fields(lines.Text())
+		if len(words) < 2 || words[0] == "#" {
+			continue
+		}
+		if err := c.read(words); err != nil {
+			t.Fatalf("%s:%d: %v", file, n, err)
+		}
+	}
+	out := Decide(&c.view)
+	c.check(t, &out)
+}
+
+func (c *decisionCase) check(t *testing.T, out *Outcome) {
+	starts, claims := map[string][]string{}, map[string][]string{}
+	for _, s := range out.Starts {
+		starts[c.demands[s.Demand]] = sortedValues(s.Workers)
+	}
+	for _, s := range out.Claims {
+		claims[c.demands[s.Demand]] = sortedValues(s.Workers)
+	}
+	var stops []string
+	for _, h := range out.Stops {
+		stops = append(stops, c.holdings[h])
+	}
+	slices.Sort(stops)
+	slices.Sort(c.stops)
+	quicktest.Check(t, starts, quicktest.DeepEquals, c.starts)
+	quicktest.Check(t, stops, quicktest.DeepEquals, c.stops)
+	for name, want := range c.claims {
+		quicktest.Check(t, claims[name], quicktest.DeepEquals, want)
+	}
+	for _, name := range c.waits {
+		quicktest.Check(t, starts[name], quicktest.HasLen, 0)
+	}
+}
+
+func sortedValues(m map[int]string) []string {
+	var values []string
+	for _, v := range m {
+		values = append(values, v)
+	}
+	slices.Sort(values)
+	return values
+}
+
+func (c *decisionCase) read(words []string) error {
+	name, rest := words[1], words[2:]
+	switch words[0] {
+	case "worker":
+		return c.readWorker(name, rest)
+	case "holding":
+		return c.readHolding(name, rest)
+	case "demand":
+		return c.readDemand(name, rest)
+	case "start":
+		slices.Sort(rest)
+		c.starts[name] = rest
+	case "claim":
+		slices.Sort(rest)
+		c.claims[name] = rest
+	case "stop":
+		c.stops = append(c.stops, name)
+	case "wait":
+		c.waits = append(c.waits, name)
+	default:
+		return fmt.Errorf("unknown line %q", words[0])
+	}
+	return nil
+}
+
+// gpus is room for so many accelerators, with processors and memory to match.
+func gpus(n int64) job.Resources {
+	return job.Resources{MilliCPU: 8000 * n, MemoryMB: 1000 * n, Accelerators: n}
+}
+
+func number(words []string, i int) (float64, error) {
+	if i+1 >= len(words) {
+		return 0, fmt.Errorf("%s has no value", words[i])
+	}
+	return strconv.ParseFloat(words[i+1], 64)
+}
+
+func (c *decisionCase) readWorker(name string, words []string) error {
+	w := Worker{ID: name, Service: "s", Usable: true, Capacity: gpus(8), Free: gpus(8)}
+	for i := 0; i < len(words); i++ {
+		switch words[i] {
+		case "unusable":
+			w.Usable = false
+			continue
+		case "rack":
+			w.Rack = words[i+1]
+		case "label":
+			w.Labels = append(w.Labels, words[i+1])
+		default:
+			n, err := number(words, i)
+			if err != nil {
+				return err
+			}
+			switch words[i] {
+			case "gpu":
+				w.Free = gpus(int64(n))
+			case "freeing":
+				w.Freeing = gpus(int64(n))
+			case "doubt":
+				w.Doubt = n
+			case "slow":
+				w.Slowness = n
+			default:
+				return fmt.Errorf("unknown word %q", words[i])
+			}
+		}
+		i++
+	}
+	c.view.Workers = append(c.view.Workers, w)
+	return nil
+}
+
+func (c *decisionCase) readHolding(name string, words []string) error {
+	h := Holding{Job: job.ID(name), Tasks: map[int]string{}}
+	for i := 0; i < len(words); i++ {
+		switch words[i] {
+		case "covered":
+			h.Covered = true
+			continue
+		case "stopping":
+			h.Stopping = true
+			continue
+		case "on":
+			for i+1 < len(words) && strings.HasPrefix(words[i+1], "w") {
+				i++
+				h.Tasks[len(h.Tasks)] = words[i]
+			}
+			continue
+		}
+		n, err := number(words, i)
+		if err != nil {
+			return err
+		}
+		switch words[i] {
+		case "priority":
+			h.Priority = int(n)
+		case "gpu":
+			h.Each = gpus(int64(n))
+		case "loss":
+			h.Loss = n
+		default:
+			return fmt.Errorf("unknown word %q", words[i])
+		}
+		i++
+	}
+	c.view.Holdings = append(c.view.Holdings, h)
+	c.holdings = append(c.holdings, name)
+	return nil
+}
+
+func (c *decisionCase) readDemand(name string, words []string) error {
+	d := Demand{Job: job.ID(name), Service: "s", Step: &job.Step{}, Placed: map[string]int{}, Since: c.view.Now, Remaining: time.Second, Value: 1, Work: 1}
+	goal := time.Hour
+	for i := 0; i < len(words); i++ {
+		switch words[i] {
+		case "gang":
+			d.Step.Gang = true
+			continue
+		case "local":
+			d.Step.RackLocal = true
+			continue
+		case "covered":
+			d.Covered = true
+			continue
+		case "claim":
+			d.Claim = map[int]string{}
+			for i+1 < len(words) {
+				i++
+				d.Claim[len(d.Claim)] = words[i]
+			}
+			continue
+		case "near":
+			i++
+			d.Step.DataRack = words[i]
+			continue
+		case "label":
+			i++
+			d.Step.Label = words[i]
+			continue
+		case "avoid":
+			i++
+			d.Avoid = map[string]bool{words[i]: true}
+			continue
+		case "waited", "goal", "takes":
+			v, err := time.ParseDuration(words[i+1])
+			if err != nil {
+				return err
+			}
+			switch words[i] {
+			case "waited":
+				d.Since = c.view.Now.Add(-v)
+			case "goal":
+				goal = v
+			case "takes":
+				d.Remaining = v
+			}
+			i++
+			continue
+		}
+		n, err := number(words, i)
+		if err != nil {
+			return err
+		}
+		switch words[i] {
+		case "priority":
+			d.Priority = int(n)
+		case "tasks":
+			d.Step.Count = int(n)
+		case "gpu":
+			d.Step.Each = gpus(int64(n))
+		case "value":
+			d.Value = n
+		case "work":
+			d.Work = n
+		case "most":
+			d.Step.MostPerWorker = int(n)
+		default:
+			return fmt.Errorf("unknown word %q", words[i])
+		}
+		i++
+	}
+	for k := range d.Step.Count {
+		d.Waiting = append(d.Waiting, k)
+	}
+	d.Goal, d.LastGoal, d.LateValue = c.view.Now.Add(goal), c.view.Now.Add(2*goal), 0.3*d.Value
+	c.view.Demands = append(c.view.Demands, d)
+	c.demands = append(c.demands, name)
+	return nil
+}
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -22,6 +22,7 @@
 	FarFactor float64       // How much longer a task takes far from its data, or a gang spread over racks.
 	Reclaim   time.Duration // Time within which guaranteed work must have begun.
 	StopTime  time.Duration // Longest time that a stop takes.
+	WasteCost float64       // What a core-second of work thrown away costs, in the units of a demand's value.
 }
 
 // Worker is a worker as the scheduler knows it.
@@ -35,6 +36,7 @@
 	Freeing  job.Resources // Taken by runs that are being stopped.
 	Usable   bool          // It takes new runs.
 	Doubt    float64       // 0 for a worker without recent failures; higher is worse.
+	Slowness float64       // How many times longer than elsewhere work takes there; 0 or 1 for a sound one.
 }
 
 // Demand is a group of tasks that could start now.
@@ -69,6 +71,7 @@
 	Each      job.Resources
 	Tasks     map[int]string // Task index to worker.
 	Loss      float64        // Core-seconds that a stop throws away.
+	Risk      float64        // Value that is lost if it starts anew.
 	Remaining time.Duration  // Expected time to its end.
 }
 
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -37,7 +37,7 @@
 	out := placement.Decide(view)
 	for _, i := range out.Stops {
 		for _, r := range holdings[i] {
-			h.stop(h.workers[r.job.workerOf(r.task)], r, "room for guaranteed work")
+			h.stop(h.workers[r.job.workerOf(r.task)], r, "room for urgent work")
 		}
 	}
 	for _, c := range out.Claims {
@@ -236,6 +236,7 @@
 			holding.Tasks[r.task.Index] = id
 			holding.Stopping = holding.Stopping || r.stopping
 			holding.Loss += h.loss(r, step, now)
+			holding.Risk = h.risk(r, now)
 		}
 	}
 	return runs
@@ -258,6 +259,21 @@
 	return lost.Seconds() * r.each.Cores()
 }
 
+// risk is the value that a job loses if a run of it starts anew.
+func (h *shard) risk(r *run, now time.Time) float64 {
+	request := r.job.Request
+	allowed := time.Duration(request.Terms.Stretch*float64(h.learned.whole(request))) + request.Terms.Objective
+	goal := time.UnixMilli(request.Due(r.task.Occurrence)).Add(allowed)
+	chain := h.learned.chain(request, r.task.Step)
+	if now.Add(chain-now.Sub(r.placed)).After(goal) || now.Add(h.Bounds.StopTime+restartDelay+chain).Before(goal) {
+		return 0 // Late either way, or in time either way.
+	}
+	return (1 - lateShare) * h.value(request)
+}
+
+// restartDelay is how long stopped work is expected to wait for room again.
+const restartDelay = 2 * time.Second
+
 // checkpointLoss is the work that is lost at a stop of a run that saves its state: at a stop it saves once more, so that
 // only the stop itself and the restore are lost.
 const checkpointLoss = 500 * time.Millisecond
