Make room at once for urgent work, at the last moment for other work, and search for it cheaply

Change: urgent work looks for room at once; other work stops what is of lower priority when its last start in time is near; what idles during a stop counts as loss; a search that found nothing is not repeated for 250 ms and goes over racks with slices. last_moment is the new case.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -10,12 +10,13 @@
 
 // board is the state of one decision.
 type board struct {
-	view    *View
-	free    []job.Resources // By worker: free and not claimed by others.
-	index   map[string]int
-	racks   [][]int // Workers by rack, in the order of the view.
-	outcome Outcome
-	stopped map[int]bool // Holdings stopped by this decision.
+	view     *View
+	free     []job.Resources // By worker: free and not claimed by others.
+	index    map[string]int
+	racks    [][]int // Workers by rack, in the order of the view.
+	onWorker [][]int // Holdings by worker.
+	outcome  Outcome
+	stopped  map[int]bool // Holdings stopped by this decision.
 }
 
 // Decide places the demands: guaranteed work first, stopping other work where it must, then the rest by what it earns for
@@ -29,7 +30,7 @@
 			continue
 		}
 		b.reclaim(d)
-		if d.Priority == 0 && d.Claim == nil && b.view.Now.Sub(d.Since) >= patience {
+		if d.Claim == nil && b.impatient(d) {
 			b.makeRoom(i)
 		}
 	}
@@ -51,6 +52,14 @@
 		}
 		b.racks[r] = append(b.racks[r], i)
 	}
+	b.onWorker = make([][]int, len(v.Workers))
+	for h := range v.Holdings {
+		for _, worker := range v.Holdings[h].Tasks {
+			if k, ok := b.index[worker]; ok {
+				b.onWorker[k] = append(b.onWorker[k], h)
+			}
+		}
+	}
 	for i := range v.Demands {
 		b.reclaim(&v.Demands[i])
 	}
@@ -294,9 +303,23 @@
 	return nil
 }
 
-// patience is how long urgent work waits for room before other work is stopped for it: little, as a stop takes StopTime
-// and two commits before the start.
-const patience = 150 * time.Millisecond
+// lastMoment is how long before the last start that is in time a demand has work of lower priority stopped for it, with
+// what the stop itself takes.
+const lastMoment = 2 * time.Second
+
+// runSlack is how much longer than expected a run is taken to last when its last start in time is reckoned: declared and
+// learned run times are off by about that.
+const runSlack = 1.25
+
+// impatient reports whether work is to be stopped for a demand now. Urgent work does not wait at all, as a stop takes long
+// against its time to the goal; other work waits for room to come free for as long as it can.
+func (b *board) impatient(d *Demand) bool {
+	if d.Priority == 0 {
+		return true
+	}
+	last := d.Goal.Add(-time.Duration(runSlack * float64(d.Remaining)))
+	return b.view.Now.Add(b.view.Policy.StopTime + lastMoment).After(last)
+}
 
 // spreadAfter is the share of the time within which guaranteed work must have begun that it waits for room in one rack.
 const spreadAfter = 0.55
--- a/internal/placement/reclaim.go
+++ b/internal/placement/reclaim.go
@@ -8,8 +8,12 @@
 // room whatever that costs; other urgent work only what its being in time is worth.
 func (b *board) makeRoom(i int) {
 	d := &b.view.Demands[i]
+	if d.NoPlan {
+		return
+	}
 	best := b.bestRoom(d)
 	if best == nil || !d.Covered && !b.worthStopping(d, best) {
+		b.outcome.NoPlans = append(b.outcome.NoPlans, i)
 		return
 	}
 	for _, h := range best.stops {
@@ -50,9 +54,11 @@
 	return d.Value-d.LateValue > p.loss*b.view.Policy.WasteCost
 }
 
-// lossOf is what stopping a holding costs, in core-seconds: the work thrown away and what starting anew puts at risk.
+// lossOf is what stopping a holding costs, in core-seconds: the work thrown away, its room while it stops and is idle,
+// and what starting anew puts at risk.
 func (b *board) lossOf(h *Holding) float64 {
-	return h.Loss + h.Risk/max(b.view.Policy.WasteCost, 1e-6)
+	idle := b.view.Policy.StopTime.Seconds() * h.Each.Cores() * float64(len(h.Tasks))
+	return h.Loss + idle + h.Risk/max(b.view.Policy.WasteCost, 1e-6)
 }
 
 // roomPlan is a way to make room.
@@ -67,49 +73,59 @@
 // everything that may be stopped does not make enough room.
 func (b *board) planRoom(d *Demand, among []int) *roomPlan {
 	p := &roomPlan{}
-	room := map[int]job.Resources{}
-	for _, k := range among {
-		room[k] = b.free[k].Add(b.view.Workers[k].Freeing)
-	}
-	for h := range b.stopped {
-		b.addRoom(room, h)
-	}
-	taken := map[int]bool{}
+	room := b.futureRoom(among)
+	candidates := b.candidates(d, among)
 	for {
 		if p.workers = b.layInto(d, among, room); p.workers != nil {
 			p.stops = b.needed(d, p, among)
 			return p
 		}
-		h := b.cheapest(d, room, taken)
-		if h < 0 {
+		at := b.cheapest(d, among, room, candidates)
+		if at < 0 {
 			return nil
 		}
-		taken[h] = true
+		h := candidates[at]
+		candidates = append(candidates[:at], candidates[at+1:]...)
 		b.addRoom(room, h)
 		p.stops = append(p.stops, h)
 		p.loss += b.lossOf(&b.view.Holdings[h])
 	}
 }
 
-func (b *board) addRoom(room map[int]job.Resources, h int) {
+// futureRoom is the room of workers once everything that is being stopped has ended, by index.
+func (b *board) futureRoom(among []int) []job.Resources {
+	room := make([]job.Resources, len(b.view.Workers))
+	for _, k := range among {
+		room[k] = b.free[k].Add(b.view.Workers[k].Freeing)
+	}
+	for h := range b.stopped {
+		b.addRoom(room, h)
+	}
+	return room
+}
+
+func (b *board) addRoom(room []job.Resources, h int) {
 	holding := &b.view.Holdings[h]
 	if holding.Stopping {
 		return // Already in the worker's Freeing.
 	}
 	for _, worker := range holding.Tasks {
-		k, ok := b.index[worker]
-		if !ok {
-			continue
-		}
-		if r, ok := room[k]; ok {
-			room[k] = r.Add(holding.Each)
+		if k, ok := b.index[worker]; ok {
+			room[k] = room[k].Add(holding.Each)
 		}
 	}
 }
 
 // layInto lays all waiting tasks into the room; nil where they don't fit.
-func (b *board) layInto(d *Demand, among []int, room map[int]job.Resources) map[int]string {
-	workers := map[int]string{}
+func (b *board) layInto(d *Demand, among []int, room []job.Resources) map[int]string {
+	fits := 0
+	for _, k := range among {
+		fits += b.copies(d, k, room[k])
+	}
+	if fits < len(d.Waiting) {
+		return nil
+	}
+	workers := make(map[int]string, len(d.Waiting))
 	for _, k := range among {
 		for range b.copies(d, k, room[k]) {
 			if len(workers) == len(d.Waiting) {
@@ -118,57 +134,64 @@
 			workers[d.Waiting[len(workers)]] = b.view.Workers[k].ID
 		}
 	}
-	if len(workers) < len(d.Waiting) {
-		return nil
-	}
 	return workers
 }
 
-// cheapest returns the holding with the least loss for each task of the demand that it makes room for, -1 for none.
-func (b *board) cheapest(d *Demand, room map[int]job.Resources, taken map[int]bool) int {
-	best, bestCost := -1, 0.0
-	for h := range b.view.Holdings {
-		holding := &b.view.Holdings[h]
-		if taken[h] || b.stopped[h] || holding.Stopping || holding.Covered || !mayStop(d, holding) {
+// candidates are the holdings on some of the workers that may be stopped for a demand.
+func (b *board) candidates(d *Demand, among []int) []int {
+	var list []int
+	seen := map[int]bool{}
+	for _, k := range among {
+		if !b.suits(d, k) {
 			continue
 		}
-		gain := b.gain(d, room, holding)
+		for _, h := range b.onWorker[k] {
+			holding := &b.view.Holdings[h]
+			if seen[h] || b.stopped[h] || holding.Stopping || holding.Covered || !mayStop(d, holding) {
+				continue
+			}
+			seen[h] = true
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+// cheapest returns the place in candidates of the holding with the least loss for the room that it makes, -1 for none.
+func (b *board) cheapest(d *Demand, among []int, room []job.Resources, candidates []int) int {
+	inside := make([]bool, len(b.view.Workers))
+	for _, k := range among {
+		inside[k] = b.suits(d, k)
+	}
+	best, bestCost := -1, 0.0
+	for i, h := range candidates {
+		holding := &b.view.Holdings[h]
+		gain := b.gain(d, room, holding, inside)
 		if gain <= 0 {
 			continue
 		}
 		cost := (b.lossOf(holding) + 1) / gain
 		if best < 0 || cost < bestCost {
-			best, bestCost = h, cost
+			best, bestCost = i, cost
 		}
 	}
 	return best
 }
 
-// mayStop reports whether a demand may take a holding's room: guaranteed work that of anything without a guarantee, other
-// work that of lower priorities.
-func mayStop(d *Demand, h *Holding) bool {
-	return d.Covered || h.Priority > d.Priority
-}
-
 // gain is how many more tasks of the demand fit once the holding is gone; a part of a task counts a little, so that
 // several holdings that only together make room for one are found too.
-func (b *board) gain(d *Demand, room map[int]job.Resources, h *Holding) float64 {
-	freed := map[int]job.Resources{}
+func (b *board) gain(d *Demand, room []job.Resources, h *Holding, inside []bool) float64 {
+	sum := 0.0
+	need := max(d.Step.Each.Cores(), 1)
 	for _, worker := range h.Tasks {
 		k, ok := b.index[worker]
-		if !ok {
+		if !ok || !inside[k] {
 			continue
 		}
-		if _, ok := room[k]; ok && b.suits(d, k) {
-			freed[k] = freed[k].Add(h.Each)
-		}
-	}
-	sum := 0.0
-	for k, more := range freed {
 		before := b.copies(d, k, room[k])
-		sum += float64(b.copies(d, k, room[k].Add(more)) - before)
+		sum += float64(b.copies(d, k, room[k].Add(h.Each)) - before)
 		if before < len(d.Waiting) {
-			sum += partOfTask * more.Cores() / max(d.Step.Each.Cores(), 1)
+			sum += partOfTask * h.Each.Cores() / need
 		}
 	}
 	return sum
@@ -187,13 +210,7 @@
 				without = append(without, o)
 			}
 		}
-		room := map[int]job.Resources{}
-		for _, k := range among {
-			room[k] = b.free[k].Add(b.view.Workers[k].Freeing)
-		}
-		for o := range b.stopped {
-			b.addRoom(room, o)
-		}
+		room := b.futureRoom(among)
 		for _, o := range without {
 			b.addRoom(room, o)
 		}
@@ -204,3 +221,9 @@
 	}
 	return kept
 }
+
+// mayStop reports whether a demand may take a holding's room: guaranteed work that of anything without a guarantee, other
+// work that of lower priorities.
+func mayStop(d *Demand, h *Holding) bool {
+	return d.Covered || h.Priority > d.Priority
+}
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -59,6 +59,7 @@
 	Work      float64        // Expected core-seconds of what is left of the job.
 	Covered   bool           // Within its workspace's guarantee, and of priority 0.
 	Claim     map[int]string // Room that is being freed for it: task index to worker.
+	NoPlan    bool           // A way to make room was looked for lately and not found.
 }
 
 // Holding is what runs and can be stopped as a whole: a gang, or one task.
@@ -89,7 +90,8 @@
 
 // Outcome is what was decided.
 type Outcome struct {
-	Starts []Start
-	Stops  []int // Indexes of holdings.
-	Claims []Claim
+	Starts  []Start
+	Stops   []int // Indexes of holdings.
+	Claims  []Claim
+	NoPlans []int // Demands for which no way to make room was found.
 }
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -25,6 +25,10 @@
 // claimSlack is how much longer than a stop a claim is kept: two commits and the talk with the worker.
 const claimSlack = 600 * time.Millisecond
 
+// planRetry is how long no other way to make room is looked for after none was found; looking is the costly part of a
+// decision.
+const planRetry = 250 * time.Millisecond
+
 // pass has placement decide and takes in what it decided.
 func (h *shard) pass() {
 	h.changed = false
@@ -46,6 +50,10 @@
 		h.Log.Info("scheduler: room is being freed", zap.String("job", string(d.Job)), zap.String("workspace", d.Workspace),
 			zap.Duration("waited", now.Sub(d.Since)), zap.Int("stops", len(out.Stops)))
 	}
+	for _, i := range out.NoPlans {
+		d := &view.Demands[i]
+		h.noPlan[claimKey{d.Job, d.Group}] = now.Add(planRetry)
+	}
 	for _, s := range out.Starts {
 		h.place(&view.Demands[s.Demand], s.Workers, now)
 	}
@@ -55,6 +63,7 @@
 func (h *shard) place(d *placement.Demand, workers map[int]string, now time.Time) {
 	j := h.jobs[d.Job]
 	delete(h.claims, claimKey{d.Job, d.Group})
+	delete(h.noPlan, claimKey{d.Job, d.Group})
 	orders := j.Place(d.Group, workers)
 	for _, o := range orders {
 		r := &run{task: o.Task, number: o.Run, saved: o.Saved, each: d.Step.Each, job: j, placed: now}
@@ -139,6 +148,7 @@
 	d.Goal, d.LastGoal = from.Add(allowed), from.Add(lateFactor*allowed)
 	d.Value = h.value(r)
 	d.LateValue = lateShare * d.Value
+	d.NoPlan = now.Before(h.noPlan[claimKey{r.ID, g}])
 	if c, ok := h.claims[claimKey{r.ID, g}]; ok && now.Before(c.until) {
 		d.Claim = c.workers
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -82,7 +82,8 @@
 	dirty    map[job.ID]bool // Jobs whose progress is to be committed.
 	launches []*run          // Placed runs to be ordered once they are committed.
 	claims   map[claimKey]claimed
-	changed  bool // Something happened that a decision may depend on.
+	noPlan   map[claimKey]time.Time // Until when no room is looked for.
+	changed  bool                   // Something happened that a decision may depend on.
 	lastPass time.Time
 	learned  estimates
 	pending  map[string]int       // As last committed.
@@ -103,7 +104,7 @@
 	h := &shard{
 		Scheduler: s, tenure: tenure, ctx: inner, wake: make(chan struct{}, 1),
 		jobs: map[job.ID]*liveJob{}, workers: map[string]*workerState{}, dirty: map[job.ID]bool{},
-		claims: map[claimKey]claimed{}, early: map[job.ID]time.Time{}, learned: estimates{},
+		claims: map[claimKey]claimed{}, noPlan: map[claimKey]time.Time{}, early: map[job.ID]time.Time{}, learned: estimates{},
 	}
 	defer h.ordering.Wait()
 	defer cancel()
