--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -15,6 +15,7 @@
 	index    map[string]int
 	racks    [][]int // Workers by rack, in the order of the view.
 	onWorker [][]int // Holdings by worker.
+	drains   int     // Gangs for which room is draining.
 	outcome  Outcome
 	stopped  map[int]bool // Holdings stopped by this decision.
 }
@@ -23,20 +24,44 @@
 // the room it takes.
 func Decide(v *View) Outcome {
 	b := newBoard(v)
+	drained := false
 	for _, i := range b.order() {
 		d := &v.Demands[i]
-		b.unclaim(d)
-		if b.place(i) {
-			continue
-		}
-		b.reclaim(d)
-		if d.Claim == nil && b.impatient(d) {
-			b.makeRoom(i)
+		if d.Priority > 0 && !drained {
+			b.setAside()
+			drained = true
 		}
+		b.serve(i)
 	}
 	return b.outcome
 }
 
+// serve places a demand, or sees to it that room for it comes free.
+func (b *board) serve(i int) {
+	d := &b.view.Demands[i]
+	b.unclaim(d)
+	if b.place(i) {
+		return
+	}
+	if (d.Claim == nil || d.Draining) && b.impatient(d) && b.makeRoom(i) {
+		return
+	}
+	b.reclaim(d)
+	if d.Claim == nil && d.Step.Gang && d.Priority > 0 {
+		b.planDrain(i)
+	}
+}
+
+// setAside takes the room that is draining for gangs from all that is served after urgent work.
+func (b *board) setAside() {
+	for i := range b.view.Demands {
+		if d := &b.view.Demands[i]; d.Draining {
+			b.reclaim(d)
+			b.drains++
+		}
+	}
+}
+
 func newBoard(v *View) *board {
 	b := &board{view: v, free: make([]job.Resources, len(v.Workers)), index: make(map[string]int, len(v.Workers)), stopped: map[int]bool{}}
 	racks := map[string]int{}
@@ -61,7 +86,9 @@
 		}
 	}
 	for i := range v.Demands {
-		b.reclaim(&v.Demands[i])
+		if !v.Demands[i].Draining {
+			b.reclaim(&v.Demands[i])
+		}
 	}
 	return b
 }
@@ -94,21 +121,25 @@
 	}
 	slices.SortFunc(order, func(x, y int) int {
 		p, q := &b.view.Demands[x], &b.view.Demands[y]
-		if p.Covered != q.Covered {
-			return cmp.Compare(rank(q.Covered), rank(p.Covered))
+		if c := cmp.Compare(rank(q), rank(p)); c != 0 {
+			return c
 		}
 		if !p.Covered {
 			if c := cmp.Compare(scores[y], scores[x]); c != 0 {
 				return c
 			}
 		}
-		return cmp.Or(p.Since.Compare(q.Since), cmp.Compare(p.Job, q.Job), cmp.Compare(p.Group.Occurrence, q.Group.Occurrence), cmp.Compare(p.Group.Step, q.Group.Step))
+		return cmp.Or(p.Goal.Compare(q.Goal), p.Since.Compare(q.Since), cmp.Compare(p.Job, q.Job), cmp.Compare(p.Group.Occurrence, q.Group.Occurrence), cmp.Compare(p.Group.Step, q.Group.Step))
 	})
 	return order
 }
 
-func rank(covered bool) int {
-	if covered {
+// rank puts guaranteed work before other urgent work, and that before all else.
+func rank(d *Demand) int {
+	switch {
+	case d.Covered:
+		return 2
+	case d.Priority == 0:
 		return 1
 	}
 	return 0
--- a/internal/placement/reclaim.go
+++ b/internal/placement/reclaim.go
@@ -4,17 +4,18 @@
 	"github.com/pulleyring/pulleyring/internal/job"
 )
 
-// makeRoom stops the work whose loss is least so that an urgent demand fits, and claims the room. Guaranteed work gets its
+// makeRoom stops the work whose loss is least so that an urgent demand fits, and claims the room; it reports
+// whether there is a way. Guaranteed work gets its
 // room whatever that costs; other urgent work only what its being in time is worth.
-func (b *board) makeRoom(i int) {
+func (b *board) makeRoom(i int) bool {
 	d := &b.view.Demands[i]
 	if d.NoPlan {
-		return
+		return false
 	}
 	best := b.bestRoom(d)
 	if best == nil || !d.Covered && !b.worthStopping(d, best) {
 		b.outcome.NoPlans = append(b.outcome.NoPlans, i)
-		return
+		return false
 	}
 	for _, h := range best.stops {
 		if !b.stopped[h] && !b.view.Holdings[h].Stopping {
@@ -26,7 +27,8 @@
 		k := b.index[worker]
 		b.free[k] = b.free[k].Sub(d.Step.Each)
 	}
-	b.outcome.Claims = append(b.outcome.Claims, Claim{i, best.workers})
+	b.outcome.Claims = append(b.outcome.Claims, Claim{Demand: i, Workers: best.workers})
+	return true
 }
 
 // bestRoom is the cheapest way to make room, in one rack where the demand must be in one and that is possible.
--- a/internal/placement/script_test.go
+++ b/internal/placement/script_test.go
@@ -18,7 +18,7 @@
 // TestDecisions plays the cases of testdata. A case is a list of lines:
 //
 //	worker NAME rack RACK gpu FREE [freeing N] [doubt X] [slow X] [label L] [unusable]
-//	holding NAME priority N gpu EACH on WORKER... [loss N] [covered] [stopping]
+//	holding NAME priority N gpu EACH on WORKER... [loss N] [left SECONDS] [covered] [stopping]
 //	demand NAME priority N tasks N gpu EACH [gang] [local] [covered] [waited D] [goal D] [takes D] [value X] [near RACK] [most N] [avoid W] [claim W...]
 //	start NAME WORKER...    exactly these starts, one worker a task in any order
 //	wait NAME               no start
@@ -197,6 +197,8 @@
 			h.Each = gpus(int64(n))
 		case "loss":
 			h.Loss = n
+		case "left":
+			h.Remaining = time.Duration(n * float64(time.Second))
 		default:
 			return fmt.Errorf("unknown word %q", words[i])
 		}
@@ -221,6 +223,9 @@
 		case "covered":
 			d.Covered = true
 			continue
+		case "draining":
+			d.Draining = true
+			continue
 		case "claim":
 			d.Claim = map[int]string{}
 			for i+1 < len(words) {
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -59,6 +59,7 @@
 	Work      float64        // Expected core-seconds of what is left of the job.
 	Covered   bool           // Within its workspace's guarantee, and of priority 0.
 	Claim     map[int]string // Room that is being freed for it: task index to worker.
+	Draining  bool           // Nothing is stopped for the claim: its room drains.
 	NoPlan    bool           // A way to make room was looked for lately and not found.
 }
 
@@ -84,8 +85,9 @@
 
 // Claim reserves room that is being freed for a demand.
 type Claim struct {
-	Demand  int
-	Workers map[int]string
+	Demand   int
+	Workers  map[int]string
+	Draining bool // Nothing is stopped for it.
 }
 
 // Outcome is what was decided.
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -18,8 +18,9 @@
 
 // claimed is room that is being freed.
 type claimed struct {
-	workers map[int]string
-	until   time.Time // After that the plan is made anew.
+	workers  map[int]string
+	until    time.Time // After that the plan is made anew.
+	draining bool
 }
 
 // claimSlack is how much longer than a stop a claim is kept: two commits and the talk with the worker.
@@ -29,6 +30,9 @@
 // decision.
 const planRetry = 250 * time.Millisecond
 
+// drainFor is how long room drains for a gang before another place is looked for: about as long as bulk work runs.
+const drainFor = 8 * time.Second
+
 // pass has placement decide and takes in what it decided.
 func (h *shard) pass() {
 	h.changed = false
@@ -46,9 +50,13 @@
 	}
 	for _, c := range out.Claims {
 		d := &view.Demands[c.Demand]
-		h.claims[claimKey{d.Job, d.Group}] = claimed{c.Workers, now.Add(h.Bounds.StopTime + claimSlack)}
+		kept := h.Bounds.StopTime + claimSlack
+		if c.Draining {
+			kept = drainFor
+		}
+		h.claims[claimKey{d.Job, d.Group}] = claimed{c.Workers, now.Add(kept), c.Draining}
 		h.Log.Info("scheduler: room is being freed", zap.String("job", string(d.Job)), zap.String("workspace", d.Workspace),
-			zap.Duration("waited", now.Sub(d.Since)), zap.Int("stops", len(out.Stops)))
+			zap.Duration("waited", now.Sub(d.Since)), zap.Int("stops", len(out.Stops)), zap.Bool("draining", c.Draining))
 	}
 	for _, i := range out.NoPlans {
 		d := &view.Demands[i]
@@ -150,7 +158,7 @@
 	d.LateValue = lateShare * d.Value
 	d.NoPlan = now.Before(h.noPlan[claimKey{r.ID, g}])
 	if c, ok := h.claims[claimKey{r.ID, g}]; ok && now.Before(c.until) {
-		d.Claim = c.workers
+		d.Claim, d.Draining = c.workers, c.draining
 	}
 	return d
 }
