Spread urgent gangs over racks only at their last chance

Change: gangs without a guarantee are spread only when that is the last chance to earn anything. The log tells the racks of a placement.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -355,11 +355,11 @@
 // spreadAfter is the share of the time within which guaranteed work must have begun that it waits for room in one rack.
 const spreadAfter = 0.55
 
-// mustSpread reports whether a gang is to run slowly over several racks rather than wait for one: guaranteed work when its
-// time runs out, other work only when waiting longer would cost more than the slowness.
+// mustSpread reports whether a gang is to run slowly over several racks rather than wait for one: guaranteed work when the
+// time within which it must begin runs out, other work when it is its last chance to earn anything.
 func (b *board) mustSpread(d *Demand) bool {
 	if d.Covered {
 		return b.view.Now.Sub(d.Since) >= time.Duration(spreadAfter*float64(b.view.Policy.Reclaim))
 	}
-	return b.view.Now.Add(time.Duration(float64(d.Remaining) * b.view.Policy.FarFactor)).After(d.Goal)
+	return b.view.Now.Add(time.Duration(b.view.Policy.FarFactor * float64(d.Remaining))).After(d.LastGoal)
 }
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -73,7 +74,9 @@
 	delete(h.claims, claimKey{d.Job, d.Group})
 	delete(h.noPlan, claimKey{d.Job, d.Group})
 	orders := j.Place(d.Group, workers)
+	racks := map[string]bool{}
 	for _, o := range orders {
+		racks[h.workers[o.Worker].Rack] = true
 		r := &run{task: o.Task, number: o.Run, saved: o.Saved, each: d.Step.Each, job: j, placed: now}
 		h.addRun(h.workers[o.Worker], r)
 		h.launches = append(h.launches, r)
@@ -81,7 +84,8 @@
 	h.touch(d.Job)
 	h.Log.Info("scheduler: placed", zap.String("job", string(d.Job)), zap.Int("occurrence", d.Group.Occurrence),
 		zap.Int("step", d.Group.Step), zap.Int("tasks", len(orders)), zap.Int("waiting", len(d.Waiting)),
-		zap.Duration("waited", now.Sub(d.Since)), zap.Duration("to_goal", d.Goal.Sub(now)), zap.Bool("covered", d.Covered))
+		zap.Duration("waited", now.Sub(d.Since)), zap.Duration("to_goal", d.Goal.Sub(now)), zap.Bool("covered", d.Covered),
+		zap.Strings("racks", slices.Sorted(maps.Keys(racks))))
 }
 
 // view collects what a decision is made from; holdings are the runs behind the view's holdings.
