Weigh demands by what they lose at their next goal, the more the nearer it is

Change: a demand's weight is what it loses at its next goal (in time, or the part that late work earns), discounted by the time that is left. Cases nearer_goal_first and late_before_patient fail before. late_makes_no_room asserted that late urgent work never stops bulk work; that was wrong, as late work still earns a part: it is replaced by three cases (past its last chance: none; worth more than the loss: stop; worth less: none).

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -149,17 +150,27 @@
 // it is served.
 const neverInTime = 0.02
 
-// score is what a demand earns for each core-second if it starts now.
-func (b *board) score(d *Demand) float64 {
+// urgencyScale is how fast a demand gains weight as its last start in time comes nearer: about the length of a run, so
+// that work that has time lets other work go first.
+const urgencyScale = 10 * time.Second
+
+// stake is what a demand loses if it misses its next goal, and when that is.
+func (b *board) stake(d *Demand) (gain float64, goal time.Time) {
 	end := b.view.Now.Add(d.Remaining)
-	value := d.Value * neverInTime
 	switch {
 	case !end.After(d.Goal):
-		value = d.Value
+		return d.Value - d.LateValue, d.Goal
 	case !end.After(d.LastGoal):
-		value = d.LateValue
+		return d.LateValue, d.LastGoal
 	}
-	return value / max(d.Work, 1e-3)
+	return neverInTime * d.Value, b.view.Now
+}
+
+// score is what a demand stands to lose for each core-second that it takes, less the more time it has.
+func (b *board) score(d *Demand) float64 {
+	gain, goal := b.stake(d)
+	slack := goal.Sub(b.view.Now.Add(d.Remaining))
+	return gain / max(d.Work, 1e-3) * math.Exp(-max(0, float64(slack)/float64(urgencyScale)))
 }
 
 // place starts what fits of a demand and reports whether nothing of it is left waiting.
@@ -348,7 +359,8 @@
 	if d.Priority == 0 {
 		return true
 	}
-	last := d.Goal.Add(-time.Duration(runSlack * float64(d.Remaining)))
+	_, goal := b.stake(d)
+	last := goal.Add(-time.Duration(runSlack * float64(d.Remaining)))
 	return b.view.Now.Add(b.view.Policy.StopTime + lastMoment).After(last)
 }
 
--- a/internal/placement/reclaim.go
+++ b/internal/placement/reclaim.go
@@ -50,10 +50,11 @@
 
 // worthStopping reports whether a demand without a guarantee gains more by starting once room is made than that costs.
 func (b *board) worthStopping(d *Demand, p *roomPlan) bool {
-	if b.view.Now.Add(b.view.Policy.StopTime + d.Remaining).After(d.Goal) {
+	gain, goal := b.stake(d)
+	if b.view.Now.Add(b.view.Policy.StopTime + d.Remaining).After(goal) {
 		return false
 	}
-	return d.Value-d.LateValue > p.loss*b.view.Policy.WasteCost
+	return gain > p.loss*b.view.Policy.WasteCost
 }
 
 // lossOf is what stopping a holding costs, in core-seconds: the work thrown away, its room while it stops and is idle,
