Spread requests over eight parts of the store; forget old jobs whole

Change: requests and cancellations lie in eight parts, picked by the job's name; a call that is refused while the store answers otherwise is tried for 1.2 s instead of 0.25 s. Old jobs lose their requests first, then their progress, and a box that remembers one asks again before it calls it queued. TestSlowStoreAcceptsMany and the script forgotten fail before; the emulator works off transactions part by part.

--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -26,6 +26,8 @@
 	cut      map[string]outage // By box.
 	loseRate float64           // Share of writes that are done and not answered.
 	deaf     bool              // Feeds tell of nothing.
+
+	turns map[string]time.Time // By part: when its queue of transactions is worked off.
 }
 
 // outage is how the store fails.
@@ -44,7 +46,7 @@
 func NewStore(seed uint64) *Store {
 	return &Store{
 		random: rand.New(rand.NewPCG(seed, 1)), rows: map[store.Key]store.Row{}, changed: make(chan struct{}),
-		cut: map[string]outage{}, latency: storeLatency,
+		cut: map[string]outage{}, latency: storeLatency, turns: map[string]time.Time{},
 	}
 }
 
@@ -113,12 +115,49 @@
 		<-ctx.Done()
 		return ctx, cancel, store.ErrUnknown
 	}
+	if wait > 0 {
+		latency = storeLatency
+	}
 	if !interval.Sleep(ctx, latency) {
 		return ctx, cancel, store.ErrUnknown
 	}
 	return ctx, cancel, nil
 }
 
+// maxQueue is how much work may wait at a part before it refuses more.
+const maxQueue = time.Second
+
+// turn waits until a part has worked off the transactions before this one; it reports whether the part takes it at all.
+func (s *Store) turn(ctx context.Context, part string) error {
+	s.mu.Lock()
+	now := time.Now()
+	begin := now
+	if s.turns[part].After(now) {
+		begin = s.turns[part]
+	}
+	if begin.Sub(now) > maxQueue {
+		s.mu.Unlock()
+		return store.ErrRefused
+	}
+	s.turns[part] = begin.Add(s.latency)
+	s.mu.Unlock()
+	if !interval.Sleep(ctx, begin.Sub(now)) {
+		return store.ErrUnknown
+	}
+	return nil
+}
+
+// partOf is the part that a transaction changes.
+func partOf(tx *store.Transaction) string {
+	for _, w := range tx.Writes {
+		return w.Part
+	}
+	for _, d := range tx.Deletes {
+		return d.Part
+	}
+	return ""
+}
+
 // Commit implements store.Store.
 func (v *storeView) Commit(ctx context.Context, tx *store.Transaction) (int64, error) {
 	ctx, cancel, err := v.begin(ctx, 0)
@@ -126,6 +165,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if err := v.store.turn(ctx, partOf(tx)); err != nil {
+		return 0, err
+	}
 	version, conflict, lost := v.store.apply(tx)
 	if lost {
 		<-ctx.Done()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -55,8 +55,9 @@
 const (
 	// storeRetry is the pause before a call that the store refused is tried again.
 	storeRetry = 60 * time.Millisecond
-	// storePatience bounds the tries of a call that the store refuses: after that the client does better elsewhere.
-	storePatience = 250 * time.Millisecond
+	// storePatience bounds the tries of a call that a store refuses which otherwise answers, as it does while a part of it
+	// has too much to do: about half of what a client waits, so that it can still come back.
+	storePatience = 1200 * time.Millisecond
 	// summaryAge is how old the counts may be that a client is told; the pages allow 2 s in all.
 	summaryAge = 500 * time.Millisecond
 	// maxKnown bounds the jobs that are remembered as being in the store, about 100 bytes each.
@@ -164,20 +165,37 @@
 	workspace, known := e.known[id]
 	e.mu.Unlock()
 	if !known {
-		r, err := e.Ledger.Request(ctx, id)
-		if err != nil {
+		if err := e.learn(ctx, id); err != nil {
 			return job.Queued, err
 		}
-		if r == nil {
-			return job.Queued, ErrNoJob
-		}
-		workspace = r.Terms.Workspace
-		e.remember(id, workspace)
+		e.mu.Lock()
+		workspace = e.known[id]
+		e.mu.Unlock()
 	}
 	if workspace != "" && c.Workspace != "" && workspace != c.Workspace {
 		return job.Queued, ErrNoJob
 	}
-	return e.Ledger.State(ctx, id)
+	state, found, err := e.Ledger.State(ctx, id)
+	if err == nil && !found && known {
+		err = e.learn(ctx, id) // It is queued, or it was forgotten since.
+	}
+	return state, err
+}
+
+// learn reads a job's request and remembers whose it is.
+func (e *Entry) learn(ctx context.Context, id job.ID) error {
+	r, err := e.Ledger.Request(ctx, id)
+	if err != nil {
+		return err
+	}
+	if r == nil {
+		e.mu.Lock()
+		delete(e.known, id)
+		e.mu.Unlock()
+		return ErrNoJob
+	}
+	e.remember(id, r.Terms.Workspace)
+	return nil
 }
 
 func (e *Entry) remember(id job.ID, workspace string) {
--- a/internal/ledger/lease.go
+++ b/internal/ledger/lease.go
@@ -25,7 +25,7 @@
 
 // Lease reads the shard's lease; the zero value where nobody ever held it.
 func (l *Ledger) Lease(ctx context.Context) (Lease, error) {
-	page, err := l.readOne(ctx, tableLease, l.Shard)
+	page, err := l.readOne(ctx, l.key(tableLease, l.Shard))
 	if err != nil || len(page.Rows) == 0 {
 		return Lease{}, err
 	}
@@ -78,14 +78,14 @@
 type Batch struct {
 	Progress map[job.ID]*job.Progress
 	Summary  *Summary // nil to leave it.
-	Forget   []job.ID // Jobs whose rows are deleted.
+	Forget   []job.ID // Jobs whose progress is deleted; their requests were dropped before.
 	Release  bool     // Give the lease back.
 }
 
 // Limits of one batch, so that its transaction stays under the store's 100 entries and 1 MB.
 const (
 	MaxBatchRows  = 80
-	MaxForget     = 5     // Three rows each.
+	MaxForget     = 15
 	MaxBatchTasks = 15000 // About 45 bytes each.
 )
 
@@ -159,9 +159,7 @@
 		}
 	}
 	for _, id := range b.Forget {
-		for _, key := range []store.Key{t.ledger.key(tableJobs, string(id)), t.ledger.key(tableJobs, string(id)+cancelSuffix), t.ledger.key(tableProgress, string(id))} {
-			tx.Deletes = append(tx.Deletes, key)
-		}
+		tx.Deletes = append(tx.Deletes, t.ledger.key(tableProgress, string(id)))
 	}
 	return tx, nil
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -5,9 +5,12 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
+	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 	"github.com/pulleyring/pulleyring/internal/job"
@@ -35,6 +38,25 @@
 	return store.Key{Table: table, Part: l.Shard, Name: name}
 }
 
+// requestParts is the number of parts that requests are spread over: a part works off one transaction after the other,
+// and when the store is slow one part takes only three or four a second.
+const requestParts = 8
+
+// requestPart is the part of the store with a job's request and cancellation.
+func (l *Ledger) requestPart(id job.ID) string {
+	return l.partOf(int(xxhash.Sum64String(string(id)) % requestParts))
+}
+
+func (l *Ledger) partOf(n int) string { return l.Shard + "/" + strconv.Itoa(n) }
+
+func (l *Ledger) requestKey(id job.ID) store.Key {
+	return store.Key{Table: tableJobs, Part: l.requestPart(id), Name: string(id)}
+}
+
+func (l *Ledger) cancelKey(id job.ID) store.Key {
+	return store.Key{Table: tableJobs, Part: l.requestPart(id), Name: string(id) + cancelSuffix}
+}
+
 // ErrCancelled says that a job was cancelled before its request was written; the request never will be.
 var ErrCancelled = errors.New("ledger: cancelled before it was accepted")
 
@@ -47,7 +69,7 @@
 	if err != nil {
 		return errors.Wrap(err, "ledger: unable to encode a request")
 	}
-	request, cancel := l.key(tableJobs, string(r.ID)), l.key(tableJobs, string(r.ID)+cancelSuffix)
+	request, cancel := l.requestKey(r.ID), l.cancelKey(r.ID)
 	_, err = l.Store.Commit(ctx, &store.Transaction{
 		Conditions: []store.Condition{{Key: request}, {Key: cancel}},
 		Writes:     []store.Row{{Key: request, Value: raw}},
@@ -75,35 +97,36 @@
 
 // Cancel notes that a job is cancelled, whether it is known or not, so that a request still under way can't become one.
 func (l *Ledger) Cancel(ctx context.Context, id job.ID) error {
-	row := store.Row{Key: l.key(tableJobs, string(id)+cancelSuffix), Value: []byte{1}}
+	row := store.Row{Key: l.cancelKey(id), Value: []byte{1}}
 	_, err := l.Store.Commit(ctx, &store.Transaction{Writes: []store.Row{row}})
 	return err
 }
 
 // Request returns a job's request, nil where there is none.
 func (l *Ledger) Request(ctx context.Context, id job.ID) (*job.Request, error) {
-	page, err := l.readOne(ctx, tableJobs, string(id))
+	page, err := l.readOne(ctx, l.requestKey(id))
 	if err != nil || len(page.Rows) == 0 {
 		return nil, err
 	}
 	return decodeRequest(page.Rows[0].Value)
 }
 
-// State returns the state that a job's scheduler committed last; Queued where it committed none yet.
-func (l *Ledger) State(ctx context.Context, id job.ID) (job.State, error) {
-	page, err := l.readOne(ctx, tableProgress, string(id))
+// State returns the state that a job's scheduler committed last, false where there is none: the job is queued, or there is
+// no such job.
+func (l *Ledger) State(ctx context.Context, id job.ID) (job.State, bool, error) {
+	page, err := l.readOne(ctx, l.key(tableProgress, string(id)))
 	if err != nil || len(page.Rows) == 0 {
-		return job.Queued, err
+		return job.Queued, false, err
 	}
 	p, err := decodeProgress(page.Rows[0].Value)
 	if err != nil {
-		return job.Queued, err
+		return job.Queued, false, err
 	}
-	return p.State, nil
+	return p.State, true, nil
 }
 
-func (l *Ledger) readOne(ctx context.Context, table, name string) (store.Page, error) {
-	return l.Store.Read(ctx, store.Range{Table: table, Part: l.Shard, From: name, To: name + "\x00", Limit: 1})
+func (l *Ledger) readOne(ctx context.Context, k store.Key) (store.Page, error) {
+	return l.Store.Read(ctx, store.Range{Table: k.Table, Part: k.Part, From: k.Name, To: k.Name + "\x00", Limit: 1})
 }
 
 // Summary is what the scheduler tells the other boxes of the queues.
@@ -115,7 +138,7 @@
 // Summary reads the newest summary.
 func (l *Ledger) Summary(ctx context.Context) (*Summary, error) {
 	s := &Summary{}
-	page, err := l.readOne(ctx, tableSummary, l.Shard)
+	page, err := l.readOne(ctx, l.key(tableSummary, l.Shard))
 	if err != nil || len(page.Rows) == 0 {
 		return s, err
 	}
@@ -135,13 +158,44 @@
 	Version int64
 }
 
-// Jobs reads all requests and cancellations.
+// Jobs reads all requests and cancellations. A feed from the version that it returns misses nothing.
 func (l *Ledger) Jobs(ctx context.Context) (Changes, error) {
-	page, err := store.ReadAll(ctx, l.Store, store.Range{Table: tableJobs, Part: l.Shard})
-	if err != nil {
-		return Changes{}, err
+	var pages [requestParts]store.Page
+	var failed [requestParts]error
+	var group sync.WaitGroup
+	for n := range requestParts {
+		group.Go(func() {
+			pages[n], failed[n] = store.ReadAll(ctx, l.Store, store.Range{Table: tableJobs, Part: l.partOf(n)})
+		})
 	}
-	return l.changes(page)
+	group.Wait()
+	all := store.Page{Version: pages[0].Version}
+	for n := range pages {
+		if failed[n] != nil {
+			return Changes{}, failed[n]
+		}
+		all.Version = min(all.Version, pages[n].Version)
+		all.Rows = append(all.Rows, pages[n].Rows...)
+	}
+	return l.changes(all)
+}
+
+// Drop deletes the requests and cancellations of jobs that need not be shown any more.
+func (l *Ledger) Drop(ctx context.Context, ids []job.ID) error {
+	byPart := map[string]*store.Transaction{}
+	for _, id := range ids {
+		part := l.requestPart(id)
+		if byPart[part] == nil {
+			byPart[part] = &store.Transaction{}
+		}
+		byPart[part].Deletes = append(byPart[part].Deletes, l.requestKey(id), l.cancelKey(id))
+	}
+	for _, tx := range byPart {
+		if _, err := l.Store.Commit(ctx, tx); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // WatchJobs waits up to wait for requests and cancellations after a version.
@@ -157,7 +211,7 @@
 	c := Changes{Version: page.Version}
 	for i := range page.Rows {
 		row := &page.Rows[i]
-		if row.Part != l.Shard || row.Deleted {
+		if !strings.HasPrefix(row.Part, l.Shard+"/") || row.Deleted {
 			continue
 		}
 		if id, ok := strings.CutSuffix(row.Name, cancelSuffix); ok {
--- a/internal/node/accept_test.go
+++ b/internal/node/accept_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -81,6 +83,25 @@
 	})
 }
 
+func TestSlowStoreAcceptsMany(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.store.SetSlow(300 * time.Millisecond)
+		time.Sleep(2 * time.Second)
+		var group sync.WaitGroup
+		failed := make([]error, 24)
+		for i := range failed {
+			group.Go(func() {
+				time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+				_, failed[i] = handIn(w, fmt.Sprintf("box-%d", i%3+1), fmt.Sprintf("job%d", i))
+			})
+		}
+		group.Wait()
+		for i, err := range failed {
+			quicktest.Check(t, err, quicktest.IsNil, quicktest.Commentf("job %d", i))
+		}
+	})
+}
+
 func TestSlowStoreStillAccepts(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
 		w.store.SetSlow(400 * time.Millisecond)
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/entry"
 	"github.com/pulleyring/pulleyring/internal/job"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest"
@@ -32,6 +34,7 @@
 //	cancel ID
 //	state ID STATE within DURATION     wait for a state; fail where it does not come
 //	never ID STATE                     fail where the job has the state
+//	gone ID                            fail where the job is still shown
 //	starts N                           fail where more runs were started in all
 //	ends OUTCOME N                     fail where more runs ended so
 //
@@ -100,6 +103,11 @@
 		return w.await(job.ID(words[1]), words[2], words[4])
 	case "never":
 		return w.never(job.ID(words[1]), words[2])
+	case "gone":
+		if state, err := w.state(job.ID(words[1])); !errors.Is(err, entry.ErrNoJob) {
+			return fmt.Errorf("it is %s, %v", state, err)
+		}
+		return nil
 	case "starts", "ends":
 		return w.countCommand(words)
 	}
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -55,9 +55,8 @@
 	if h.changed || h.anyWaiting() && time.Since(h.lastPass) >= passEvery {
 		h.pass()
 	}
-	old := h.old()
 	pending := h.countPending()
-	if len(h.dirty) == 0 && !beat && maps.Equal(pending, h.pending) {
+	if len(h.dirty) == 0 && len(h.dropped) == 0 && !beat && maps.Equal(pending, h.pending) {
 		return nil
 	}
 	f := &flight{batch: ledger.Batch{Progress: map[job.ID]*job.Progress{}}, applied: map[*workerState]int64{}}
@@ -72,7 +71,8 @@
 		delete(h.dirty, id)
 	}
 	h.collect(f)
-	f.batch.Forget = old
+	f.batch.Forget = h.dropped
+	h.dropped = nil
 	if !maps.Equal(pending, h.pending) {
 		f.batch.Summary = &ledger.Summary{Pending: pending}
 		h.pending = pending
@@ -129,10 +129,6 @@
 	for _, r := range f.launches {
 		h.launch(r)
 	}
-	for _, id := range f.batch.Forget {
-		delete(h.jobs, id)
-		delete(h.early, id)
-	}
 	return nil
 }
 
@@ -142,6 +138,7 @@
 		h.dirty[id] = true
 	}
 	h.launches = append(f.launches, h.launches...)
+	h.dropped = append(h.dropped, f.batch.Forget...)
 	if f.batch.Summary != nil {
 		h.pending = nil
 	}
@@ -178,6 +175,33 @@
 	return pending
 }
 
+// forgetEvery is how often ended jobs are looked through for those that need not be shown any more.
+const forgetEvery = 5 * time.Second
+
+// forgetLoop drops the rows of old jobs: first the requests, so that a successor finds no request without its progress,
+// then the progress.
+func (h *shard) forgetLoop() {
+	for interval.Sleep(h.ctx, forgetEvery) {
+		h.mu.Lock()
+		old := h.old()
+		h.mu.Unlock()
+		if len(old) == 0 {
+			continue
+		}
+		if err := h.Ledger.Drop(h.ctx, old); err != nil {
+			h.Log.Warn("scheduler: unable to drop old jobs", zap.Error(err))
+			continue
+		}
+		h.mu.Lock()
+		for _, id := range old {
+			delete(h.jobs, id)
+			delete(h.early, id)
+		}
+		h.dropped = append(h.dropped, old...)
+		h.mu.Unlock()
+	}
+}
+
 // old returns a few of the jobs, and of the cancellations without a job, that need not be shown any more.
 func (h *shard) old() []job.ID {
 	oldest := time.Now().Add(-h.Bounds.Retain)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -88,6 +88,7 @@
 	learned  estimates
 	pending  map[string]int       // As last committed.
 	early    map[job.ID]time.Time // Cancellations that came without a request, by when they were seen.
+	dropped  []job.ID             // Jobs whose requests are deleted and whose progress is to be.
 	ordering sync.WaitGroup
 }
 
@@ -117,6 +118,7 @@
 		zap.Int("workers", len(h.workers)), zap.Duration("took", time.Since(began)))
 	h.ordering.Go(func() { h.followJobs(version) })
 	h.ordering.Go(func() { h.followWorkers(listing) })
+	h.ordering.Go(h.forgetLoop)
 	return h.commitLoop(ctx)
 }
 
