Leave the last idle workers to urgent work

Cause: each stop for urgent work throws work away and takes up to a second of the one or two that its goal leaves. Change: bulk work with time leaves 15% of the workers idle.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -16,6 +16,8 @@
 	index    map[string]int
 	racks    [][]int // Workers by rack, in the order of the view.
 	onWorker [][]int // Holdings by worker.
+	idle     int     // Usable workers on which nothing runs.
+	reserve  int     // Idle workers that are left to urgent work.
 	drains   int     // Gangs for which room is draining.
 	outcome  Outcome
 	stopped  map[int]bool // Holdings stopped by this decision.
@@ -86,6 +88,12 @@
 			}
 		}
 	}
+	for k := range v.Workers {
+		if b.isIdle(k) {
+			b.idle++
+		}
+	}
+	b.reserve = int(reserveShare * float64(len(v.Workers)))
 	for i := range v.Demands {
 		if !v.Demands[i].Draining {
 			b.reclaim(&v.Demands[i])
@@ -187,12 +195,34 @@
 	}
 	for _, w := range workers {
 		k := b.index[w]
+		if b.isIdle(k) {
+			b.idle--
+		}
 		b.free[k] = b.free[k].Sub(d.Step.Each)
 	}
 	b.outcome.Starts = append(b.outcome.Starts, Start{i, workers})
 	return len(workers) == len(d.Waiting)
 }
 
+// reserveShare is the share of the workers that bulk work leaves idle, so that urgent work finds room without stopping
+// anything.
+const reserveShare = 0.15
+
+// isIdle reports whether nothing runs on a worker that takes new runs, and no room on it is claimed.
+func (b *board) isIdle(k int) bool {
+	w := &b.view.Workers[k]
+	return w.Usable && b.free[k] == w.Capacity
+}
+
+// reserved reports whether a worker is left to urgent work: bulk work that still has time takes no idle worker of the last
+// few.
+func (b *board) reserved(d *Demand, k int) bool {
+	return d.Priority >= bulkPriority && b.idle <= b.reserve && b.isIdle(k) && !b.impatient(d)
+}
+
+// bulkPriority is the first priority that counts as bulk.
+const bulkPriority = 2
+
 // suits reports whether a worker may run tasks of a demand, room aside.
 func (b *board) suits(d *Demand, k int) bool {
 	w := &b.view.Workers[k]
@@ -349,6 +379,9 @@
 	}
 	workers := map[int]string{}
 	for _, k := range b.fullestFirst(d, among) {
+		if b.reserved(d, k) {
+			continue
+		}
 		for range b.copies(d, k, b.free[k]) {
 			if len(workers) == len(d.Waiting) {
 				return workers
