Take silent workers without a record as gone; keep no work waiting beside idle workers

Cause: (1) work of a crashed worker waited up to 12 s for its lease, though its record goes after 3 to 4 s. Up to three gangs had workers set aside, at eight each half of those left, and gangs wait for room in one rack. Change: (1) a worker that does not answer and whose record has been gone for 0.5 s (2.5 s after trouble with the store) is gone. (2) What drains is bounded by two fifths of the workers; after 2 s beside room for it twice over and workers less than half in use a gang is spread and bulk work takes the reserve. The log says every 5 s why a group of tasks still waits. Tests crash_recorded, idle_spread, drain_bounded, reserve_idle fail before; record_lapses_in_outage guards the outage.

--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -126,6 +126,13 @@
 	f.put(f.records[id].worker, true)
 }
 
+// Record puts a worker's record back.
+func (f *Fleet) Record(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.put(f.records[id].worker, false)
+}
+
 // Drain marks a worker's record as draining.
 func (f *Fleet) Drain(id string, leaves time.Duration) {
 	f.mu.Lock()
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -28,7 +28,7 @@
 //	submit ID QUEUE KEY [WORDS]        hand a job in: tasks N, gpu N, cpu N, work DURATION, gang, local, saves, then N (a second step)
 //	sleep DURATION
 //	kill|start|stop|freeze BOX [D]     of a box
-//	crash|cut|heal|fail|well|stick|refuse|take|forget WORKER
+//	crash|cut|heal|fail|well|stick|refuse|take|forget|record WORKER
 //	late WORKER N                      so many orders are carried out late
 //	drain WORKER DURATION
 //	store busy|silent|up|compact|deaf|slow D|lose SHARE|cut BOX|refuse BOX
@@ -266,6 +266,9 @@
 	case "forget":
 		w.fleet.Forget(id)
 		return nil
+	case "record":
+		w.fleet.Record(id)
+		return nil
 	case "cut", "heal":
 		return w.fleet.Cut(id, words[0] == "cut")
 	case "fail", "well":
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -18,7 +18,7 @@
 	onWorker [][]int // Holdings by worker.
 	idle     int     // Usable workers on which nothing runs.
 	reserve  int     // Idle workers that are left to urgent work.
-	drains   int     // Gangs for which room is draining.
+	draining int     // Tasks for which room is draining.
 	outcome  Outcome
 	stopped  map[int]bool // Holdings stopped by this decision.
 }
@@ -60,7 +60,7 @@
 	for i := range b.view.Demands {
 		if d := &b.view.Demands[i]; d.Draining {
 			b.reclaim(d)
-			b.drains++
+			b.draining += len(d.Claim)
 		}
 	}
 }
@@ -214,10 +214,10 @@
 	return w.Usable && b.free[k] == w.Capacity
 }
 
-// reserved reports whether a worker is left to urgent work: bulk work that still has time takes no idle worker of the last
-// few.
-func (b *board) reserved(d *Demand, k int) bool {
-	return d.Priority >= bulkPriority && b.idle <= b.reserve && b.isIdle(k) && !b.impatient(d)
+// keepsReserve reports whether a demand leaves the last idle workers to urgent work: bulk work does that still has time,
+// unless it has waited beside plenty of room.
+func (b *board) keepsReserve(d *Demand) bool {
+	return d.Priority >= bulkPriority && !b.impatient(d) && !b.idleTooLong(d)
 }
 
 // bulkPriority is the first priority that counts as bulk.
@@ -378,8 +378,9 @@
 		among = b.near(d.Step.DataRack)
 	}
 	workers := map[int]string{}
+	reserve := b.keepsReserve(d)
 	for _, k := range b.fullestFirst(d, among) {
-		if b.reserved(d, k) {
+		if reserve && b.idle <= b.reserve && b.isIdle(k) {
 			continue
 		}
 		for range b.copies(d, k, b.free[k]) {
@@ -429,5 +430,32 @@
 	if d.Covered {
 		return b.view.Now.Sub(d.Since) >= time.Duration(spreadAfter*float64(b.view.Policy.Reclaim))
 	}
+	if b.idleTooLong(d) {
+		return true
+	}
 	return b.view.Now.Add(time.Duration(b.view.Policy.FarFactor * float64(d.Remaining))).After(d.LastGoal)
 }
+
+// idlePatience is how long work waits for better room while there is plenty of room in all: less than the 3 s after which
+// it must not be left waiting beside idle workers (the users' rules).
+const idlePatience = 2 * time.Second
+
+func (b *board) idleTooLong(d *Demand) bool {
+	return b.view.Now.Sub(d.Since) >= idlePatience && b.roomTwice(d)
+}
+
+// roomTwice reports whether the demand's workers are less than half in use, and all racks together have room for it twice
+// over.
+func (b *board) roomTwice(d *Demand) bool {
+	room, free, all := 0, 0.0, 0.0
+	for k := range b.view.Workers {
+		w := &b.view.Workers[k]
+		if !b.suits(d, k) {
+			continue
+		}
+		room += b.copies(d, k, w.Free)
+		free += w.Free.Cores()
+		all += w.Capacity.Cores()
+	}
+	return room >= 2*len(d.Waiting) && free > all/2
+}
--- a/internal/placement/drain.go
+++ b/internal/placement/drain.go
@@ -6,16 +6,16 @@
 	"time"
 )
 
-// maxDrains bounds the gangs for which room drains at a time: what drains is idle meanwhile.
-const maxDrains = 3
+// drainShare bounds the room that drains at a time, as a share of the workers, one a task: what drains is idle meanwhile.
+const drainShare = 0.4
 
 // planDrain sets room aside for a gang that finds none, where it will come free first: nothing is stopped, but no other
 // work of its kind starts there.
 func (b *board) planDrain(i int) {
-	if b.drains >= maxDrains {
+	d := &b.view.Demands[i]
+	if b.draining > 0 && float64(b.draining+len(d.Waiting)) > drainShare*float64(len(b.view.Workers)) {
 		return
 	}
-	d := &b.view.Demands[i]
 	racks := b.racks
 	if !d.Step.RackLocal {
 		racks = [][]int{b.all()}
@@ -31,7 +31,7 @@
 	if best == nil {
 		return
 	}
-	b.drains++
+	b.draining += len(best)
 	for _, worker := range best {
 		k := b.index[worker]
 		b.free[k] = b.free[k].Sub(d.Step.Each)
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -118,6 +118,7 @@
 	if err != nil {
 		h.restore(f)
 		if !errors.Is(err, ledger.ErrReplaced) {
+			h.storeTrouble = time.Now()
 			h.Log.Warn("scheduler: unable to commit", zap.Error(err), zap.Int("rows", len(f.batch.Progress)))
 		}
 		return err
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -63,16 +63,43 @@
 		d := &view.Demands[i]
 		h.noPlan[claimKey{d.Job, d.Group}] = now.Add(planRetry)
 	}
+	h.logWaits(view, &out, now)
 	for _, s := range out.Starts {
 		h.place(&view.Demands[s.Demand], s.Workers, now)
 	}
 }
 
+// waitLogEvery is how often it is logged why a group of tasks still waits.
+const waitLogEvery = 5 * time.Second
+
+// logWaits logs why the groups that have waited for long still do, each once in a while.
+func (h *shard) logWaits(view *placement.View, out *placement.Outcome, now time.Time) {
+	started := map[int]bool{}
+	for _, s := range out.Starts {
+		started[s.Demand] = true
+	}
+	for i := range view.Demands {
+		d := &view.Demands[i]
+		key := claimKey{d.Job, d.Group}
+		if started[i] || now.Sub(d.Since) < waitLogEvery || now.Sub(h.waitLogged[key]) < waitLogEvery {
+			continue
+		}
+		h.waitLogged[key] = now
+		w := placement.Explain(view, i)
+		h.Log.Info("scheduler: waiting", zap.String("job", string(d.Job)), zap.Int("occurrence", d.Group.Occurrence),
+			zap.Int("step", d.Group.Step), zap.Duration("waited", now.Sub(d.Since)), zap.Duration("to_goal", d.Goal.Sub(now)),
+			zap.Int("tasks", w.Need), zap.Int("suitable_workers", w.Suitable), zap.Int("fit_now", w.Now),
+			zap.Int("fit_in_rack", w.Rack), zap.Int("fit_in_empty_rack", w.Empty), zap.Bool("draining", d.Draining),
+			zap.Bool("claimed", d.Claim != nil))
+	}
+}
+
 // place notes a placement; it is ordered once it is committed.
 func (h *shard) place(d *placement.Demand, workers map[int]string, now time.Time) {
 	j := h.jobs[d.Job]
 	delete(h.claims, claimKey{d.Job, d.Group})
 	delete(h.noPlan, claimKey{d.Job, d.Group})
+	delete(h.waitLogged, claimKey{d.Job, d.Group})
 	orders := j.Place(d.Group, workers)
 	racks := map[string]bool{}
 	for _, o := range orders {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -76,21 +76,23 @@
 	ctx    context.Context // Ends with the tenure.
 	wake   chan struct{}
 
-	mu        sync.Mutex
-	jobs      map[job.ID]*liveJob
-	workers   map[string]*workerState
-	dirty     map[job.ID]bool // Jobs whose progress is to be committed.
-	launches  []*run          // Placed runs to be ordered once they are committed.
-	claims    map[claimKey]claimed
-	noPlan    map[claimKey]time.Time // Until when no room is looked for.
-	changed   bool                   // Something happened that a decision may depend on.
-	lastPass  time.Time
-	learned   estimates
-	stepTimes map[claimKey]*stepTimes
-	pending   map[string]int       // As last committed.
-	early     map[job.ID]time.Time // Cancellations that came without a request, by when they were seen.
-	dropped   []job.ID             // Jobs whose requests are deleted and whose progress is to be.
-	ordering  sync.WaitGroup
+	mu           sync.Mutex
+	jobs         map[job.ID]*liveJob
+	workers      map[string]*workerState
+	dirty        map[job.ID]bool // Jobs whose progress is to be committed.
+	launches     []*run          // Placed runs to be ordered once they are committed.
+	claims       map[claimKey]claimed
+	noPlan       map[claimKey]time.Time // Until when no room is looked for.
+	waitLogged   map[claimKey]time.Time // When it was last logged why a group waits.
+	changed      bool                   // Something happened that a decision may depend on.
+	lastPass     time.Time
+	storeTrouble time.Time // When the store last failed a call.
+	learned      estimates
+	stepTimes    map[claimKey]*stepTimes
+	pending      map[string]int       // As last committed.
+	early        map[job.ID]time.Time // Cancellations that came without a request, by when they were seen.
+	dropped      []job.ID             // Jobs whose requests are deleted and whose progress is to be.
+	ordering     sync.WaitGroup
 }
 
 type liveJob struct {
@@ -106,7 +108,7 @@
 	h := &shard{
 		Scheduler: s, tenure: tenure, ctx: inner, wake: make(chan struct{}, 1),
 		jobs: map[job.ID]*liveJob{}, workers: map[string]*workerState{}, dirty: map[job.ID]bool{},
-		claims: map[claimKey]claimed{}, noPlan: map[claimKey]time.Time{}, early: map[job.ID]time.Time{}, stepTimes: map[claimKey]*stepTimes{}, learned: estimates{},
+		claims: map[claimKey]claimed{}, noPlan: map[claimKey]time.Time{}, waitLogged: map[claimKey]time.Time{}, early: map[job.ID]time.Time{}, stepTimes: map[claimKey]*stepTimes{}, storeTrouble: time.Now(), learned: estimates{},
 	}
 	defer h.ordering.Wait()
 	defer cancel()
@@ -228,7 +230,7 @@
 			changes, err = h.Ledger.Jobs(h.ctx)
 		}
 		if err != nil {
-			h.Log.Warn("scheduler: unable to follow requests", zap.Error(err))
+			h.noteStore(err, "follow requests")
 			interval.Sleep(h.ctx, retryPause)
 			continue
 		}
@@ -239,6 +241,14 @@
 	}
 }
 
+// noteStore takes in that the store failed a call.
+func (h *shard) noteStore(err error, call string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.storeTrouble = time.Now()
+	h.Log.Warn("scheduler: the store failed a call", zap.String("call", call), zap.Error(err))
+}
+
 // followWorkers takes in the workers' records as they change.
 func (h *shard) followWorkers(version int64) {
 	for h.ctx.Err() == nil {
@@ -248,7 +258,7 @@
 			listing, err = h.Directory.Workers(h.ctx)
 		}
 		if err != nil {
-			h.Log.Warn("scheduler: unable to follow workers", zap.Error(err))
+			h.noteStore(err, "follow workers")
 			interval.Sleep(h.ctx, retryPause)
 			continue
 		}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -51,7 +51,8 @@
 // workerState is a life of a worker as the scheduler knows it.
 type workerState struct {
 	fleet.Worker
-	listed       bool // Its record is in the store.
+	listed       bool      // Its record is in the store.
+	unlisted     time.Time // Since when it is not.
 	runs         map[job.Task]*run
 	used         job.Resources
 	wake         chan struct{}
@@ -141,7 +142,7 @@
 
 // newWorker adds a life of a worker. Its address may not be known: a predecessor placed runs there and its record is gone.
 func (h *shard) newWorker(id string) *workerState {
-	w := &workerState{runs: map[job.Task]*run{}, wake: make(chan struct{}, 1), lastOrder: time.Now(), failures: 1}
+	w := &workerState{runs: map[job.Task]*run{}, wake: make(chan struct{}, 1), lastOrder: time.Now(), unlisted: time.Now(), failures: 1}
 	w.ID = id
 	h.workers[id] = w
 	h.ordering.Go(func() { h.talk(w) })
@@ -153,7 +154,7 @@
 	if w == nil || !w.listed {
 		return
 	}
-	w.listed = false
+	w.listed, w.unlisted = false, time.Now()
 	h.Log.Info("scheduler: worker's record is gone", zap.String("worker", id), zap.Int("runs", len(w.runs)))
 	w.signal()
 	h.changed = true
@@ -317,6 +318,10 @@
 		h.loseWorker(w, "it has left")
 		return
 	}
+	if !w.listed && w.failures > 1 && h.recordsCount(w) {
+		h.loseWorker(w, "its record is gone and it does not answer")
+		return
+	}
 	if !w.listed && len(w.runs) == 0 {
 		h.loseWorker(w, "its record is gone")
 		return
@@ -330,6 +335,26 @@
 	}
 }
 
+const (
+	// recordGrace is how long a record must have been gone before a worker that does not answer counts as gone.
+	recordGrace = 500 * time.Millisecond
+	// recordReturn is how long after an outage of the store the records of workers that live may be missing (the pages:
+	// about two seconds).
+	recordReturn = 2500 * time.Millisecond
+	// recordLapse is how long after the begin of an outage records may go because of it: three heartbeats and some.
+	recordLapse = 10 * time.Second
+)
+
+// recordsCount reports whether the lack of a worker's record means that the worker is gone: it does unless the store was
+// in trouble lately.
+func (h *shard) recordsCount(w *workerState) bool {
+	quiet := time.Since(h.storeTrouble)
+	if quiet > recordLapse {
+		return time.Since(w.unlisted) > recordGrace
+	}
+	return quiet > recordReturn && time.Since(w.unlisted) > recordReturn
+}
+
 // leaseSurelyOver is the time after the last order by which a silent worker has ended everything.
 func (h *shard) leaseSurelyOver() time.Duration {
 	return time.Duration(float64(h.Bounds.MaxLease)*(1+clockDrift)) + h.Bounds.StopTime + answerTimeout
