--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -232,12 +232,16 @@
 	return d.Step.Label == "" || slices.Contains(w.Labels, d.Step.Label)
 }
 
-// copies is how many tasks of a demand a worker could take.
+// copies is how many of a demand's waiting tasks a worker could take.
 func (b *board) copies(d *Demand, k int, free job.Resources) int {
+	return b.copiesOf(d, k, free, len(d.Waiting))
+}
+
+// copiesOf is how many of n tasks like a demand's a worker could take.
+func (b *board) copiesOf(d *Demand, k int, free job.Resources, n int) int {
 	if !b.suits(d, k) {
 		return 0
 	}
-	n := len(d.Waiting)
 	n = atMost(n, free.MilliCPU, d.Step.Each.MilliCPU)
 	n = atMost(n, free.MemoryMB, d.Step.Each.MemoryMB)
 	n = atMost(n, free.Accelerators, d.Step.Each.Accelerators)
@@ -453,7 +457,7 @@
 		if !b.suits(d, k) {
 			continue
 		}
-		room += b.copies(d, k, w.Free)
+		room += b.copiesOf(d, k, w.Free, 2*len(d.Waiting))
 		free += w.Free.Cores()
 		all += w.Capacity.Cores()
 	}
