Serve counters and histograms; log errors without their stacks

Cause: incidents have only logs and metrics; the log of an error was ten times as long as its text. Change: internal/measure on the metrics address that deploy/system.toml names: calls of entries, of the store, passes, waits, take-overs, how runs ended. Errors are logged as text; the log's sink has a test that it never waits.

--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -61,7 +61,7 @@
 	for range signals {
 		s, err := loadPlatform(file)
 		if err != nil {
-			log.Error("cli: settings not reloaded", zap.Error(err))
+			log.Error("cli: settings not reloaded", logsink.Error(err))
 			continue
 		}
 		n.Reload(s)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,6 +10,8 @@
 	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/pulleyring/pulleyring/internal/job"
 	"github.com/pulleyring/pulleyring/internal/ledger"
+	"github.com/pulleyring/pulleyring/internal/logsink"
+	"github.com/pulleyring/pulleyring/internal/measure"
 	"github.com/pulleyring/pulleyring/internal/queue"
 	"github.com/pulleyring/pulleyring/internal/store"
 	"go.uber.org/zap"
@@ -45,6 +47,7 @@
 	Configuration func() *queue.Configuration
 	Healthy       func() bool // Whether the store answered lately.
 	Log           *zap.Logger
+	Figures       *measure.Figures // nil for none.
 
 	mu        sync.Mutex
 	known     map[job.ID]string // Workspaces of jobs that are surely in the store.
@@ -153,9 +156,10 @@
 	began := time.Now()
 	state, err := e.state(ctx, c, id)
 	if err != nil && !errors.Is(err, ErrNoJob) {
-		e.Log.Warn("entry: no state", zap.String("job", string(id)), zap.Error(err))
+		e.Log.Warn("entry: no state", zap.String("job", string(id)), logsink.Error(err))
 		err = ErrUnavailable
 	}
+	e.figure("state", began, err)
 	e.Log.Debug("entry: state", zap.String("job", string(id)), zap.Stringer("state", state), zap.Duration("took", time.Since(began)))
 	return state, err
 }
@@ -215,7 +219,7 @@
 	if s == nil || age > summaryAge {
 		var err error
 		if s, err = e.Ledger.Summary(ctx); err != nil {
-			e.Log.Warn("entry: no summary", zap.Error(err))
+			e.Log.Warn("entry: no summary", logsink.Error(err))
 			return 0, ErrUnavailable
 		}
 		e.mu.Lock()
@@ -226,6 +230,14 @@
 }
 
 func (e *Entry) logCall(what string, id job.ID, c Caller, began time.Time, err error) {
+	e.figure(what, began, err)
 	e.Log.Info("entry: "+what, zap.String("job", string(id)), zap.String("queue", c.Queue.Name),
-		zap.String("workspace", c.Workspace), zap.Duration("took", time.Since(began)), zap.Error(err))
+		zap.String("workspace", c.Workspace), zap.Duration("took", time.Since(began)), logsink.Error(err))
+}
+
+func (e *Entry) figure(what string, began time.Time, err error) {
+	e.Figures.Took("entry_"+what, time.Since(began))
+	if err != nil {
+		e.Figures.Count("entry_" + what + "_failed")
+	}
 }
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // bufferedLines bounds the lines that wait to be written, about 300 bytes each.
@@ -57,3 +59,12 @@
 	close(s.lines)
 	s.done.Wait()
 }
+
+// Error is a field with an error's text alone: zap would add the stack that the error was made at, which is no use to
+// operators and ten times as long.
+func Error(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
--- /dev/null
+++ b/internal/logsink/logsink_test.go
@@ -0,0 +1,41 @@
+package logsink
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/frankban/quicktest"
+)
+
+// gatedWriter holds every write until it is opened.
+type gatedWriter struct {
+	open chan struct{}
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (g *gatedWriter) Write(line []byte) (int, error) {
+	<-g.open
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.text.Write(line)
+}
+
+func TestWriterNeverWaitsAndDropsAreTold(t *testing.T) {
+	out := &gatedWriter{open: make(chan struct{})}
+	s := New(out)
+	for range 2 * bufferedLines {
+		n, err := s.Write([]byte("line\n"))
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, n, quicktest.Equals, 5)
+	}
+	close(out.open)
+	s.Close()
+	text := out.text.String()
+	quicktest.Assert(t, text, quicktest.Contains, "lines were dropped")
+	quicktest.Assert(t, strings.Count(text, "line\n") >= bufferedLines, quicktest.IsTrue)
+	quicktest.Assert(t, strings.Count(text, "line\n") < 2*bufferedLines, quicktest.IsTrue)
+}
--- /dev/null
+++ b/internal/measure/measure_test.go
@@ -0,0 +1,28 @@
+package measure
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+func TestFiguresAreServedAsText(t *testing.T) {
+	var f Figures
+	f.Count("submitted")
+	f.Add("submitted", 2)
+	f.Took("submit", 1500*time.Microsecond)
+	w := httptest.NewRecorder()
+	f.ServeHTTP(w, nil)
+	text := strings.Join(strings.Fields(w.Body.String()), " ")
+	quicktest.Assert(t, text, quicktest.Contains, "counter submitted count: 3")
+	quicktest.Assert(t, text, quicktest.Contains, "histogram submit_us count: 1 min: 1500")
+}
+
+func TestNilTakesNothing(_ *testing.T) {
+	var f *Figures
+	f.Count("a")
+	f.Took("a", time.Second)
+}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/pulleyring/pulleyring/internal/ledger"
+	"github.com/pulleyring/pulleyring/internal/logsink"
 	"github.com/pulleyring/pulleyring/internal/scheduler"
 	"github.com/pulleyring/pulleyring/internal/store"
 	"go.uber.org/zap"
@@ -143,16 +144,17 @@
 	tenure, err := n.ledger.Claim(ctx, n.holder, lease)
 	if err != nil {
 		if !errors.Is(err, ledger.ErrReplaced) {
-			n.log.Warn("node: unable to claim the lease", zap.Error(err))
+			n.log.Warn("node: unable to claim the lease", logsink.Error(err))
 			interval.Sleep(ctx, retryPause)
 		}
 		return
 	}
+	n.Figures.Count("leases_claimed")
 	n.log.Info("node: lease claimed", zap.Int64("epoch", tenure.Epoch()), zap.String("from", lease.Holder))
 	s := &scheduler.Scheduler{
 		Ledger: n.ledger, Directory: n.platform.Directory, Orders: n.platform.Orders, Configuration: n.Configuration,
-		Bounds: n.settings.Load().Bounds, Log: n.log,
+		Bounds: n.settings.Load().Bounds, Log: n.log, Figures: &n.Figures,
 	}
 	err = s.Run(ctx, tenure)
-	n.log.Info("node: lease over", zap.Int64("epoch", tenure.Epoch()), zap.Error(err))
+	n.log.Info("node: lease over", zap.Int64("epoch", tenure.Epoch()), logsink.Error(err))
 }
--- a/internal/node/health.go
+++ b/internal/node/health.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/logsink"
+	"github.com/pulleyring/pulleyring/internal/measure"
 	"github.com/pulleyring/pulleyring/internal/store"
 	"go.uber.org/zap"
 )
@@ -22,7 +24,8 @@
 // watchedStore passes calls on and learns from them whether the store can be reached.
 type watchedStore struct {
 	store.Store
-	log *zap.Logger
+	log     *zap.Logger
+	figures *measure.Figures
 
 	mu       sync.Mutex
 	failures int                   // In a row.
@@ -92,7 +95,9 @@
 	if failed && errors.Is(ctx.Err(), context.Canceled) {
 		return // The caller gave up; that says nothing of the store.
 	}
+	w.figures.Took("store_"+what, time.Since(*began))
 	if failed {
+		w.figures.Count("store_" + what + "_failed")
 		w.failures++
 	} else {
 		w.failures, w.answered = 0, time.Now()
@@ -100,6 +105,6 @@
 	if doubted := !w.healthy(); doubted != w.doubted {
 		w.doubted = doubted
 		w.log.Warn("node: whether the store can be reached", zap.Bool("reached", !doubted), zap.String("call", what),
-			zap.Duration("took", time.Since(*began)), zap.Int("failures", w.failures), zap.Error(err))
+			zap.Duration("took", time.Since(*began)), zap.Int("failures", w.failures), logsink.Error(err))
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,10 +10,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-chi/chi/v5"
 	"github.com/pkg/errors"
 	"github.com/pulleyring/pulleyring/internal/entry"
 	"github.com/pulleyring/pulleyring/internal/fleet"
 	"github.com/pulleyring/pulleyring/internal/ledger"
+	"github.com/pulleyring/pulleyring/internal/logsink"
+	"github.com/pulleyring/pulleyring/internal/measure"
 	"github.com/pulleyring/pulleyring/internal/queue"
 	"github.com/pulleyring/pulleyring/internal/scheduler"
 	"github.com/pulleyring/pulleyring/internal/store"
@@ -44,7 +47,8 @@
 
 // Node is one box. Make it with New.
 type Node struct {
-	Entry *entry.Entry
+	Entry   *entry.Entry
+	Figures measure.Figures
 
 	settings atomic.Pointer[Settings]
 	platform Platform
@@ -58,11 +62,12 @@
 
 // New returns a box that is not running yet.
 func New(s *Settings, p Platform, log *zap.Logger) *Node {
-	watched := &watchedStore{Store: p.Store, log: log}
-	n := &Node{platform: p, store: watched, ledger: &ledger.Ledger{Store: watched, Shard: Shard}, log: log}
+	n := &Node{platform: p, log: log}
+	watched := &watchedStore{Store: p.Store, log: log, figures: &n.Figures}
+	n.store, n.ledger = watched, &ledger.Ledger{Store: watched, Shard: Shard}
 	n.holder = s.Box + "/" + xid.New().String()
 	n.settings.Store(s)
-	n.Entry = &entry.Entry{Ledger: n.ledger, Configuration: n.Configuration, Healthy: watched.Healthy, Log: log}
+	n.Entry = &entry.Entry{Ledger: n.ledger, Configuration: n.Configuration, Healthy: watched.Healthy, Log: log, Figures: &n.Figures}
 	return n
 }
 
@@ -105,6 +110,7 @@
 	if err != nil {
 		return err
 	}
+	n.serveFigures(s.Metrics)
 	var group sync.WaitGroup
 	inner, cancel := context.WithCancel(context.Background())
 	group.Go(func() { n.Work(ctx, inner) })
@@ -135,7 +141,19 @@
 	ctx, cancel := context.WithTimeout(context.Background(), s.StopAfter-stopReserve-time.Since(began))
 	defer cancel()
 	if err := front.Shutdown(ctx); err != nil {
-		n.log.Warn("node: requests were cut", zap.Error(err))
+		n.log.Warn("node: requests were cut", logsink.Error(err))
+	}
+}
+
+// serveFigures serves counters and histograms; a box that can't does its work all the same.
+func (n *Node) serveFigures(address string) {
+	if address == "" {
+		return
+	}
+	mux := chi.NewRouter()
+	mux.Method(http.MethodGet, "/metrics", &n.Figures)
+	if _, err := serve(address, mux, n.log); err != nil {
+		n.log.Warn("node: no metrics", logsink.Error(err))
 	}
 }
 
@@ -147,7 +165,7 @@
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(log)}
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			log.Error("node: server ended", zap.Error(err))
+			log.Error("node: server ended", logsink.Error(err))
 		}
 	}()
 	return server, nil
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -9,6 +9,7 @@
 	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/pulleyring/pulleyring/internal/job"
 	"github.com/pulleyring/pulleyring/internal/ledger"
+	"github.com/pulleyring/pulleyring/internal/logsink"
 	"go.uber.org/zap"
 )
 
@@ -119,7 +120,7 @@
 		h.restore(f)
 		if !errors.Is(err, ledger.ErrReplaced) {
 			h.storeTrouble = time.Now()
-			h.Log.Warn("scheduler: unable to commit", zap.Error(err), zap.Int("rows", len(f.batch.Progress)))
+			h.Log.Warn("scheduler: unable to commit", logsink.Error(err), zap.Int("rows", len(f.batch.Progress)))
 		}
 		return err
 	}
@@ -161,7 +162,7 @@
 	}
 	h.mu.Unlock()
 	err := h.tenure.Commit(ctx, &f.batch)
-	h.Log.Info("scheduler: gave the lease back", zap.Int64("epoch", h.tenure.Epoch()), zap.Error(err))
+	h.Log.Info("scheduler: gave the lease back", zap.Int64("epoch", h.tenure.Epoch()), logsink.Error(err))
 	return err
 }
 
@@ -190,7 +191,7 @@
 			continue
 		}
 		if err := h.Ledger.Drop(h.ctx, old); err != nil {
-			h.Log.Warn("scheduler: unable to drop old jobs", zap.Error(err))
+			h.Log.Warn("scheduler: unable to drop old jobs", logsink.Error(err))
 			continue
 		}
 		h.mu.Lock()
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -44,6 +44,7 @@
 		return
 	}
 	out := placement.Decide(view)
+	h.Figures.Took("scheduler_pass", time.Since(now))
 	for _, i := range out.Stops {
 		for _, r := range holdings[i] {
 			h.stop(h.workers[r.job.workerOf(r.task)], r, "room for urgent work")
@@ -101,6 +102,8 @@
 	delete(h.noPlan, claimKey{d.Job, d.Group})
 	delete(h.waitLogged, claimKey{d.Job, d.Group})
 	orders := j.Place(d.Group, workers)
+	h.Figures.Took("scheduler_waited", now.Sub(d.Since))
+	h.Figures.Add("runs_placed", int64(len(orders)))
 	racks := map[string]bool{}
 	for _, o := range orders {
 		racks[h.workers[o.Worker].Rack] = true
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/pulleyring/pulleyring/internal/fleet"
 	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/pulleyring/pulleyring/internal/job"
+	"github.com/pulleyring/pulleyring/internal/logsink"
 	"go.uber.org/zap"
 )
 
@@ -80,7 +82,7 @@
 		return true
 	}
 	h.Log.Info("scheduler: start not taken", zap.String("task", r.task.String()), zap.Int("run", r.number),
-		zap.String("worker", w.ID), zap.Int("try", try), zap.Error(err))
+		zap.String("worker", w.ID), zap.Int("try", try), logsink.Error(err))
 	h.noteFailure(w, err, "start")
 	if _, refused := refusalOf(err); refused {
 		r.ordering = false
@@ -181,6 +183,7 @@
 		return
 	}
 	h.touch(j.Request.ID)
+	h.Figures.Count("runs_" + strings.ReplaceAll(outcome.String(), " ", "_"))
 	if outcome != job.Succeeded {
 		h.Log.Info("scheduler: run ended", zap.String("task", r.task.String()), zap.Int("run", r.number),
 			zap.String("worker", w.ID), zap.Stringer("outcome", outcome), zap.Duration("age", time.Since(r.placed)))
@@ -265,7 +268,7 @@
 			ctx, cancel := context.WithTimeout(h.ctx, answerTimeout)
 			defer cancel()
 			if _, err := h.Orders.Stop(ctx, &w.Worker, order); err != nil {
-				h.Log.Warn("scheduler: unable to stop an unknown run", zap.String("task", x.Task.String()), zap.Error(err))
+				h.Log.Warn("scheduler: unable to stop an unknown run", zap.String("task", x.Task.String()), logsink.Error(err))
 			}
 		})
 		return
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -11,6 +11,8 @@
 	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/pulleyring/pulleyring/internal/job"
 	"github.com/pulleyring/pulleyring/internal/ledger"
+	"github.com/pulleyring/pulleyring/internal/logsink"
+	"github.com/pulleyring/pulleyring/internal/measure"
 	"github.com/pulleyring/pulleyring/internal/placement"
 	"github.com/pulleyring/pulleyring/internal/queue"
 	"go.uber.org/zap"
@@ -46,6 +48,7 @@
 	Configuration func() *queue.Configuration
 	Bounds        Bounds
 	Log           *zap.Logger
+	Figures       *measure.Figures // nil for none.
 }
 
 // Timing of the scheduler itself.
@@ -117,6 +120,7 @@
 	if err != nil {
 		return err
 	}
+	s.Figures.Took("scheduler_takeover", time.Since(began))
 	s.Log.Info("scheduler: took over", zap.Int64("epoch", tenure.Epoch()), zap.Int("jobs", len(h.jobs)),
 		zap.Int("workers", len(h.workers)), zap.Duration("took", time.Since(began)))
 	h.ordering.Go(func() { h.followJobs(version) })
@@ -246,7 +250,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.storeTrouble = time.Now()
-	h.Log.Warn("scheduler: the store failed a call", zap.String("call", call), zap.Error(err))
+	h.Log.Warn("scheduler: the store failed a call", zap.String("call", call), logsink.Error(err))
 }
 
 // followWorkers takes in the workers' records as they change.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -8,6 +8,7 @@
 	"github.com/pulleyring/pulleyring/internal/fleet"
 	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/pulleyring/pulleyring/internal/job"
+	"github.com/pulleyring/pulleyring/internal/logsink"
 	"go.uber.org/zap"
 )
 
@@ -285,9 +286,10 @@
 func (h *shard) noteFailure(w *workerState, err error, order string) {
 	refusal, refused := refusalOf(err)
 	if !refused {
+		h.Figures.Count("orders_unanswered")
 		w.failures++
 		if w.failures == 1 {
-			h.Log.Warn("scheduler: worker does not answer", zap.String("worker", w.ID), zap.String("order", order), zap.Error(err))
+			h.Log.Warn("scheduler: worker does not answer", zap.String("worker", w.ID), zap.String("order", order), logsink.Error(err))
 			h.changed = true
 		}
 		return
