--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -112,6 +112,7 @@
 func (f *Fleet) Crash(id string) error {
 	return f.change(id, func(w *worker) {
 		w.dead = true
+		f.leased(w, time.Time{})
 		for _, a := range w.sorted() {
 			delete(w.runs, a.task)
 			f.ended(w, a, job.Lapsed)
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -148,6 +148,7 @@
 	}
 	if end.After(w.lease) {
 		w.lease = end
+		w.fleet.leased(w, end)
 	}
 }
 
@@ -193,6 +194,7 @@
 	if err := w.admit(o.Token); err != nil {
 		return fleet.Report{}, err
 	}
+	w.fleet.acknowledged(w, o.Acknowledged)
 	if o.Lease > 0 {
 		w.extend(o.Lease)
 	}
--- /dev/null
+++ b/internal/node/random_test.go
@@ -0,0 +1,206 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/job"
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+)
+
+// Sizes of the drawn sites.
+const (
+	drawnBoxes   = 3
+	drawnWorkers = 8
+	// settleWithin is how long every job may take to end once all faults are over: the longest lease, some runs, and
+	// waiting for room.
+	settleWithin = 3 * time.Minute
+)
+
+// TestRandomFaults plays drawn scripts of jobs and faults: whatever comes in whatever order, no task runs twice, nothing
+// runs that nobody handed in, and every accepted job ends.
+func TestRandomFaults(t *testing.T) {
+	for i := range 8 {
+		t.Run(fmt.Sprint(i), func(t *testing.T) {
+			t.Parallel()
+			rapid.Check(t, func(r *rapid.T) {
+				lines := drawFaults(r, i)
+				var failed error
+				synctest.Test(t, func(*testing.T) { failed = playLines(lines) })
+				if failed != nil {
+					r.Fatalf("%v\n%s", failed, strings.Join(lines, "\n"))
+				}
+			})
+		})
+	}
+}
+
+// playLines plays a drawn script and waits for every accepted job to end.
+func playLines(lines []string) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := newWorld(ctx, 1, zap.NewNop())
+	defer func() {
+		cancel()
+		w.group.Wait()
+	}()
+	for _, line := range lines {
+		err := w.command(strings.Fields(line))
+		if err != nil && !strings.HasPrefix(line, "submit") && !strings.HasPrefix(line, "cancel") {
+			return errors.WithMessage(err, line) // A call that fails in a fault is no failure.
+		}
+	}
+	end := time.Now().Add(settleWithin)
+	for id := range w.accepted {
+		for {
+			state, err := w.state(id)
+			if err == nil && state.Final() {
+				break
+			}
+			if time.Now().After(end) {
+				return errors.Errorf("job %s never ended: %s, %v", id, state, err)
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+	}
+	time.Sleep(testMaxLease)
+	if broken := w.broken(); len(broken) > 0 {
+		return errors.Errorf("broken: %v", broken)
+	}
+	for id := range w.accepted {
+		if state, err := w.state(id); err == nil && state == job.Failed {
+			return errors.Errorf("job %s failed without a cause", id)
+		}
+	}
+	return nil
+}
+
+// script is a script that is being drawn.
+type script struct {
+	*rapid.T
+	lines  []string
+	jobs   int
+	killed map[string]bool
+	gone   map[string]bool // Workers that crashed.
+}
+
+func drawFaults(r *rapid.T, shard int) []string {
+	s := &script{T: r, lines: []string{fmt.Sprintf("boxes %d", drawnBoxes), fmt.Sprintf("workers %d rack 4", drawnWorkers)}, killed: map[string]bool{}, gone: map[string]bool{}}
+	for range shard { // The same seed gives other cases where some numbers are drawn before.
+		_ = rapid.Uint64().Draw(r, "skipped")
+	}
+	for range rapid.IntRange(4, 16).Draw(r, "steps") {
+		s.step()
+	}
+	s.heal()
+	return s.lines
+}
+
+func (s *script) add(format string, args ...any) {
+	s.lines = append(s.lines, fmt.Sprintf(format, args...))
+}
+
+func (s *script) worker() string {
+	return fmt.Sprintf("w%d", rapid.IntRange(1, drawnWorkers).Draw(s.T, "worker"))
+}
+
+func (s *script) box() string {
+	return rapid.SampledFrom([]string{"box-1", "box-2", "box-3"}).Draw(s.T, "box")
+}
+
+func (s *script) step() {
+	switch rapid.SampledFrom([]string{"job", "job", "job", "sleep", "sleep", "worker", "box", "store", "cancel"}).Draw(s.T, "step") {
+	case "job":
+		s.job()
+	case "sleep":
+		s.add("sleep %dms", rapid.IntRange(1, 6000).Draw(s.T, "ms"))
+	case "worker":
+		s.workerFault()
+	case "box":
+		s.boxFault()
+	case "store":
+		s.add("store %s", rapid.SampledFrom([]string{
+			"busy", "silent", "up", "up", "compact", "deaf", "slow 300ms", "lose 0.4", "cut box-1", "refuse box-2", "cut holder",
+		}).Draw(s.T, "store"))
+	case "cancel":
+		if s.jobs > 0 {
+			s.add("cancel j%d", rapid.IntRange(1, s.jobs).Draw(s.T, "job"))
+		}
+	}
+}
+
+func (s *script) job() {
+	s.jobs++
+	queue := rapid.SampledFrom([]string{"urgent", "normal", "bulk"}).Draw(s.T, "queue")
+	key := rapid.SampledFrom([]string{"desk-key", "court-key"}).Draw(s.T, "key")
+	words := []string{fmt.Sprintf("submit j%d %s %s tasks %d gpu %d work %dms", s.jobs, queue, key,
+		rapid.IntRange(1, 4).Draw(s.T, "tasks"), rapid.SampledFrom([]int{1, 2, 4, 8}).Draw(s.T, "gpu"), rapid.IntRange(1, 9000).Draw(s.T, "work"))}
+	for _, option := range []string{"gang", "local", "saves", "then 2"} {
+		if rapid.Bool().Draw(s.T, option) {
+			words = append(words, option)
+		}
+	}
+	s.add("%s", strings.Join(words, " "))
+}
+
+func (s *script) workerFault() {
+	w := s.worker()
+	if s.gone[w] {
+		return
+	}
+	switch fault := rapid.SampledFrom([]string{"crash", "cut", "heal", "stick", "refuse", "take", "late", "forget", "record"}).Draw(s.T, "fault"); fault {
+	case "crash":
+		if len(s.gone) < drawnWorkers/4 {
+			s.gone[w] = true
+			s.add("crash %s", w)
+			s.add("forget %s", w)
+		}
+	case "late":
+		s.add("late %s %d", w, rapid.IntRange(1, 4).Draw(s.T, "orders"))
+	case "forget":
+		// A worker that lives loses its record only with the store; it may not be cut off as well.
+		s.add("heal %s", w)
+		s.add("forget %s", w)
+		s.add("sleep 500ms")
+		s.add("record %s", w)
+	default:
+		s.add("%s %s", fault, w)
+	}
+}
+
+func (s *script) boxFault() {
+	b := s.box()
+	switch rapid.SampledFrom([]string{"kill", "stop", "freeze", "freeze holder"}).Draw(s.T, "fault") {
+	case "kill":
+		s.add("kill %s", b)
+		s.add("start %s", b)
+	case "stop":
+		s.add("stop %s", b)
+		s.add("kill %s", b)
+		s.add("start %s", b)
+	case "freeze":
+		s.add("freeze %s %dms", b, rapid.IntRange(1, 6000).Draw(s.T, "ms"))
+	case "freeze holder":
+		s.add("store up")
+		s.add("freeze holder %dms", rapid.IntRange(1, 6000).Draw(s.T, "ms"))
+	}
+}
+
+// heal ends every fault.
+func (s *script) heal() {
+	s.add("store up")
+	for i := 1; i <= drawnWorkers; i++ {
+		w := fmt.Sprintf("w%d", i)
+		if s.gone[w] {
+			continue
+		}
+		for _, end := range []string{"heal", "take", "unstick", "record"} {
+			s.add("%s %s", end, w)
+		}
+	}
+}
