Look for a run whose start is outdated; look less often; give orders to copies of records

Also read on the way: orders read a worker's record while a new one is written, and looks without a wait followed each other without a pause while a stop was under way. Change: an outdated start is settled by a later look; any other refusal of a second try leaves the first one open, so the run is stopped.

--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -159,6 +159,9 @@
 // Late lets the next n orders to a worker go unanswered and be carried out late.
 func (f *Fleet) Late(id string, n int) error { return f.change(id, func(w *worker) { w.late = n }) }
 
+// Mute lets the next n orders to a worker be carried out without an answer.
+func (f *Fleet) Mute(id string, n int) error { return f.change(id, func(w *worker) { w.mute = n }) }
+
 // Refuse makes a worker refuse starts, or take them again.
 func (f *Fleet) Refuse(id string, refuse bool) error {
 	return f.change(id, func(w *worker) { w.refuse = refuse })
@@ -211,6 +214,10 @@
 	}
 	err = do(w)
 	clock := w.clock()
+	if w.mute > 0 {
+		w.mute--
+		err = fleet.ErrNoAnswer
+	}
 	w.mu.Unlock()
 	if err == fleet.ErrNoAnswer {
 		<-ctx.Done()
@@ -238,6 +245,10 @@
 	if err != nil {
 		return fleet.Report{}, err
 	}
+	if w.muted() {
+		<-ctx.Done()
+		return fleet.Report{}, fleet.ErrNoAnswer
+	}
 	over, stop := interval.After(o.Wait)
 	defer stop()
 	for first := true; ; first = false {
@@ -264,6 +275,17 @@
 	}
 }
 
+// muted reports whether a look gets no answer, and counts it.
+func (w *worker) muted() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.mute == 0 {
+		return false
+	}
+	w.mute--
+	return true
+}
+
 // Workers implements scheduler.Directory.
 func (v *View) Workers(ctx context.Context) (scheduler.Listing, error) {
 	if !v.gate.pass(ctx) || !interval.Sleep(ctx, storeLatency) {
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -31,6 +31,7 @@
 	stuck  bool // Nothing makes progress.
 	late   int  // So many orders get no answer and are carried out late.
 	refuse bool // Takes no starts.
+	mute   int  // So many orders are carried out at once and get no answer.
 }
 
 // activity is a run on a worker.
--- a/internal/node/random_test.go
+++ b/internal/node/random_test.go
@@ -153,15 +153,15 @@
 	if s.gone[w] {
 		return
 	}
-	switch fault := rapid.SampledFrom([]string{"crash", "cut", "heal", "stick", "refuse", "take", "late", "forget", "record"}).Draw(s.T, "fault"); fault {
+	switch fault := rapid.SampledFrom([]string{"crash", "cut", "heal", "stick", "refuse", "take", "late", "mute", "forget", "record"}).Draw(s.T, "fault"); fault {
 	case "crash":
 		if len(s.gone) < drawnWorkers/4 {
 			s.gone[w] = true
 			s.add("crash %s", w)
 			s.add("forget %s", w)
 		}
-	case "late":
-		s.add("late %s %d", w, rapid.IntRange(1, 4).Draw(s.T, "orders"))
+	case "late", "mute":
+		s.add("%s %s %d", fault, w, rapid.IntRange(1, 4).Draw(s.T, "orders"))
 	case "forget":
 		// A worker that lives loses its record only with the store; it may not be cut off as well.
 		s.add("heal %s", w)
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -30,6 +30,7 @@
 //	kill|start|stop|freeze BOX [D]     of a box
 //	crash|cut|heal|fail|well|stick|unstick|refuse|take|forget|record WORKER
 //	late WORKER N                      so many orders are carried out late
+//	mute WORKER N                      so many orders are carried out without an answer
 //	drain WORKER DURATION
 //	store busy|silent|up|compact|deaf|slow D|lose SHARE|cut BOX|refuse BOX
 //	cancel ID
@@ -278,11 +279,14 @@
 		return w.fleet.Stick(id, words[0] == "stick")
 	case "refuse", "take":
 		return w.fleet.Refuse(id, words[0] == "refuse")
-	case "late":
+	case "late", "mute":
 		n, err := strconv.Atoi(words[2])
 		if err != nil {
 			return err
 		}
+		if words[0] == "mute" {
+			return w.fleet.Mute(id, n)
+		}
 		return w.fleet.Late(id, n)
 	case "drain":
 		d, err := time.ParseDuration(words[2])
--- /dev/null
+++ b/internal/placement/layout.go
@@ -0,0 +1,192 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/pulleyring/pulleyring/internal/job"
+)
+
+// suits reports whether a worker may run tasks of a demand, room aside.
+func (b *board) suits(d *Demand, k int) bool {
+	w := &b.view.Workers[k]
+	if !w.Usable || w.Service != d.Service || d.Avoid[w.ID] {
+		return false
+	}
+	return d.Step.Label == "" || slices.Contains(w.Labels, d.Step.Label)
+}
+
+// copies is how many of a demand's waiting tasks a worker could take.
+func (b *board) copies(d *Demand, k int, free job.Resources) int {
+	return b.copiesOf(d, k, free, len(d.Waiting))
+}
+
+// copiesOf is how many of n tasks like a demand's a worker could take.
+func (b *board) copiesOf(d *Demand, k int, free job.Resources, n int) int {
+	if !b.suits(d, k) {
+		return 0
+	}
+	n = atMost(n, free.MilliCPU, d.Step.Each.MilliCPU)
+	n = atMost(n, free.MemoryMB, d.Step.Each.MemoryMB)
+	n = atMost(n, free.Accelerators, d.Step.Each.Accelerators)
+	if d.Step.MostPerWorker > 0 {
+		n = min(n, d.Step.MostPerWorker-d.Placed[b.view.Workers[k].ID])
+	}
+	return max(n, 0)
+}
+
+func atMost(n int, free, each int64) int {
+	if each <= 0 {
+		return n
+	}
+	return min(n, int(max(free, 0)/each))
+}
+
+// layGang finds room for a whole gang: in the fullest rack that takes it, or over racks where that costs nothing or can't
+// be helped.
+func (b *board) layGang(d *Demand) map[int]string {
+	if !d.Step.RackLocal {
+		return b.spread(d, b.all(), len(d.Waiting))
+	}
+	var best map[int]string
+	bestSlow, bestFree := 0, int64(0)
+	for _, rack := range b.racks {
+		workers := b.spread(d, rack, len(d.Waiting))
+		if workers == nil {
+			continue
+		}
+		slow, free := b.slowest(workers), b.rackFree(rack)
+		if best == nil || slow < bestSlow || slow == bestSlow && free < bestFree {
+			best, bestSlow, bestFree = workers, slow, free
+		}
+	}
+	if best == nil && (b.mustSpread(d) || !b.anyRackCould(d)) {
+		return b.spread(d, b.all(), len(d.Waiting))
+	}
+	return best
+}
+
+// slowest is the slowness of the slowest worker of a layout, on which the whole gang waits.
+func (b *board) slowest(workers map[int]string) int {
+	level := 0
+	for _, w := range workers {
+		level = max(level, b.slowLevel(b.index[w]))
+	}
+	return level
+}
+
+func (b *board) all() []int {
+	all := make([]int, len(b.view.Workers))
+	for i := range all {
+		all[i] = i
+	}
+	return all
+}
+
+// anyRackCould reports whether a rack could hold the gang if it were empty.
+func (b *board) anyRackCould(d *Demand) bool {
+	for _, rack := range b.racks {
+		room := 0
+		for _, k := range rack {
+			room += b.copies(d, k, b.view.Workers[k].Capacity)
+		}
+		if room >= len(d.Waiting) {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *board) rackFree(rack []int) int64 {
+	sum := int64(0)
+	for _, k := range rack {
+		if b.view.Workers[k].Usable {
+			sum += b.free[k].Accelerators
+		}
+	}
+	return sum
+}
+
+// spread lays need tasks onto some of the workers, the fullest that fit first; nil where they don't all fit.
+func (b *board) spread(d *Demand, among []int, need int) map[int]string {
+	order := b.fullestFirst(d, among)
+	workers := map[int]string{}
+	for _, k := range order {
+		for range b.copies(d, k, b.free[k]) {
+			if len(workers) == need {
+				break
+			}
+			workers[d.Waiting[len(workers)]] = b.view.Workers[k].ID
+		}
+	}
+	if len(workers) < need {
+		return nil
+	}
+	return workers
+}
+
+// verySlowAt is how many times slower than others a worker must be to be shunned: work there is late. Lesser differences
+// are not worth the packing that shunning costs (tried: a third of the workers takes 1.3 times as long).
+const verySlowAt = 2
+
+// slowLevel is 1 for a worker that is to be shunned for its slowness.
+func (b *board) slowLevel(k int) int {
+	if b.view.Workers[k].Slowness >= verySlowAt {
+		return 1
+	}
+	return 0
+}
+
+// fullestFirst orders workers that fit at least one task: trusted ones first, then all but very slow ones, then those with the least
+// room left.
+func (b *board) fullestFirst(d *Demand, among []int) []int {
+	var order []int
+	for _, k := range among {
+		if b.copies(d, k, b.free[k]) > 0 {
+			order = append(order, k)
+		}
+	}
+	slices.SortStableFunc(order, func(x, y int) int {
+		return cmp.Or(
+			cmp.Compare(b.view.Workers[x].Doubt, b.view.Workers[y].Doubt),
+			cmp.Compare(b.slowLevel(x), b.slowLevel(y)),
+			cmp.Compare(b.free[x].Cores(), b.free[y].Cores()),
+			cmp.Compare(b.view.Workers[x].ID, b.view.Workers[y].ID))
+	})
+	return order
+}
+
+// nearPatience is how long, as a share of the time to its goal, a task waits for room near its data.
+const nearPatience = 0.25
+
+// laySingles lays as many tasks as fit, near their data where they have any.
+func (b *board) laySingles(d *Demand) map[int]string {
+	among := b.all()
+	if d.Step.DataRack != "" && b.view.Now.Sub(d.Since) < time.Duration(nearPatience*float64(d.Goal.Sub(d.Since))) {
+		among = b.near(d.Step.DataRack)
+	}
+	workers := map[int]string{}
+	reserve := b.keepsReserve(d)
+	for _, k := range b.fullestFirst(d, among) {
+		if reserve && b.idle <= b.reserve && b.isIdle(k) {
+			continue
+		}
+		for range b.copies(d, k, b.free[k]) {
+			if len(workers) == len(d.Waiting) {
+				return workers
+			}
+			workers[d.Waiting[len(workers)]] = b.view.Workers[k].ID
+		}
+	}
+	return workers
+}
+
+func (b *board) near(rack string) []int {
+	for _, workers := range b.racks {
+		if b.view.Workers[workers[0]].Rack == rack {
+			return workers
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/placement/patience.go
@@ -0,0 +1,61 @@
+package placement
+
+import "time"
+
+// lastMoment is how long before the last start that is in time a demand has work of lower priority stopped for it, with
+// what the stop itself takes.
+const lastMoment = 2 * time.Second
+
+// runSlack is how much longer than expected a run is taken to last when its last start in time is reckoned: declared and
+// learned run times are off by about that.
+const runSlack = 1.25
+
+// impatient reports whether work is to be stopped for a demand now. Urgent work does not wait at all, as a stop takes long
+// against its time to the goal; other work waits for room to come free for as long as it can.
+func (b *board) impatient(d *Demand) bool {
+	if d.Priority == 0 {
+		return true
+	}
+	_, goal := b.stake(d)
+	last := goal.Add(-time.Duration(runSlack * float64(d.Remaining)))
+	return b.view.Now.Add(b.view.Policy.StopTime + lastMoment).After(last)
+}
+
+// spreadAfter is the share of the time within which guaranteed work must have begun that it waits for room in one rack.
+const spreadAfter = 0.55
+
+// mustSpread reports whether a gang is to run slowly over several racks rather than wait for one: guaranteed work when the
+// time within which it must begin runs out, other work when it is its last chance to earn anything.
+func (b *board) mustSpread(d *Demand) bool {
+	if d.Covered {
+		return b.view.Now.Sub(d.Since) >= time.Duration(spreadAfter*float64(b.view.Policy.Reclaim))
+	}
+	if b.idleTooLong(d) {
+		return true
+	}
+	return b.view.Now.Add(time.Duration(b.view.Policy.FarFactor * float64(d.Remaining))).After(d.LastGoal)
+}
+
+// idlePatience is how long work waits for better room while there is plenty of room in all: less than the 3 s after which
+// it must not be left waiting beside idle workers (the users' rules).
+const idlePatience = 2 * time.Second
+
+func (b *board) idleTooLong(d *Demand) bool {
+	return b.view.Now.Sub(d.Since) >= idlePatience && b.roomTwice(d)
+}
+
+// roomTwice reports whether the demand's workers are less than half in use, and all racks together have room for it twice
+// over.
+func (b *board) roomTwice(d *Demand) bool {
+	room, free, all := 0, 0.0, 0.0
+	for k := range b.view.Workers {
+		w := &b.view.Workers[k]
+		if !b.suits(d, k) {
+			continue
+		}
+		room += b.copiesOf(d, k, w.Free, 2*len(d.Waiting))
+		free += w.Free.Cores()
+		all += w.Capacity.Cores()
+	}
+	return room >= 2*len(d.Waiting) && free > all/2
+}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -37,12 +37,12 @@
 // start sends the start of a run and takes in the answer.
 func (h *shard) start(w *workerState, r *run) {
 	for try := 1; ; try++ {
-		order := h.nextStart(w, r)
+		order, target := h.nextStart(w, r)
 		if order == nil {
 			return
 		}
 		ctx, cancel := context.WithTimeout(h.ctx, answerTimeout)
-		clock, err := h.Orders.Start(ctx, &w.Worker, order)
+		clock, err := h.Orders.Start(ctx, &target, order)
 		cancel()
 		if h.ctx.Err() != nil {
 			return
@@ -54,12 +54,12 @@
 }
 
 // nextStart is the order to send, nil once the run is not to start any more.
-func (h *shard) nextStart(w *workerState, r *run) *fleet.Start {
+func (h *shard) nextStart(w *workerState, r *run) (*fleet.Start, fleet.Worker) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if w.runs[r.task] != r || r.stopping {
 		r.ordering = false
-		return nil
+		return nil, fleet.Worker{}
 	}
 	w.lastOrder = time.Now()
 	return &fleet.Start{
@@ -67,7 +67,7 @@
 		Payload: r.job.Request.Payload,
 		Lease:   w.now() + h.Bounds.MaxLease.Milliseconds(),
 		Token:   h.tenure.Epoch(),
-	}
+	}, w.Worker
 }
 
 // started takes in the answer to a start and reports whether the matter is settled.
@@ -84,14 +84,22 @@
 	h.Log.Info("scheduler: start not taken", zap.String("task", r.task.String()), zap.Int("run", r.number),
 		zap.String("worker", w.ID), zap.Int("try", try), logsink.Error(err))
 	h.noteFailure(w, err, "start")
-	if _, refused := refusalOf(err); refused {
+	refusal, refused := refusalOf(err)
+	switch {
+	case refused && refusal == fleet.Outdated:
+		// The run has ended there, or was stopped before it came: a look will tell which, and it can't start any more.
+		r.ordering = false
+		r.stopKnown = time.Now()
+		w.signal()
+		return true
+	case refused && try == 1:
 		r.ordering = false
 		h.refused(w, r)
 		return true
-	}
-	if try < startTries && !w.Draining && !w.gone {
+	case !refused && try < startTries && !w.Draining && !w.gone:
 		return false
 	}
+	// An earlier try may have been carried out, or may be yet.
 	r.ordering = false
 	r.gaveUp = time.Now()
 	h.stop(w, r, "the start got no answer")
@@ -125,13 +133,13 @@
 func (h *shard) sendStop(w *workerState, r *run) {
 	for h.ctx.Err() == nil {
 		h.mu.Lock()
-		current := w.runs[r.task] == r && !w.gone
+		current, target := w.runs[r.task] == r && !w.gone, w.Worker
 		h.mu.Unlock()
 		if !current {
 			return
 		}
 		ctx, cancel := context.WithTimeout(h.ctx, answerTimeout)
-		clock, err := h.Orders.Stop(ctx, &w.Worker, &fleet.Stop{Task: r.task, Run: r.number, Token: h.tenure.Epoch()})
+		clock, err := h.Orders.Stop(ctx, &target, &fleet.Stop{Task: r.task, Run: r.number, Token: h.tenure.Epoch()})
 		cancel()
 		if h.ctx.Err() != nil {
 			return
@@ -263,11 +271,11 @@
 	r := &run{task: x.Task, number: x.Run, confirmed: time.Now(), placed: time.Now(), job: h.jobs[x.Task.Job]}
 	if r.job == nil || w.runs[x.Task] != nil {
 		h.Log.Warn("scheduler: unknown run", zap.String("task", x.Task.String()), zap.Int("run", x.Run), zap.String("worker", w.ID))
-		order := &fleet.Stop{Task: x.Task, Run: x.Run, Token: h.tenure.Epoch()}
+		order, target := &fleet.Stop{Task: x.Task, Run: x.Run, Token: h.tenure.Epoch()}, w.Worker
 		h.ordering.Go(func() {
 			ctx, cancel := context.WithTimeout(h.ctx, answerTimeout)
 			defer cancel()
-			if _, err := h.Orders.Stop(ctx, &w.Worker, order); err != nil {
+			if _, err := h.Orders.Stop(ctx, &target, order); err != nil {
 				h.Log.Warn("scheduler: unable to stop an unknown run", zap.String("task", x.Task.String()), logsink.Error(err))
 			}
 		})
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -19,6 +19,8 @@
 	// answerTimeout bounds the answer to an order beyond its own wait: a worker answers within a few ms, so that this is
 	// for lost packets, which come again after 200 ms and more.
 	answerTimeout = 700 * time.Millisecond
+	// settlePause is the pause between looks that wait for nothing.
+	settlePause = 30 * time.Millisecond
 	// lookRetry is the pause after a look failed; it doubles up to lookRetryMost.
 	lookRetry     = 100 * time.Millisecond
 	lookRetryMost = 800 * time.Millisecond
@@ -191,7 +193,7 @@
 func (h *shard) talk(w *workerState) {
 	pause := lookRetry
 	for h.ctx.Err() == nil {
-		look, idle, gone := h.nextLook(w)
+		look, target, idle, gone := h.nextLook(w)
 		if gone {
 			return
 		}
@@ -201,7 +203,7 @@
 		}
 		sent := time.Now()
 		ctx, cancel := context.WithTimeout(h.ctx, look.Wait+answerTimeout)
-		report, err := h.Orders.Look(ctx, &w.Worker, look)
+		report, err := h.Orders.Look(ctx, &target, look)
 		cancel()
 		if h.ctx.Err() != nil {
 			return
@@ -215,23 +217,25 @@
 		pause = lookRetry
 		if h.takeReport(w, &report, sent, look.Acknowledged) {
 			h.awaitCommit(w)
+		} else if look.Wait == 0 {
+			interval.Sleep(h.ctx, settlePause)
 		}
 	}
 }
 
 // nextLook says what to look for: nothing while the worker has no runs and nothing to forget.
-func (h *shard) nextLook(w *workerState) (look *fleet.Look, idle, gone bool) {
+func (h *shard) nextLook(w *workerState) (look *fleet.Look, target fleet.Worker, idle, gone bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.judgeSilence(w)
 	if w.gone {
-		return nil, false, true
+		return nil, target, false, true
 	}
 	if w.Address == "" {
-		return nil, true, false
+		return nil, target, true, false
 	}
 	if len(w.runs) == 0 && w.clock != 0 && w.told >= w.acknowledged && w.failures == 0 {
-		return nil, true, false
+		return nil, target, true, false
 	}
 	look = &fleet.Look{Token: h.tenure.Epoch(), Acknowledged: w.acknowledged}
 	// A silent worker's leases are not renewed: they must be surely over some time.
@@ -242,13 +246,13 @@
 			look.Wait = lookWait
 		}
 	}
-	return look, false, false
+	return look, w.Worker, false, false
 }
 
 // unsettled reports whether a run is to be looked for soon: one that was adopted, or whose start or stop is not settled.
 func (w *workerState) unsettled() bool {
 	for _, r := range w.runs {
-		if r.adopted && r.confirmed.IsZero() || !r.gaveUp.IsZero() && r.confirmed.IsZero() || !r.stopKnown.IsZero() {
+		if r.confirmed.IsZero() && (r.adopted || !r.gaveUp.IsZero() || !r.stopKnown.IsZero()) {
 			return true
 		}
 	}
