--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -37,7 +37,6 @@
 	order    []string
 	group    sync.WaitGroup
 	accepted map[job.ID]*job.Request
-	refused  map[job.ID]bool
 }
 
 // testBox is a box with the means to end it.
@@ -82,7 +81,7 @@
 	return &world{
 		ctx: ctx, store: emulator.NewStore(seed), fleet: emulator.NewFleet(ctx, testMaxLease, testGangWait), log: log,
 		config: &fixedConfiguration{current: config}, boxes: map[string]*testBox{},
-		accepted: map[job.ID]*job.Request{}, refused: map[job.ID]bool{},
+		accepted: map[job.ID]*job.Request{},
 	}
 }
 
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -14,6 +14,7 @@
 	view     *View
 	free     []job.Resources // By worker: free and not claimed by others.
 	index    map[string]int
+	everyone []int   // All workers.
 	racks    [][]int // Workers by rack, in the order of the view.
 	onWorker [][]int // Holdings by worker.
 	idle     int     // Usable workers on which nothing runs.
@@ -72,6 +73,7 @@
 		w := &v.Workers[i]
 		b.free[i] = w.Free
 		b.index[w.ID] = i
+		b.everyone = append(b.everyone, i)
 		r, ok := racks[w.Rack]
 		if !ok {
 			r = len(b.racks)
--- a/internal/placement/drain.go
+++ b/internal/placement/drain.go
@@ -18,7 +18,7 @@
 	}
 	racks := b.racks
 	if !d.Step.RackLocal {
-		racks = [][]int{b.all()}
+		racks = [][]int{b.everyone}
 	}
 	var best map[int]string
 	var soonest time.Duration
--- a/internal/placement/layout.go
+++ b/internal/placement/layout.go
@@ -47,7 +47,7 @@
 // be helped.
 func (b *board) layGang(d *Demand) map[int]string {
 	if !d.Step.RackLocal {
-		return b.spread(d, b.all(), len(d.Waiting))
+		return b.spread(d, b.everyone, len(d.Waiting))
 	}
 	var best map[int]string
 	bestSlow, bestFree := 0, int64(0)
@@ -62,7 +62,7 @@
 		}
 	}
 	if best == nil && (b.mustSpread(d) || !b.anyRackCould(d)) {
-		return b.spread(d, b.all(), len(d.Waiting))
+		return b.spread(d, b.everyone, len(d.Waiting))
 	}
 	return best
 }
@@ -76,14 +76,6 @@
 	return level
 }
 
-func (b *board) all() []int {
-	all := make([]int, len(b.view.Workers))
-	for i := range all {
-		all[i] = i
-	}
-	return all
-}
-
 // anyRackCould reports whether a rack could hold the gang if it were empty.
 func (b *board) anyRackCould(d *Demand) bool {
 	for _, rack := range b.racks {
@@ -162,7 +154,7 @@
 
 // laySingles lays as many tasks as fit, near their data where they have any.
 func (b *board) laySingles(d *Demand) map[int]string {
-	among := b.all()
+	among := b.everyone
 	if d.Step.DataRack != "" && b.view.Now.Sub(d.Since) < time.Duration(nearPatience*float64(d.Goal.Sub(d.Since))) {
 		among = b.near(d.Step.DataRack)
 	}
--- a/internal/placement/reclaim.go
+++ b/internal/placement/reclaim.go
@@ -34,7 +34,7 @@
 // bestRoom is the cheapest way to make room, in one rack where the demand must be in one and that is possible.
 func (b *board) bestRoom(d *Demand) *roomPlan {
 	if !d.Step.Gang || !d.Step.RackLocal {
-		return b.planRoom(d, b.all())
+		return b.planRoom(d, b.everyone)
 	}
 	var best *roomPlan
 	for _, rack := range b.racks {
@@ -43,7 +43,7 @@
 		}
 	}
 	if best == nil && b.mustSpread(d) {
-		best = b.planRoom(d, b.all())
+		best = b.planRoom(d, b.everyone)
 	}
 	return best
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -72,9 +72,3 @@
 	}
 	return "", false
 }
-
-// Source reads the configuration in force.
-type Source interface {
-	// Decode turns a stored text into a configuration.
-	Decode(raw []byte) (*Configuration, error)
-}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -64,8 +64,6 @@
 	// retryPause is the pause after a call to the store failed; after a commit it doubles up to retryMost.
 	retryPause = 100 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
-	// feedWait is how long a feed waits for changes.
-	feedWait = 5 * time.Second
 	// jobsQuiet is how long the feed of jobs may tell of nothing before the rows are read: a feed can be deaf for a
 	// second and more, and then end without a word.
 	jobsQuiet = 700 * time.Millisecond
