Mend the two known red tests: refusals after a lost answer, old outcomes of resubmitted gangs

Cause: (1) not_run_but_ran: a repeatable small request ran and its answer was lost (told unresolved); the caller's next submission met upstreams that refuse, and the box said not run, with a row to that effect. No row tells whether a repeatable request has run, so the box could not know. (2) contradicted: a gang was cancelled before its caller had any answer and was submitted anew; the wait for its outcome begins before its row is committed, and the look at waited-for rows, every 2 s, or a late message, handed it the outcome of the old row. Ruled out: table faults (none in the failing cases), the stand-ins. Change: a later submission of a repeatable small request is refused as unresolved; outcomes carry the number of their submission and are handed only to submissions up to it; such a gang ends as failed (it may have run).

--- a/internal/hall/settle.go
+++ b/internal/hall/settle.go
@@ -173,7 +173,7 @@
 	k.health.Forget(e.Key())
 	k.mu.Unlock()
 	k.note(e.Key(), e.Attempt, "settled: "+string(reply.Outcome))
-	k.Settled(e.Box, link.Settled{Identity: e.Identity, Reply: reply})
+	k.Settled(e.Box, link.Settled{Identity: e.Identity, Reply: reply, Round: e.Round})
 }
 
 func (k *Keeper) trySettle(ctx context.Context, e *Entry, outcome request.Outcome, answer json.RawMessage, reason string) (request.Reply, int64, error) {
--- a/internal/intake/gang.go
+++ b/internal/intake/gang.go
@@ -24,7 +24,7 @@
 	if in.tooMany(o.Submission.Workspace, loads) {
 		return in.refuse(ctx, o, "too many unfinished jobs of the workspace")
 	}
-	c, stop := in.waiters.add(o.Identity)
+	c, stop := in.waiters.add(o.Identity, o.Round)
 	defer stop()
 	reply := in.accept(ctx, o, hall)
 	if reply.Outcome != request.Accepted {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -156,7 +156,7 @@
 // Await returns the outcome of a request, or what is known of it when ctx ends.
 func (in *Intake) Await(ctx context.Context, id request.Identity) (request.Reply, error) {
 	in.init()
-	c, stop := in.waiters.add(id)
+	c, stop := in.waiters.add(id, 0)
 	defer stop()
 	reply, err := in.Ask(context.WithoutCancel(ctx), id)
 	if err != nil || reply.Outcome != request.Accepted {
@@ -208,11 +208,15 @@
 }
 
 // refuse tells a caller that a submission was not run. For a first submission it is enough that nothing was sent; a
-// later one may cross an earlier one that another box still holds, so a row must first forbid that one to run.
+// later one may cross an earlier one that another box still holds, so a row must first forbid that one to run. No row
+// forbids a repeatable small request to run, and none tells whether an earlier submission of it has run.
 func (in *Intake) refuse(ctx context.Context, o Order, reason string) request.Reply {
 	if o.Round <= 1 {
 		return notRun(reason)
 	}
+	if o.Submission.Gang == 0 && !o.Submission.AtMostOnce {
+		return unresolved(reason + "; an earlier submission may have run")
+	}
 	ctx, cancel := context.WithTimeout(ctx, refuseWithin)
 	defer cancel()
 	record := settlement.Record{
@@ -274,7 +278,7 @@
 // Deliver hands an outcome that another box settled to the callers that wait for it here.
 func (in *Intake) Deliver(s *link.Settled) {
 	s.Reply.ID = s.Identity.ID
-	in.waiters.deliver(s.Identity, s.Reply)
+	in.waiters.deliver(s.Identity, s.Round, s.Reply)
 }
 
 // poll looks at the rows of requests that are waited for, in case the word of their settlement was lost.
@@ -293,7 +297,7 @@
 		for i, row := range rows {
 			var record settlement.Record
 			if row.Version > 0 && settlement.Decode(row, &record) == nil && record.Outcome != request.Accepted {
-				in.waiters.deliver(ids[i], in.reply(ctx, &record))
+				in.waiters.deliver(ids[i], record.Round, in.reply(ctx, &record))
 			}
 		}
 		ids = ids[n:]
--- a/internal/intake/once.go
+++ b/internal/intake/once.go
@@ -191,7 +191,7 @@
 	in.note(record.Identity, "", "settled: "+string(outcome))
 	reply := record.Reply()
 	reply.Answer = answer
-	in.waiters.deliver(record.Identity, reply)
+	in.waiters.deliver(record.Identity, record.Round, reply)
 	return reply
 }
 
--- a/internal/intake/waiters.go
+++ b/internal/intake/waiters.go
@@ -10,27 +10,34 @@
 // waiters are the callers that wait for an outcome in this box.
 type waiters struct {
 	mu   sync.Mutex
-	list map[request.Identity][]chan request.Reply
+	list map[request.Identity][]waiter
 }
 
-// add returns a channel on which the outcome of a request arrives, and a function that ends the wait.
-func (w *waiters) add(id request.Identity) (<-chan request.Reply, func()) {
+// waiter is one caller that waits.
+type waiter struct {
+	round   int // Outcomes of earlier submissions of the id are not for it.
+	replies chan request.Reply
+}
+
+// add returns a channel on which the outcome of a request arrives, of that submission or a later one, and a function
+// that ends the wait.
+func (w *waiters) add(id request.Identity, round int) (<-chan request.Reply, func()) {
 	c := make(chan request.Reply, 1)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.list == nil {
-		w.list = map[request.Identity][]chan request.Reply{}
+		w.list = map[request.Identity][]waiter{}
 	}
-	w.list[id] = append(w.list[id], c)
+	w.list[id] = append(w.list[id], waiter{round, c})
 	return c, func() { w.remove(id, c) }
 }
 
 func (w *waiters) remove(id request.Identity, c chan request.Reply) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var rest []chan request.Reply
+	var rest []waiter
 	for _, o := range w.list[id] {
-		if o != c {
+		if o.replies != c {
 			rest = append(rest, o)
 		}
 	}
@@ -41,13 +48,16 @@
 	w.list[id] = rest
 }
 
-// deliver hands an outcome to everyone who waits for it.
-func (w *waiters) deliver(id request.Identity, reply request.Reply) {
+// deliver hands the outcome of a submission to everyone who waits for it.
+func (w *waiters) deliver(id request.Identity, round int, reply request.Reply) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, c := range w.list[id] {
+	for _, o := range w.list[id] {
+		if round < o.round {
+			continue
+		}
 		select {
-		case c <- reply:
+		case o.replies <- reply:
 		default: // It has one already.
 		}
 	}
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -47,6 +47,7 @@
 type Settled struct {
 	Identity request.Identity `cbor:"1,keyasint"`
 	Reply    request.Reply    `cbor:"2,keyasint"`
+	Round    int              `cbor:"3,keyasint"` // Number of the submission that was settled.
 }
 
 // Question asks the preferred box of a hall, or any box, for what only its memory holds.
--- a/internal/settlement/gang.go
+++ b/internal/settlement/gang.go
@@ -24,7 +24,7 @@
 	End     Step = "end"     // A member is lost or failed: stop the others.
 	Finish  Step = "finish"  // Every member finished: settle with the answers.
 	Again   Step = "again"   // Nothing runs any more, and the job may run again.
-	Fail    Step = "fail"    // Nothing runs any more, and it may not run again.
+	Fail    Step = "fail"    // Nothing runs any more, it ran or may have run, and it does not run again.
 	Cancel  Step = "cancel"  // Nothing ran at all, and the job was cancelled.
 	Unknown Step = "unknown" // Whether it ran can't be found out, and it may not run again.
 )
@@ -59,7 +59,7 @@
 	switch {
 	case cancelled && c.ran == 0 && c.expired == 0:
 		return Cancel
-	case cancelled && c.ran == 0:
+	case cancelled && c.ran == 0 && j.Submission.AtMostOnce:
 		return Unknown
 	case cancelled:
 		return Fail
