Call the store through another box while the own path to it is out

Cause: a box that the store turns away, or that is cut off from it, refused its clients. Change: internal/relay: boxes keep their addresses in rows; while the own path is out, reads, transactions and feeds go through another box, one hop at most; a box that fails rests for a second; the own path is tried every 300 ms. The box stays ready while any path works. The watch over the store moved there from internal/node.

--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -8,6 +8,9 @@
 
 	"github.com/pulleyring/pulleyring/internal/logsink"
 	"github.com/pulleyring/pulleyring/internal/node"
+	"github.com/pulleyring/pulleyring/internal/relay"
+	"github.com/pulleyring/pulleyring/internal/scheduler"
+	"github.com/pulleyring/pulleyring/internal/store"
 	"github.com/pulleyring/pulleyring/platform"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -43,11 +46,11 @@
 // platformParts puts the platform's adapters together. The feeds have connections of their own, so that a call never
 // waits behind one.
 func platformParts(s *node.Settings, log *zap.Logger) node.Platform {
-	st := &platform.Store{Address: s.Store, Client: platform.NewClient()}
 	return node.Platform{
-		Store:          st,
-		Configurations: &platform.Configurations{Store: st},
-		Directory:      &platform.Directory{Store: st, Log: log},
+		Store:          &platform.Store{Address: s.Store, Client: platform.NewClient()},
+		Network:        &relay.HTTP{Client: platform.NewClient()},
+		Configurations: func(st store.Store) node.Configurations { return &platform.Configurations{Store: st} },
+		Directory:      func(st store.Store) scheduler.Directory { return &platform.Directory{Store: st, Log: log} },
 		Orders:         &platform.Workers{Client: platform.NewClient()},
 		Front:          platform.Front,
 		Readiness:      platform.Readiness,
--- /dev/null
+++ b/internal/emulator/network.go
@@ -0,0 +1,123 @@
+package emulator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pulleyring/pulleyring/internal/store"
+)
+
+// Network lets boxes call the store through each other. Its zero value is ready.
+type Network struct {
+	mu    sync.Mutex
+	boxes map[string]*sharedStore
+	cut   map[string]bool // Boxes that no other box reaches, and that reach none.
+}
+
+// sharedStore is what a box passes on, behind that box's gate.
+type sharedStore struct {
+	store.Store
+	gate *Gate
+}
+
+// Serve lets other boxes call a store at an address, behind the gate of the box that serves it.
+func (n *Network) Serve(address string, s store.Store, gate *Gate) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.boxes == nil {
+		n.boxes, n.cut = map[string]*sharedStore{}, map[string]bool{}
+	}
+	n.boxes[address] = &sharedStore{s, gate}
+}
+
+// Cut parts a box from all others.
+func (n *Network) Cut(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[address] = true
+}
+
+// Heal ends all cuts.
+func (n *Network) Heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.cut)
+}
+
+// For returns the network as the box at an address sees it; it implements relay.Network.
+func (n *Network) For(address string, gate *Gate) *NetworkView { return &NetworkView{n, address, gate} }
+
+// NetworkView is the network as one box sees it.
+type NetworkView struct {
+	network *Network
+	own     string
+	gate    *Gate
+}
+
+// Peer implements relay.Network.
+func (v *NetworkView) Peer(address string) store.Store { return &link{v, address} }
+
+// link is a box's way to another one.
+type link struct {
+	view *NetworkView
+	peer string
+}
+
+// linkTimeout bounds a call through another box, as the real client does.
+const linkTimeout = 1400 * time.Millisecond
+
+// open waits until the calling box runs and the other one can be reached.
+func (l *link) open(ctx context.Context) (*sharedStore, error) {
+	if !l.view.gate.pass(ctx) {
+		return nil, store.ErrUnknown
+	}
+	n := l.view.network
+	n.mu.Lock()
+	peer, cut := n.boxes[l.peer], n.cut[l.peer] || n.cut[l.view.own]
+	n.mu.Unlock()
+	if peer == nil {
+		return nil, store.ErrRefused
+	}
+	if cut {
+		<-ctx.Done()
+		return nil, store.ErrUnknown
+	}
+	if !peer.gate.pass(ctx) {
+		return nil, store.ErrUnknown
+	}
+	return peer, nil
+}
+
+// Commit implements store.Store.
+func (l *link) Commit(ctx context.Context, tx *store.Transaction) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, linkTimeout)
+	defer cancel()
+	peer, err := l.open(ctx)
+	if err != nil {
+		return 0, err
+	}
+	return peer.Commit(ctx, tx)
+}
+
+// Read implements store.Store.
+func (l *link) Read(ctx context.Context, r store.Range) (store.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, linkTimeout)
+	defer cancel()
+	peer, err := l.open(ctx)
+	if err != nil {
+		return store.Page{}, err
+	}
+	return peer.Read(ctx, r)
+}
+
+// Watch implements store.Store.
+func (l *link) Watch(ctx context.Context, table string, since int64, wait time.Duration) (store.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+linkTimeout)
+	defer cancel()
+	peer, err := l.open(ctx)
+	if err != nil {
+		return store.Page{}, err
+	}
+	return peer.Watch(ctx, table, since, wait)
+}
--- a/internal/node/accept_test.go
+++ b/internal/node/accept_test.go
@@ -111,3 +111,37 @@
 		quicktest.Assert(t, w.boxes["box-1"].node.Ready(), quicktest.IsTrue)
 	})
 }
+
+// TestRelayedWhileTheStoreTurnsTheBoxAway: other boxes pass a box's calls on, so that it goes on serving.
+func TestRelayedWhileTheStoreTurnsTheBoxAway(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		time.Sleep(3 * time.Second) // Until the boxes know each other.
+		for i, turnAway := range []func(string){w.store.Refuse, w.store.Cut} {
+			turnAway("box-1")
+			took, err := handIn(w, "box-1", fmt.Sprint("at once ", i))
+			quicktest.Assert(t, err, quicktest.IsNil)
+			quicktest.Assert(t, took < 2500*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%v", took))
+			time.Sleep(2 * time.Second)
+			quicktest.Assert(t, w.boxes["box-1"].node.Ready(), quicktest.IsTrue)
+			took, err = handIn(w, "box-1", fmt.Sprint("later ", i))
+			quicktest.Assert(t, err, quicktest.IsNil)
+			quicktest.Assert(t, took < 50*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%v", took))
+			w.store.SetUp()
+			time.Sleep(2 * time.Second)
+		}
+	})
+}
+
+// TestNotRelayedWhileParted: a box that reaches neither the store nor another box refuses, and says so to the balancer.
+func TestNotRelayedWhileParted(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		time.Sleep(3 * time.Second)
+		w.network.Cut("box-1")
+		w.store.Refuse("box-1")
+		time.Sleep(4 * time.Second)
+		took, err := handIn(w, "box-1", "a")
+		quicktest.Assert(t, err, quicktest.ErrorIs, entry.ErrUnavailable)
+		quicktest.Assert(t, took, quicktest.Equals, time.Duration(0))
+		quicktest.Assert(t, w.boxes["box-1"].node.Ready(), quicktest.IsFalse)
+	})
+}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -38,7 +38,7 @@
 	defer group.Wait()
 	version := int64(0)
 	for ctx.Err() == nil {
-		config, at, err := n.platform.Configurations.Read(ctx)
+		config, at, err := n.configs.Read(ctx)
 		if ctx.Err() != nil {
 			return
 		}
@@ -61,9 +61,9 @@
 
 func (n *Node) watchConfiguration(ctx context.Context, version int64, changed chan<- struct{}) {
 	for ctx.Err() == nil {
-		next, err := n.platform.Configurations.Wait(ctx, version, feedWait)
+		next, err := n.configs.Wait(ctx, version, feedWait)
 		if errors.Is(err, store.ErrHistoryGone) {
-			_, next, err = n.platform.Configurations.Read(ctx)
+			_, next, err = n.configs.Read(ctx)
 		}
 		if err != nil {
 			interval.Sleep(ctx, retryPause)
@@ -152,7 +152,7 @@
 	n.Figures.Count("leases_claimed")
 	n.log.Info("node: lease claimed", zap.Int64("epoch", tenure.Epoch()), zap.String("from", lease.Holder))
 	s := &scheduler.Scheduler{
-		Ledger: n.ledger, Directory: n.platform.Directory, Orders: n.platform.Orders, Configuration: n.Configuration,
+		Ledger: n.ledger, Directory: n.platform.Directory(n.store), Orders: n.platform.Orders, Configuration: n.Configuration,
 		Bounds: n.settings.Load().Bounds, Log: n.log, Figures: &n.Figures,
 	}
 	err = s.Run(ctx, tenure)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/pulleyring/pulleyring/internal/logsink"
 	"github.com/pulleyring/pulleyring/internal/measure"
 	"github.com/pulleyring/pulleyring/internal/queue"
+	"github.com/pulleyring/pulleyring/internal/relay"
 	"github.com/pulleyring/pulleyring/internal/scheduler"
 	"github.com/pulleyring/pulleyring/internal/store"
 	"github.com/rs/xid"
@@ -37,9 +38,10 @@
 
 // Platform is what a box needs of the platform.
 type Platform struct {
-	Store          store.Store
-	Configurations Configurations
-	Directory      scheduler.Directory
+	Store          store.Store                             // Over the box's own path.
+	Network        relay.Network                           // Other boxes that pass calls to the store on; nil for none.
+	Configurations func(s store.Store) Configurations      // Read from a store.
+	Directory      func(s store.Store) scheduler.Directory // The same.
 	Orders         fleet.Orders
 	Front          func(n *Node) http.Handler // Serves clients.
 	Readiness      func(n *Node) http.Handler // Serves the balancer.
@@ -56,18 +58,25 @@
 	holder   string // The box with this start of it.
 	log      *zap.Logger
 	config   atomic.Pointer[queue.Configuration]
-	store    *watchedStore
+	relay    *relay.Store
+	store    *relay.Watched // The store over any path.
+	configs  Configurations
 	stopping atomic.Bool
 }
 
 // New returns a box that is not running yet.
 func New(s *Settings, p Platform, log *zap.Logger) *Node {
 	n := &Node{platform: p, log: log}
-	watched := &watchedStore{Store: p.Store, log: log, figures: &n.Figures}
-	n.store, n.ledger = watched, &ledger.Ledger{Store: watched, Shard: Shard}
+	n.relay = &relay.Store{
+		Direct:  relay.Watched{Store: p.Store, Path: relay.PathDirect, Log: log, Figures: &n.Figures},
+		Network: p.Network, Book: relay.Book{Box: s.Box, Address: s.Relay}, Log: log, Figures: &n.Figures,
+	}
+	n.store = &relay.Watched{Store: n.relay, Path: relay.PathAny, Log: log, Figures: &n.Figures}
+	n.ledger = &ledger.Ledger{Store: n.store, Shard: Shard}
+	n.configs = p.Configurations(n.store)
 	n.holder = s.Box + "/" + xid.New().String()
 	n.settings.Store(s)
-	n.Entry = &entry.Entry{Ledger: n.ledger, Configuration: n.Configuration, Healthy: watched.Healthy, Log: log, Figures: &n.Figures}
+	n.Entry = &entry.Entry{Ledger: n.ledger, Configuration: n.Configuration, Healthy: n.store.Healthy, Log: log, Figures: &n.Figures}
 	return n
 }
 
@@ -110,7 +119,8 @@
 	if err != nil {
 		return err
 	}
-	n.serveFigures(s.Metrics)
+	n.serveAside("metrics", s.Metrics, n.figuresHandler())
+	n.serveAside("relay", s.Relay, relay.Handler(n.relay.Shared()))
 	var group sync.WaitGroup
 	inner, cancel := context.WithCancel(context.Background())
 	group.Go(func() { n.Work(ctx, inner) })
@@ -129,6 +139,7 @@
 // gives the lease back.
 func (n *Node) Work(planned, ctx context.Context) {
 	var group sync.WaitGroup
+	group.Go(func() { n.relay.Run(ctx) })
 	group.Go(func() { n.followConfiguration(ctx) })
 	group.Go(func() { n.schedule(planned) })
 	group.Wait()
@@ -145,15 +156,20 @@
 	}
 }
 
-// serveFigures serves counters and histograms; a box that can't does its work all the same.
-func (n *Node) serveFigures(address string) {
+// figuresHandler serves counters and histograms.
+func (n *Node) figuresHandler() http.Handler {
+	mux := chi.NewRouter()
+	mux.Method(http.MethodGet, "/metrics", &n.Figures)
+	return mux
+}
+
+// serveAside serves what a box can do its work without.
+func (n *Node) serveAside(what, address string, handler http.Handler) {
 	if address == "" {
 		return
 	}
-	mux := chi.NewRouter()
-	mux.Method(http.MethodGet, "/metrics", &n.Figures)
-	if _, err := serve(address, mux, n.log); err != nil {
-		n.log.Warn("node: no metrics", logsink.Error(err))
+	if _, err := serve(address, handler, n.log); err != nil {
+		n.log.Warn("node: unable to serve", zap.String("what", what), logsink.Error(err))
 	}
 }
 
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -13,6 +13,7 @@
 	Front     string        // IP:port for clients.
 	Ready     string        // IP:port where the balancer asks whether the box is ready.
 	Metrics   string        // IP:port for counters and histograms; empty for none.
+	Relay     string        // IP:port where other boxes call the store through this one; empty for none.
 	Store     string        // IP:port of the platform's store.
 	StopAfter time.Duration // Time from SIGTERM to SIGKILL.
 	Bounds    scheduler.Bounds
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,117 @@
+package relay
+
+import (
+	"context"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pulleyring/pulleyring/internal/emulator"
+	"github.com/pulleyring/pulleyring/internal/store"
+	"go.uber.org/zap"
+)
+
+// site is boxes on the emulator that pass calls on for each other.
+type site struct {
+	store   *emulator.Store
+	network emulator.Network
+	boxes   []*Store
+}
+
+// newSite starts n boxes, box-0 and so on, and waits until they know each other.
+func newSite(ctx context.Context, n int) *site {
+	s := &site{store: emulator.NewStore(1)}
+	for i := range n {
+		name, gate := "box-"+strconv.Itoa(i), &emulator.Gate{}
+		b := &Store{
+			Direct:  Watched{Store: s.store.For(name, gate), Path: PathDirect, Log: zap.NewNop()},
+			Network: s.network.For(name, gate), Book: Book{Box: name, Address: name}, Log: zap.NewNop(),
+		}
+		s.network.Serve(name, b.Shared(), gate)
+		s.boxes = append(s.boxes, b)
+		go b.Run(ctx)
+	}
+	time.Sleep(announceFirst + time.Second)
+	return s
+}
+
+// inSite runs f in a bubble with three boxes.
+func inSite(t *testing.T, f func(ctx context.Context, t *testing.T, s *site)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		f(ctx, t, newSite(ctx, 3))
+		cancel()
+		time.Sleep(time.Minute) // What was begun ends.
+	})
+}
+
+func write(ctx context.Context, s store.Store, name string) error {
+	_, err := s.Commit(ctx, &store.Transaction{Writes: []store.Row{{Key: store.Key{Table: "t", Name: name}}}})
+	return err
+}
+
+func TestOwnPathFirstAndAgain(t *testing.T) {
+	inSite(t, func(ctx context.Context, t *testing.T, s *site) {
+		s.store.Refuse("box-0")
+		for range 5 {
+			_ = write(ctx, s.boxes[0], "a") // The first may be refused.
+		}
+		quicktest.Assert(t, s.boxes[0].Direct.Healthy(), quicktest.IsFalse)
+		quicktest.Assert(t, write(ctx, s.boxes[0], "b"), quicktest.IsNil)
+		s.store.SetUp()
+		time.Sleep(2 * probeEvery)
+		quicktest.Assert(t, s.boxes[0].Direct.Healthy(), quicktest.IsTrue)
+		s.network.Cut("box-0")
+		quicktest.Assert(t, write(ctx, s.boxes[0], "c"), quicktest.IsNil) // No other box is needed any more.
+	})
+}
+
+// TestOneHop: a box whose own path is out passes nothing on, so that calls never go round.
+func TestOneHop(t *testing.T) {
+	inSite(t, func(ctx context.Context, t *testing.T, s *site) {
+		for _, box := range []string{"box-0", "box-1", "box-2"} {
+			s.store.Refuse(box)
+		}
+		time.Sleep(time.Second)
+		for range 3 {
+			quicktest.Assert(t, write(ctx, s.boxes[0], "a"), quicktest.ErrorIs, store.ErrRefused)
+		}
+	})
+}
+
+// TestBoxesThatFailRest: calls move on to a box that passes them on, and soon take no detour.
+func TestBoxesThatFailRest(t *testing.T) {
+	inSite(t, func(ctx context.Context, t *testing.T, s *site) {
+		s.store.Refuse("box-0")
+		s.network.Cut("box-1")
+		time.Sleep(2 * time.Second)
+		slow := 0
+		for range 20 {
+			began := time.Now()
+			_ = write(ctx, s.boxes[0], "a") // Without an answer from box-1.
+			if time.Since(began) > 100*time.Millisecond {
+				slow++
+			}
+		}
+		quicktest.Assert(t, slow <= 2, quicktest.IsTrue, quicktest.Commentf("%d of 20 were slow", slow))
+		quicktest.Assert(t, write(ctx, s.boxes[0], "b"), quicktest.IsNil)
+	})
+}
+
+func TestBoxesThatAreLongGoneAreForgotten(t *testing.T) {
+	inSite(t, func(ctx context.Context, t *testing.T, s *site) {
+		old := strconv.FormatInt(time.Now().Add(-forgetAfter).UnixMilli()-1, 10)
+		for name, value := range map[string]string{"gone": "gone " + old, "odd": "no time"} {
+			key := store.Key{Table: tableBoxes, Part: partBoxes, Name: name}
+			_, err := s.boxes[0].Commit(ctx, &store.Transaction{Writes: []store.Row{{Key: key, Value: []byte(value)}}})
+			quicktest.Assert(t, err, quicktest.IsNil)
+		}
+		time.Sleep(announceEvery + time.Second)
+		page, err := s.boxes[1].Read(ctx, store.Range{Table: tableBoxes, Part: partBoxes})
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, page.Rows, quicktest.HasLen, 3)
+		quicktest.Assert(t, s.boxes[0].Book.choose(10), quicktest.HasLen, 2)
+	})
+}
--- a/internal/node/health.go
+++ b/internal/relay/watched.go
@@ -1,4 +1,4 @@
-package node
+package relay
 
 import (
 	"context"
@@ -21,11 +21,12 @@
 	silenceToDoubt = 700 * time.Millisecond
 )
 
-// watchedStore passes calls on and learns from them whether the store can be reached.
-type watchedStore struct {
+// Watched passes calls on and learns from them whether the store can be reached.
+type Watched struct {
 	store.Store
-	log     *zap.Logger
-	figures *measure.Figures
+	Path    string // What is watched, for logs and figures.
+	Log     *zap.Logger
+	Figures *measure.Figures // nil for none.
 
 	mu       sync.Mutex
 	failures int                   // In a row.
@@ -35,13 +36,13 @@
 }
 
 // Healthy reports whether a call is likely to be answered.
-func (w *watchedStore) Healthy() bool {
+func (w *Watched) Healthy() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.healthy()
 }
 
-func (w *watchedStore) healthy() bool {
+func (w *Watched) healthy() bool {
 	if w.answered.IsZero() || w.failures >= failuresToDoubt {
 		return false
 	}
@@ -60,7 +61,7 @@
 }
 
 // Commit implements store.Store.
-func (w *watchedStore) Commit(ctx context.Context, tx *store.Transaction) (int64, error) {
+func (w *Watched) Commit(ctx context.Context, tx *store.Transaction) (int64, error) {
 	done := w.begin("commit")
 	version, err := w.Store.Commit(ctx, tx)
 	done(ctx, err)
@@ -68,7 +69,7 @@
 }
 
 // Read implements store.Store.
-func (w *watchedStore) Read(ctx context.Context, r store.Range) (store.Page, error) {
+func (w *Watched) Read(ctx context.Context, r store.Range) (store.Page, error) {
 	done := w.begin("read")
 	page, err := w.Store.Read(ctx, r)
 	done(ctx, err)
@@ -76,7 +77,7 @@
 }
 
 // begin notes a call; the function it returns takes in the outcome.
-func (w *watchedStore) begin(what string) func(ctx context.Context, err error) {
+func (w *Watched) begin(what string) func(ctx context.Context, err error) {
 	began := time.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -87,7 +88,7 @@
 	return func(ctx context.Context, err error) { w.end(ctx, &began, what, err) }
 }
 
-func (w *watchedStore) end(ctx context.Context, began *time.Time, what string, err error) {
+func (w *Watched) end(ctx context.Context, began *time.Time, what string, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.underWay, began)
@@ -95,16 +96,16 @@
 	if failed && errors.Is(ctx.Err(), context.Canceled) {
 		return // The caller gave up; that says nothing of the store.
 	}
-	w.figures.Took("store_"+what, time.Since(*began))
+	w.Figures.Took(w.Path+"_"+what, time.Since(*began))
 	if failed {
-		w.figures.Count("store_" + what + "_failed")
+		w.Figures.Count(w.Path + "_" + what + "_failed")
 		w.failures++
 	} else {
 		w.failures, w.answered = 0, time.Now()
 	}
 	if doubted := !w.healthy(); doubted != w.doubted {
 		w.doubted = doubted
-		w.log.Warn("node: whether the store can be reached", zap.Bool("reached", !doubted), zap.String("call", what),
+		w.Log.Warn("relay: whether the store can be reached", zap.String("path", w.Path), zap.Bool("reached", !doubted), zap.String("call", what),
 			zap.Duration("took", time.Since(*began)), zap.Int("failures", w.failures), logsink.Error(err))
 	}
 }
