Follow the progress of runs: remaining times, runs that stand still, workers that turn slow

Cause: workers tell with each look how much of a run's work is done, in percent; the adapter passed over it. The scheduler knew only declared run times, off by half and twice, and a run that stood still on a worker that answers was never ended. Change: fleet.Run says what share is done; a run's rate gives its remaining time, a run that stands still for longer than a restart costs (twice that for a gang) is stopped and started elsewhere, a worker on which a single task stands still gets nothing new, one whose runs fell behind their own best rate counts as slow. Holdings say whether their remaining time is known.

--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -48,6 +49,14 @@
 	stopped bool
 }
 
+// share is how much of the work is done, in whole percent as the real workers tell it.
+func (a *activity) share() float64 {
+	if a.work <= 0 {
+		return 0
+	}
+	return math.Floor(100*float64(a.done)/float64(a.work)) / 100
+}
+
 // lateBy is how late a delayed order is carried out.
 const lateBy = 2 * time.Second
 
@@ -202,7 +211,7 @@
 	w.ended = slices.DeleteFunc(w.ended, func(e fleet.End) bool { return e.Number <= o.Acknowledged })
 	r := fleet.Report{Clock: w.clock(), Ended: slices.Clone(w.ended)}
 	for _, a := range w.sorted() {
-		r.Running = append(r.Running, fleet.Run{Task: a.task, Run: a.number, Saved: a.saved})
+		r.Running = append(r.Running, fleet.Run{Task: a.task, Run: a.number, Saved: a.saved, Done: a.share()})
 	}
 	return r, nil
 }
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -75,6 +75,7 @@
 	Loss      float64        // Core-seconds that a stop throws away.
 	Risk      float64        // Value that is lost if it starts anew.
 	Remaining time.Duration  // Expected time to its end.
+	Known     bool           // Remaining follows from the progress that its workers tell, not from declared run times.
 }
 
 // Start orders tasks of a demand.
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -147,7 +147,7 @@
 	}
 	return placement.Worker{
 		ID: id, Service: w.Service, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.Capacity.Sub(w.used), Freeing: freeing,
-		Usable: w.usable(now) && !w.doubt.barred(now), Doubt: w.doubt.level(now),
+		Usable: w.usable(now) && !w.doubt.barred(now) && !h.stalls(w), Doubt: w.doubt.level(now),
 		Slowness: max(w.slow.factor(), h.overdue(w, now)),
 	}
 }
@@ -281,7 +281,7 @@
 				runs = append(runs, nil)
 				v.Holdings = append(v.Holdings, placement.Holding{
 					Job: r.task.Job, Group: r.group(), Priority: r.job.Request.Terms.Priority, Covered: covered[r.task.Job],
-					Each: r.each, Tasks: map[int]string{}, Remaining: max(h.learned.task(r.job.Request, r.task.Step)-now.Sub(r.placed), 0),
+					Each: r.each, Tasks: map[int]string{}, Known: true,
 				})
 			}
 			runs[i] = append(runs[i], r)
@@ -289,6 +289,9 @@
 			holding.Tasks[r.task.Index] = id
 			holding.Stopping = holding.Stopping || r.stopping
 			holding.Loss += h.loss(r, step, now)
+			left, known := h.remaining(r, now)
+			holding.Remaining = max(holding.Remaining, left)
+			holding.Known = holding.Known && known
 			holding.Risk = h.risk(r, now)
 		}
 	}
--- /dev/null
+++ b/internal/scheduler/progress_test.go
@@ -0,0 +1,55 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// told returns the progress of a run after looks every 500 ms that found these shares, and the time of the last look.
+func told(shares ...float64) (p progress, last time.Time) {
+	now := time.Unix(1000, 0)
+	for i, share := range shares {
+		last = now.Add(time.Duration(i) * 500 * time.Millisecond)
+		p.note(share, last)
+	}
+	return p, last
+}
+
+func TestLeftAtThePresentRate(t *testing.T) {
+	p, now := told(0.1, 0.2, 0.3, 0.4, 0.5) // A fifth a second.
+	left, known := p.left(now.Add(500 * time.Millisecond))
+	quicktest.Assert(t, known, quicktest.IsTrue)
+	quicktest.Assert(t, left.Round(10*time.Millisecond), quicktest.Equals, 2*time.Second)
+	_, known = p.left(now.Add(staleAfter + time.Millisecond))
+	quicktest.Assert(t, known, quicktest.IsFalse)
+	_, known = (&progress{}).left(now)
+	quicktest.Assert(t, known, quicktest.IsFalse)
+}
+
+func TestStalled(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		shares []float64
+		total  time.Duration
+		want   time.Duration
+	}{
+		{"moves on", []float64{0.1, 0.2, 0.3, 0.4, 0.5}, 5 * time.Second, 0},
+		{"stands still", []float64{0.1, 0.2, 0.3, 0.3, 0.3, 0.3, 0.3}, 5 * time.Second, 2 * time.Second},
+		{"stands still from the start", []float64{0, 0, 0, 0, 0}, 5 * time.Second, 2 * time.Second},
+		{"for a moment", []float64{0.1, 0.2, 0.3, 0.3, 0.3}, 5 * time.Second, 0},
+		{"so long that nothing shows yet", []float64{0, 0, 0, 0, 0}, 100 * time.Second, 0},
+		{"is done", []float64{0.9, 1, 1, 1, 1, 1}, 5 * time.Second, 0},
+	} {
+		p, _ := told(c.shares...)
+		quicktest.Check(t, p.stalled(c.total), quicktest.Equals, c.want, quicktest.Commentf(c.name))
+	}
+}
+
+func TestSlowed(t *testing.T) {
+	p, _ := told(0.1, 0.2, 0.3, 0.4, 0.42, 0.44, 0.46, 0.48)
+	quicktest.Assert(t, p.slowed() > 3, quicktest.IsTrue, quicktest.Commentf("%v", p.slowed()))
+	p, _ = told(0.1, 0.2, 0.3, 0.4, 0.5)
+	quicktest.Assert(t, p.slowed() < 1.01, quicktest.IsTrue)
+}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -243,6 +243,7 @@
 		}
 	}
 	h.settleAbsent(w, present, sent)
+	h.endStalls(w, time.Now())
 	h.signal()
 	return w.applied > w.acknowledged
 }
@@ -257,6 +258,7 @@
 	if r.confirmed.IsZero() {
 		r.confirmed = time.Now()
 	}
+	r.progress.note(x.Done, time.Now())
 	r.job.Save(x.Task, x.Run, x.Saved)
 	if r.job.Progress.State.Final() {
 		h.stop(w, r, "the job has ended")
--- a/internal/scheduler/speed.go
+++ b/internal/scheduler/speed.go
@@ -25,6 +25,9 @@
 func (h *shard) overdue(w *workerState, now time.Time) float64 {
 	most := 1.0
 	for _, r := range w.runs {
+		if !r.job.Request.Steps[r.task.Step].Gang {
+			most = max(most, r.progress.slowed())
+		}
 		t := h.stepTimes[r.stepKey()]
 		if t == nil || t.count < speedSamples || r.saved != "" || r.confirmed.IsZero() {
 			continue
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -47,6 +47,7 @@
 	stopping  bool
 	stopAsked time.Time
 	stopKnown time.Time // The worker has taken the stop: the run can't start there any more.
+	progress  progress
 }
 
 func (r *run) group() job.Group { return job.Group{Occurrence: r.task.Occurrence, Step: r.task.Step} }
