Wait for room that comes free by itself as soon as a stop would make it

Cause: urgent work had others stopped, which takes up to 0.9 s and throws their work away, also where a run ended by itself within that time. Change: room of runs whose end is known from their progress and comes within the time of a stop counts as free when room is made; nothing is stopped for it and it is kept for the demand.

--- a/internal/placement/reclaim.go
+++ b/internal/placement/reclaim.go
@@ -95,11 +95,17 @@
 	}
 }
 
-// futureRoom is the room of workers once everything that is being stopped has ended, by index.
+// futureRoom is the room of workers once everything that is being stopped has ended, by index, and what ends by itself in
+// that time.
 func (b *board) futureRoom(among []int) []job.Resources {
 	room := make([]job.Resources, len(b.view.Workers))
 	for _, k := range among {
 		room[k] = b.free[k].Add(b.view.Workers[k].Freeing)
+		for _, h := range b.onWorker[k] {
+			if b.endsSoon(h) {
+				room[k] = room[k].Add(b.view.Holdings[h].Each)
+			}
+		}
 	}
 	for h := range b.stopped {
 		b.addRoom(room, h)
@@ -107,6 +113,12 @@
 	return room
 }
 
+// endsSoon reports whether a holding ends by itself within the time that a stop takes.
+func (b *board) endsSoon(h int) bool {
+	holding := &b.view.Holdings[h]
+	return holding.Known && !holding.Stopping && !b.stopped[h] && holding.Remaining <= b.view.Policy.StopTime
+}
+
 func (b *board) addRoom(room []job.Resources, h int) {
 	holding := &b.view.Holdings[h]
 	if holding.Stopping {
@@ -150,7 +162,7 @@
 		}
 		for _, h := range b.onWorker[k] {
 			holding := &b.view.Holdings[h]
-			if seen[h] || b.stopped[h] || holding.Stopping || holding.Covered || !mayStop(d, holding) {
+			if seen[h] || b.stopped[h] || holding.Stopping || holding.Covered || b.endsSoon(h) || !mayStop(d, holding) {
 				continue
 			}
 			seen[h] = true
--- a/internal/placement/script_test.go
+++ b/internal/placement/script_test.go
@@ -18,7 +18,7 @@
 // TestDecisions plays the cases of testdata. A case is a list of lines:
 //
 //	worker NAME rack RACK gpu FREE [freeing N] [doubt X] [slow X] [label L] [unusable]
-//	holding NAME priority N gpu EACH on WORKER... [loss N] [left SECONDS] [covered] [stopping]
+//	holding NAME priority N gpu EACH on WORKER... [loss N] [left SECONDS [known]] [covered] [stopping]
 //	demand NAME priority N tasks N gpu EACH [gang] [local] [covered] [waited D] [goal D] [takes D] [value X] [near RACK] [most N] [avoid W] [claim W...]
 //	start NAME WORKER...    exactly these starts, one worker a task in any order
 //	wait NAME               no start
@@ -179,6 +179,9 @@
 		case "stopping":
 			h.Stopping = true
 			continue
+		case "known":
+			h.Known = true
+			continue
 		case "on":
 			for i+1 < len(words) && strings.HasPrefix(words[i+1], "w") {
 				i++
