Learn run times from progress, step by step

Cause: a task's time was its declared one times the queue's ratio, learned at the ends of runs and also from runs that were slower for being far from their data or spread over racks. Change: a run tells how long its step's tasks take once a tenth of its work is done; that goes before the queue's ratio. Runs that are slower for their place are not learned from. TestStepIsKnownFromItsFirstTask, TestLearnEarly.

--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -224,8 +224,9 @@
 func (h *shard) forget(id job.ID) {
 	if j := h.jobs[id]; j != nil {
 		for s := range j.Request.Steps {
-			delete(h.stepTimes, claimKey{id, job.Group{Step: s}})
+			delete(h.stepTimes, stepOf(id, s))
 		}
+		h.learned.forget(j.Request)
 	}
 	delete(h.jobs, id)
 	delete(h.early, id)
--- a/internal/scheduler/doubt.go
+++ b/internal/scheduler/doubt.go
@@ -44,7 +44,9 @@
 	case job.Succeeded:
 		w.doubt = doubt{}
 		if r.saved == "" && !r.adopted {
-			h.learned.ran(r.job.Request, r.task.Step, now.Sub(r.placed))
+			if !r.learned && !r.far {
+				h.learned.ran(r.job.Request, r.task.Step, now.Sub(r.placed))
+			}
 			h.learnSpeed(w, r, now.Sub(r.placed))
 		}
 	case job.FailedRun:
--- /dev/null
+++ b/internal/scheduler/estimate_test.go
@@ -0,0 +1,54 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pulleyring/pulleyring/internal/job"
+)
+
+func request(id string, estimates ...time.Duration) *job.Request {
+	r := &job.Request{ID: job.ID(id), Terms: job.Terms{Queue: "q"}}
+	for i, d := range estimates {
+		step := job.Step{Count: 2, Estimate: d}
+		if i > 0 {
+			step.After = []int{i - 1}
+		}
+		r.Steps = append(r.Steps, step)
+	}
+	return r
+}
+
+// TestStepIsKnownFromItsFirstTask: what a task of a step tells goes before what was declared and before the queue's ratio.
+func TestStepIsKnownFromItsFirstTask(t *testing.T) {
+	var e estimates
+	a, b := request("a", 4*time.Second, 2*time.Second), request("b", 6*time.Second)
+	quicktest.Assert(t, e.task(a, 0), quicktest.Equals, 4*time.Second)
+	e.ran(a, 0, 8*time.Second)
+	quicktest.Assert(t, e.task(a, 0), quicktest.Equals, 8*time.Second)
+	quicktest.Assert(t, e.task(a, 1), quicktest.Equals, 4*time.Second) // The queue's tasks take twice the declared time.
+	quicktest.Assert(t, e.whole(a), quicktest.Equals, 12*time.Second)
+	quicktest.Assert(t, e.task(b, 0), quicktest.Equals, 12*time.Second)
+	e.ran(a, 0, 10*time.Second)
+	quicktest.Assert(t, e.task(a, 0), quicktest.Equals, 9*time.Second)
+	e.forget(a)
+	quicktest.Assert(t, len(e.steps), quicktest.Equals, 0)
+}
+
+// TestLearnEarly: a run tells how long its step takes while it works, but not where it is slower for its place.
+func TestLearnEarly(t *testing.T) {
+	for _, far := range []bool{false, true} {
+		h := &shard{}
+		a := request("a", 4*time.Second)
+		r := &run{job: &liveJob{Life: job.NewLife(a, nil)}, far: far}
+		r.progress, _ = told(0, 0.05, 0.1, 0.15, 0.2) // A tenth a second.
+		h.learnEarly(r)
+		h.learnEarly(r)
+		want := 10 * time.Second
+		if far {
+			want = 4 * time.Second
+		}
+		quicktest.Check(t, h.learned.task(a, 0).Round(time.Millisecond), quicktest.Equals, want)
+	}
+}
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -107,7 +107,12 @@
 	racks := map[string]bool{}
 	for _, o := range orders {
 		racks[h.workers[o.Worker].Rack] = true
-		r := &run{task: o.Task, number: o.Run, saved: o.Saved, each: d.Step.Each, job: j, placed: now}
+	}
+	for _, o := range orders {
+		r := &run{
+			task: o.Task, number: o.Run, saved: o.Saved, each: d.Step.Each, job: j, placed: now,
+			far: isFar(d.Step, racks, h.workers[o.Worker].Rack),
+		}
 		h.addRun(h.workers[o.Worker], r)
 		h.launches = append(h.launches, r)
 	}
@@ -118,6 +123,14 @@
 		zap.Strings("racks", slices.Sorted(maps.Keys(racks))))
 }
 
+// isFar reports whether a run takes longer than elsewhere: away from its data, or of a gang that is spread over racks.
+func isFar(step *job.Step, racks map[string]bool, rack string) bool {
+	if step.Gang && step.RackLocal && len(racks) > 1 {
+		return true
+	}
+	return step.DataRack != "" && step.DataRack != rack
+}
+
 // view collects what a decision is made from; holdings are the runs behind the view's holdings.
 func (h *shard) view(now time.Time) (*placement.View, [][]*run) {
 	v := &placement.View{Now: now, Policy: h.Bounds.Policy}
@@ -201,7 +214,7 @@
 // value is what one occurrence of a job earns at most, in the weights above.
 func (h *shard) value(r *job.Request) float64 {
 	weight := priorityValue[min(max(r.Terms.Priority, 0), len(priorityValue)-1)]
-	mean := max(h.learned.of(r.Terms.Queue).work, 1)
+	mean := max(h.learned.of(r.Terms.Queue).work.value, 1)
 	return weight * (baseShare + (1-baseShare)*min(declaredWork(r)/mean, sizeCap)) / float64(r.Occurrences())
 }
 
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -148,6 +148,20 @@
 	return cost
 }
 
+// learnShare is the share of its work from which a run's rate tells how long tasks like it take.
+const learnShare = 0.1
+
+// learnEarly takes in how long a run will take, once, as soon as its progress tells; runs that are slower for where they
+// run tell nothing of others.
+func (h *shard) learnEarly(r *run) {
+	step := &r.job.Request.Steps[r.task.Step]
+	if r.learned || r.far || r.adopted || step.Lasting || r.progress.rate <= 0 || r.progress.share < learnShare {
+		return
+	}
+	r.learned = true
+	h.learned.ran(r.job.Request, r.task.Step, time.Duration(float64(time.Second)/r.progress.rate))
+}
+
 // remaining is the expected time to a run's end, and whether it follows from the run's progress.
 func (h *shard) remaining(r *run, now time.Time) (time.Duration, bool) {
 	if left, known := r.progress.left(now); known {
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -259,6 +259,7 @@
 		r.confirmed = time.Now()
 	}
 	r.progress.note(x.Done, time.Now())
+	h.learnEarly(r)
 	r.job.Save(x.Task, x.Run, x.Saved)
 	if r.job.Progress.State.Final() {
 		h.stop(w, r, "the job has ended")
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -111,7 +111,7 @@
 	h := &shard{
 		Scheduler: s, tenure: tenure, ctx: inner, wake: make(chan struct{}, 1),
 		jobs: map[job.ID]*liveJob{}, workers: map[string]*workerState{}, dirty: map[job.ID]bool{},
-		claims: map[claimKey]claimed{}, noPlan: map[claimKey]time.Time{}, waitLogged: map[claimKey]time.Time{}, early: map[job.ID]time.Time{}, stepTimes: map[claimKey]*stepTimes{}, storeTrouble: time.Now(), learned: estimates{},
+		claims: map[claimKey]claimed{}, noPlan: map[claimKey]time.Time{}, waitLogged: map[claimKey]time.Time{}, early: map[job.ID]time.Time{}, stepTimes: map[claimKey]*stepTimes{}, storeTrouble: time.Now(),
 	}
 	defer h.ordering.Wait()
 	defer cancel()
--- a/internal/scheduler/speed.go
+++ b/internal/scheduler/speed.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"github.com/pulleyring/pulleyring/internal/job"
 )
 
 const (
@@ -38,7 +36,7 @@
 }
 
 // stepKey names a run's step, over all occurrences.
-func (r *run) stepKey() claimKey { return claimKey{r.task.Job, job.Group{Step: r.task.Step}} }
+func (r *run) stepKey() claimKey { return stepOf(r.task.Job, r.task.Step) }
 
 // slowness is how many times longer than elsewhere work takes on a worker; the zero value is a sound one.
 type slowness struct {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -47,7 +47,9 @@
 	stopping  bool
 	stopAsked time.Time
 	stopKnown time.Time // The worker has taken the stop: the run can't start there any more.
+	far       bool      // It takes longer there than elsewhere.
 	progress  progress
+	learned   bool // What its progress tells of its step has been taken in.
 }
 
 func (r *run) group() job.Group { return job.Group{Occurrence: r.task.Occurrence, Step: r.task.Step} }
