Take the lease at once that an earlier process of the same box held

Cause: after a kill of all boxes, or of the holder alone, the box that starts again watched the lease of its own dead process for 1.2 s before it took it. Change: a holder's name begins with its box; a box takes its own old lease at once. The epoch rises as ever, so that orders of the old process would be fenced. Script own_lease fails before.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -101,7 +102,7 @@
 		if lease.Version != seen.Version || since.IsZero() {
 			seen, since = lease, time.Now()
 		}
-		if lease.Holder == "" || lease.Holder == n.holder || time.Since(since) > leaseSilence {
+		if lease.Holder == "" || n.wasOwn(lease.Holder) || time.Since(since) > leaseSilence {
 			n.hold(ctx, lease)
 			since = time.Time{}
 			continue
@@ -110,6 +111,9 @@
 	}
 }
 
+// wasOwn reports whether a holder of the lease was this box: this process, or one before it that is gone.
+func (n *Node) wasOwn(holder string) bool { return strings.HasPrefix(holder, n.settings.Load().Box+"/") }
+
 func (n *Node) readLease(ctx context.Context) (ledger.Lease, error) {
 	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
