Look for transactions without an answer, and repeat them as soon as an answer should have come

Cause: a lost answer cost 1.2 s: the adapter waits that long, and then the scheduler's whole loop or the client's request began anew. With 60% of the writes unanswered hardly anything started for ten seconds. Change: a transaction is given up after four times the slowest answer lately, 0.25 to 1.2 s; its effect is then looked for (the lease's sequence number, the request's row) before it is repeated, and the tenure repeats it itself. Failures count against the store only once nothing was answered for 0.2 s.

--- a/internal/ledger/lease.go
+++ b/internal/ledger/lease.go
@@ -89,11 +89,13 @@
 	MaxBatchTasks = 15000 // About 45 bytes each.
 )
 
-// Commit writes a batch if the lease is still held. After ErrReplaced nothing was written and nothing will be. After any
+// Commit writes a batch if the lease is still held. An attempt without an answer is looked for on the lease, where
+// it leaves its mark, and is repeated until ctx ends. After ErrReplaced nothing was written and nothing will be. After any
 // other error the batch may have been written; committing it again, whole and possibly with more, is always right:
 // an attempt that comes late fails, because the one that took effect has changed the lease's version.
 func (t *Tenure) Commit(ctx context.Context, b *Batch) error {
 	key := t.ledger.key(tableLease, t.ledger.Shard)
+	first := t.lease.Sequence + 1
 	for {
 		t.lease.Sequence++
 		next := t.lease
@@ -111,26 +113,51 @@
 			return nil
 		}
 		var conflict *store.Conflict
+		if errors.Is(err, store.ErrUnknown) {
+			landed, readErr := t.landed(ctx, first)
+			if readErr != nil || ctx.Err() != nil {
+				return err
+			}
+			if landed {
+				return nil
+			}
+			continue
+		}
 		if !errors.As(err, &conflict) {
 			return err
 		}
-		if !t.adopt(conflict) {
+		sequence, own := t.adopt(conflict)
+		if !own {
 			return ErrReplaced
 		}
+		if sequence >= first {
+			return nil // An attempt of this batch took effect, and its answer was lost.
+		}
+	}
+}
+
+// landed reports whether an attempt from a sequence number on took effect, and takes over its version. The read also tells
+// how slow the store is, so that the next attempt waits accordingly: each one takes its turn in the store.
+func (t *Tenure) landed(ctx context.Context, first int64) (bool, error) {
+	seen, err := t.ledger.Lease(ctx)
+	if err != nil || seen.Holder != t.lease.Holder || seen.Epoch != t.lease.Epoch || seen.Sequence < first {
+		return false, err
 	}
+	t.lease.Version = seen.Version
+	return true, nil
 }
 
-// adopt takes over the version of an own earlier commit whose answer was lost.
-func (t *Tenure) adopt(conflict *store.Conflict) bool {
+// adopt takes over the version of an own earlier commit whose answer was lost, and returns that commit's sequence number.
+func (t *Tenure) adopt(conflict *store.Conflict) (sequence int64, own bool) {
 	for i := range conflict.Rows {
 		row := &conflict.Rows[i]
 		lease, err := decodeLease(row)
 		if err == nil && lease.Holder == t.lease.Holder && lease.Epoch == t.lease.Epoch && lease.Version != t.lease.Version {
 			t.lease.Version = lease.Version
-			return true
+			return lease.Sequence, true
 		}
 	}
-	return false
+	return 0, false
 }
 
 func (t *Tenure) transaction(b *Batch, lease Lease) (*store.Transaction, error) {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -75,10 +75,12 @@
 		Writes:     []store.Row{{Key: request, Value: raw}},
 	})
 	var conflict *store.Conflict
+	if errors.Is(err, store.ErrUnknown) {
+		return l.lookBack(ctx, r, err)
+	}
 	if !errors.As(err, &conflict) {
 		return err
 	}
-	result := ErrCancelled
 	for i := range conflict.Rows {
 		if conflict.Rows[i].Name != request.Name {
 			continue
@@ -87,12 +89,26 @@
 		if err != nil {
 			return err
 		}
-		result = nil
-		if known.Terms.Workspace != r.Terms.Workspace {
-			result = ErrOther
-		}
+		return sameWorkspace(known, r)
+	}
+	return ErrCancelled
+}
+
+// lookBack settles a write of a request that got no answer if it is there by now; otherwise the error stays. Reading costs
+// the store less than another write.
+func (l *Ledger) lookBack(ctx context.Context, r *job.Request, unknown error) error {
+	known, err := l.Request(ctx, r.ID)
+	if err != nil || known == nil {
+		return unknown
 	}
-	return result
+	return sameWorkspace(known, r)
+}
+
+func sameWorkspace(known, r *job.Request) error {
+	if known.Terms.Workspace != r.Terms.Workspace {
+		return ErrOther
+	}
+	return nil
 }
 
 // Cancel notes that a job is cancelled, whether it is known or not, so that a request still under way can't become one.
--- a/internal/node/accept_test.go
+++ b/internal/node/accept_test.go
@@ -145,3 +145,17 @@
 		quicktest.Assert(t, w.boxes["box-1"].node.Ready(), quicktest.IsFalse)
 	})
 }
+
+// TestLostAnswersAreMadeUpSoon: a write without an answer is repeated as soon as an answer should have come.
+func TestLostAnswersAreMadeUpSoon(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.store.SetLose(0.5)
+		total := time.Duration(0)
+		for i := range 20 {
+			took, err := handIn(w, "box-1", fmt.Sprint("job", i))
+			quicktest.Assert(t, err, quicktest.IsNil)
+			total += took
+		}
+		quicktest.Assert(t, total/20 < 500*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%v", total/20))
+	})
+}
--- a/internal/relay/watched.go
+++ b/internal/relay/watched.go
@@ -19,6 +19,24 @@
 	// silenceToDoubt is how long calls may be under way without any answer before that: the store at its slowest answers
 	// after about 400 ms.
 	silenceToDoubt = 700 * time.Millisecond
+	// refusalToDoubt is how long ago the last answer must be for failures to count: while others are answered, lost answers
+	// and refusals of a part that has too much to do say nothing of the whole store.
+	refusalToDoubt = 200 * time.Millisecond
+)
+
+// A transaction whose answer was lost is best repeated as soon as an answer should have come: the conditions see to it
+// that it takes effect once.
+const (
+	// patienceFactor is how many times longer than the slowest answer lately a transaction may take.
+	patienceFactor = 4
+	// patienceLeast and patienceMost bound that: usual answers take 5 ms, and those that wait their turn behind others some
+	// tens; the adapter gives up after 1.2 s.
+	patienceLeast = 250 * time.Millisecond
+	patienceMost  = 1200 * time.Millisecond
+	// latencyDecay is how much of the slowest answer is remembered from one answer to the next, and latencyGrowth what a
+	// lost answer adds, so that half of the answers may be lost without the patience growing.
+	latencyDecay  = 0.5
+	latencyGrowth = 1.5
 )
 
 // Watched passes calls on and learns from them whether the store can be reached.
@@ -29,6 +47,7 @@
 	Figures *measure.Figures // nil for none.
 
 	mu       sync.Mutex
+	latency  time.Duration         // What answers take: the slowest lately.
 	failures int                   // In a row.
 	answered time.Time             // When the last answer came.
 	underWay map[*time.Time]string // Begin of each call without an answer yet.
@@ -43,7 +62,7 @@
 }
 
 func (w *Watched) healthy() bool {
-	if w.answered.IsZero() || w.failures >= failuresToDoubt {
+	if w.answered.IsZero() || w.failures >= failuresToDoubt && time.Since(w.answered) > refusalToDoubt {
 		return false
 	}
 	if time.Since(w.answered) < silenceToDoubt {
@@ -63,11 +82,29 @@
 // Commit implements store.Store.
 func (w *Watched) Commit(ctx context.Context, tx *store.Transaction) (int64, error) {
 	done := w.begin("commit")
-	version, err := w.Store.Commit(ctx, tx)
+	within, cancel := context.WithTimeout(ctx, w.patience())
+	defer cancel()
+	version, err := w.Store.Commit(within, tx)
 	done(ctx, err)
 	return version, err
 }
 
+// patience is how long an answer to a transaction is waited for.
+func (w *Watched) patience() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return min(max(patienceFactor*w.latency, patienceLeast), patienceMost)
+}
+
+// learnLatency takes in how long an answer took, or that none came in that time.
+func (w *Watched) learnLatency(took time.Duration, failed bool) {
+	if failed {
+		w.latency = min(time.Duration(latencyGrowth*float64(w.latency)), patienceMost/patienceFactor)
+		return
+	}
+	w.latency = max(took, time.Duration(latencyDecay*float64(w.latency)))
+}
+
 // Read implements store.Store.
 func (w *Watched) Read(ctx context.Context, r store.Range) (store.Page, error) {
 	done := w.begin("read")
@@ -97,6 +134,7 @@
 		return // The caller gave up; that says nothing of the store.
 	}
 	w.Figures.Took(w.Path+"_"+what, time.Since(*began))
+	w.learnLatency(time.Since(*began), failed)
 	if failed {
 		w.Figures.Count(w.Path + "_" + what + "_failed")
 		w.failures++
