--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -112,7 +112,9 @@
 }
 
 // wasOwn reports whether a holder of the lease was this box: this process, or one before it that is gone.
-func (n *Node) wasOwn(holder string) bool { return strings.HasPrefix(holder, n.settings.Load().Box+"/") }
+func (n *Node) wasOwn(holder string) bool {
+	return strings.HasPrefix(holder, n.settings.Load().Box+"/")
+}
 
 func (n *Node) readLease(ctx context.Context) (ledger.Lease, error) {
 	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
