Write requests to other parts of the store while theirs is out

Cause: parts of the store fail one by one; a request whose part was out was refused until its client gave up, and as failures of some parts made the box call the whole store out of reach, others were refused as well. Change: a request or cancellation goes to the next of three parts; a job is unknown only if none of the three has it; rows away from the first part are remembered and dropped with the rest. Where no other box reaches the store, the own path is tried. Probes ask another part each time.

--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -26,6 +26,7 @@
 	cut      map[string]outage // By box.
 	loseRate float64           // Share of writes that are done and not answered.
 	deaf     bool              // Feeds tell of nothing.
+	partsOut map[string]bool   // Parts whose calls get no answer and are not carried out.
 
 	turns map[string]time.Time // By part: when its queue of transactions is worked off.
 }
@@ -60,6 +61,7 @@
 func (s *Store) SetUp() {
 	s.set(func() {
 		s.outage, s.latency, s.loseRate, s.cut, s.deaf = up, storeLatency, 0, map[string]outage{}, false
+		s.partsOut = nil
 	})
 }
 
@@ -75,9 +77,42 @@
 // Refuse makes the store refuse one box's calls.
 func (s *Store) Refuse(box string) { s.set(func() { s.cut[box] = busy }) }
 
+// SetPartOut makes the calls of one part end without an answer and without effect; feeds go on.
+func (s *Store) SetPartOut(part string) {
+	s.set(func() {
+		if s.partsOut == nil {
+			s.partsOut = map[string]bool{}
+		}
+		s.partsOut[part] = true
+	})
+}
+
+// partOut ends a call of a part that is out, as a reset connection does.
+func (s *Store) partOut(part string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.partsOut[part] {
+		return store.ErrUnknown
+	}
+	return nil
+}
+
 // SetDeaf makes feeds tell of nothing, as before a loss of history.
 func (s *Store) SetDeaf() { s.set(func() { s.deaf = true }) }
 
+// Rows counts the rows of a table.
+func (s *Store) Rows(table string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for key := range s.rows {
+		if key.Table == table {
+			n++
+		}
+	}
+	return n
+}
+
 // Compact drops the history, so that feeds must begin anew.
 func (s *Store) Compact() { s.set(func() { s.oldest, s.history = s.version, nil }) }
 
@@ -165,6 +200,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if err := v.store.partOut(partOf(tx)); err != nil {
+		return 0, err
+	}
 	if err := v.store.turn(ctx, partOf(tx)); err != nil {
 		return 0, err
 	}
@@ -222,6 +260,9 @@
 	if err != nil {
 		return store.Page{}, err
 	}
+	if err := v.store.partOut(r.Part); err != nil {
+		return store.Page{}, err
+	}
 	v.store.mu.Lock()
 	defer v.store.mu.Unlock()
 	page := store.Page{Version: v.store.version}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -45,7 +45,8 @@
 type Entry struct {
 	Ledger        *ledger.Ledger
 	Configuration func() *queue.Configuration
-	Healthy       func() bool // Whether the store answered lately.
+	Healthy       func() bool // Whether the store's last calls were answered.
+	Out           func() bool // Whether the store has answered nothing for a while.
 	Log           *zap.Logger
 	Figures       *measure.Figures // nil for none.
 
@@ -125,7 +126,7 @@
 // client can go elsewhere. Once a try got no answer, only another answer can settle what became of it: it is repeated for
 // as long as the client waits, and counts as undecided after that.
 func (e *Entry) write(ctx context.Context, f func(ctx context.Context) error) error {
-	if !e.Healthy() {
+	if e.Out() {
 		return ErrUnavailable
 	}
 	began := time.Now()
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -42,21 +42,56 @@
 // and when the store is slow one part takes only three or four a second.
 const requestParts = 8
 
-// requestPart is the part of the store with a job's request and cancellation.
-func (l *Ledger) requestPart(id job.ID) string {
-	return l.partOf(int(xxhash.Sum64String(string(id)) % requestParts))
+// Parts can be out one by one. A job's request and cancellation then go to another part: partsTried in all, partStep apart.
+const (
+	partsTried = 3
+	partStep   = 3
+)
+
+// homePart is the part of the store with a job's request and cancellation, unless that part was out.
+func (l *Ledger) homePart(id job.ID) string { return l.partsFor(id)[0] }
+
+// partsFor are the parts that may have a job's request and cancellation, the first one usually.
+func (l *Ledger) partsFor(id job.ID) [partsTried]string {
+	home := int(xxhash.Sum64String(string(id)) % requestParts)
+	var parts [partsTried]string
+	for n := range parts {
+		parts[n] = l.partOf((home + n*partStep) % requestParts)
+	}
+	return parts
 }
 
 func (l *Ledger) partOf(n int) string { return l.Shard + "/" + strconv.Itoa(n) }
 
-func (l *Ledger) requestKey(id job.ID) store.Key {
-	return store.Key{Table: tableJobs, Part: l.requestPart(id), Name: string(id)}
+func requestKey(part string, id job.ID) store.Key {
+	return store.Key{Table: tableJobs, Part: part, Name: string(id)}
+}
+
+func cancelKey(part string, id job.ID) store.Key {
+	return store.Key{Table: tableJobs, Part: part, Name: string(id) + cancelSuffix}
 }
 
-func (l *Ledger) cancelKey(id job.ID) store.Key {
-	return store.Key{Table: tableJobs, Part: l.requestPart(id), Name: string(id) + cancelSuffix}
+// inParts tries a write in one part after the other until one takes it. Where none does it may have taken effect only if
+// some try got no answer.
+func (l *Ledger) inParts(id job.ID, write func(part string) (out bool, err error)) error {
+	failed := store.ErrRefused
+	for _, part := range l.partsFor(id) {
+		out, err := write(part)
+		if err == nil || !isNoAnswer(err) && !errors.Is(err, store.ErrRefused) {
+			return err
+		}
+		if isNoAnswer(err) {
+			failed = err
+		}
+		if !out {
+			break
+		}
+	}
+	return failed
 }
 
+func isNoAnswer(err error) bool { return errors.Is(err, store.ErrUnknown) }
+
 // ErrCancelled says that a job was cancelled before its request was written; the request never will be.
 var ErrCancelled = errors.New("ledger: cancelled before it was accepted")
 
@@ -69,17 +104,22 @@
 	if err != nil {
 		return errors.Wrap(err, "ledger: unable to encode a request")
 	}
-	request, cancel := l.requestKey(r.ID), l.cancelKey(r.ID)
+	return l.inParts(r.ID, func(part string) (bool, error) { return l.submitIn(ctx, part, r, raw) })
+}
+
+// submitIn writes a request in one part; out says that the part seems to be out.
+func (l *Ledger) submitIn(ctx context.Context, part string, r *job.Request, raw []byte) (out bool, err error) {
+	request, cancel := requestKey(part, r.ID), cancelKey(part, r.ID)
 	_, err = l.Store.Commit(ctx, &store.Transaction{
 		Conditions: []store.Condition{{Key: request}, {Key: cancel}},
 		Writes:     []store.Row{{Key: request, Value: raw}},
 	})
 	var conflict *store.Conflict
-	if errors.Is(err, store.ErrUnknown) {
-		return l.lookBack(ctx, r, err)
+	if isNoAnswer(err) {
+		return l.lookBack(ctx, part, r, err)
 	}
 	if !errors.As(err, &conflict) {
-		return err
+		return errors.Is(err, store.ErrRefused), err
 	}
 	for i := range conflict.Rows {
 		if conflict.Rows[i].Name != request.Name {
@@ -87,21 +127,24 @@
 		}
 		known, err := decodeRequest(conflict.Rows[i].Value)
 		if err != nil {
-			return err
+			return false, err
 		}
-		return sameWorkspace(known, r)
+		return false, sameWorkspace(known, r)
 	}
-	return ErrCancelled
+	return false, ErrCancelled
 }
 
 // lookBack settles a write of a request that got no answer if it is there by now; otherwise the error stays. Reading costs
-// the store less than another write.
-func (l *Ledger) lookBack(ctx context.Context, r *job.Request, unknown error) error {
-	known, err := l.Request(ctx, r.ID)
-	if err != nil || known == nil {
-		return unknown
+// the store less than another write. A part that can't be read either is out.
+func (l *Ledger) lookBack(ctx context.Context, part string, r *job.Request, unknown error) (out bool, err error) {
+	known, err := l.requestIn(ctx, part, r.ID)
+	if err != nil {
+		return true, unknown
+	}
+	if known == nil {
+		return false, unknown
 	}
-	return sameWorkspace(known, r)
+	return false, sameWorkspace(known, r)
 }
 
 func sameWorkspace(known, r *job.Request) error {
@@ -113,14 +156,30 @@
 
 // Cancel notes that a job is cancelled, whether it is known or not, so that a request still under way can't become one.
 func (l *Ledger) Cancel(ctx context.Context, id job.ID) error {
-	row := store.Row{Key: l.cancelKey(id), Value: []byte{1}}
-	_, err := l.Store.Commit(ctx, &store.Transaction{Writes: []store.Row{row}})
-	return err
+	return l.inParts(id, func(part string) (bool, error) {
+		row := store.Row{Key: cancelKey(part, id), Value: []byte{1}}
+		_, err := l.Store.Commit(ctx, &store.Transaction{Writes: []store.Row{row}})
+		return true, err
+	})
 }
 
-// Request returns a job's request, nil where there is none.
+// Request returns a job's request, nil where there is none. It must be in none of the job's parts for that.
 func (l *Ledger) Request(ctx context.Context, id job.ID) (*job.Request, error) {
-	page, err := l.readOne(ctx, l.requestKey(id))
+	var failed error
+	for _, part := range l.partsFor(id) {
+		r, err := l.requestIn(ctx, part, id)
+		if r != nil {
+			return r, nil
+		}
+		if err != nil {
+			failed = err
+		}
+	}
+	return nil, failed
+}
+
+func (l *Ledger) requestIn(ctx context.Context, part string, id job.ID) (*job.Request, error) {
+	page, err := l.readOne(ctx, requestKey(part, id))
 	if err != nil || len(page.Rows) == 0 {
 		return nil, err
 	}
@@ -166,6 +225,7 @@
 	ID        job.ID
 	Request   *job.Request // Set for a request.
 	Cancelled bool
+	Away      string // Part that the row lies in if it is not the job's first one.
 }
 
 // Changes is a list of changes in order; a feed goes on from its version.
@@ -196,15 +256,17 @@
 	return l.changes(all)
 }
 
-// Drop deletes the requests and cancellations of jobs that need not be shown any more.
-func (l *Ledger) Drop(ctx context.Context, ids []job.ID) error {
+// Drop deletes the requests and cancellations of jobs that need not be shown any more; away names the parts besides the
+// first one that have rows of a job.
+func (l *Ledger) Drop(ctx context.Context, ids []job.ID, away map[job.ID][]string) error {
 	byPart := map[string]*store.Transaction{}
 	for _, id := range ids {
-		part := l.requestPart(id)
-		if byPart[part] == nil {
-			byPart[part] = &store.Transaction{}
+		for _, part := range append([]string{l.homePart(id)}, away[id]...) {
+			if byPart[part] == nil {
+				byPart[part] = &store.Transaction{}
+			}
+			byPart[part].Deletes = append(byPart[part].Deletes, requestKey(part, id), cancelKey(part, id))
 		}
-		byPart[part].Deletes = append(byPart[part].Deletes, l.requestKey(id), l.cancelKey(id))
 	}
 	for _, tx := range byPart {
 		if _, err := l.Store.Commit(ctx, tx); err != nil {
@@ -231,18 +293,26 @@
 			continue
 		}
 		if id, ok := strings.CutSuffix(row.Name, cancelSuffix); ok {
-			c.List = append(c.List, Change{ID: job.ID(id), Cancelled: true})
+			c.List = append(c.List, Change{ID: job.ID(id), Cancelled: true, Away: l.away(job.ID(id), row.Part)})
 			continue
 		}
 		r, err := decodeRequest(row.Value)
 		if err != nil {
 			return Changes{}, err
 		}
-		c.List = append(c.List, Change{ID: r.ID, Request: r})
+		c.List = append(c.List, Change{ID: r.ID, Request: r, Away: l.away(r.ID, row.Part)})
 	}
 	return c, nil
 }
 
+// away returns a part if it is not the first one of a job.
+func (l *Ledger) away(id job.ID, part string) string {
+	if part == l.homePart(id) {
+		return ""
+	}
+	return part
+}
+
 // Progress reads what has become of all jobs.
 func (l *Ledger) Progress(ctx context.Context) (map[job.ID]*job.Progress, error) {
 	page, err := store.ReadAll(ctx, l.Store, store.Range{Table: tableProgress, Part: l.Shard})
--- a/internal/node/accept_test.go
+++ b/internal/node/accept_test.go
@@ -159,3 +159,40 @@
 		quicktest.Assert(t, total/20 < 500*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%v", total/20))
 	})
 }
+
+// TestPartsOutAcceptsElsewhere: while some parts of the store are out, requests and cancellations go to others, and all of
+// their rows go in the end.
+func TestPartsOutAcceptsElsewhere(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		for n := range 4 {
+			w.store.SetPartOut(fmt.Sprint(Shard, "/", n))
+		}
+		var accepted []job.ID
+		for i := range 24 {
+			id := fmt.Sprint("job", i)
+			took, err := handIn(w, fmt.Sprintf("box-%d", i%3+1), id)
+			quicktest.Assert(t, err, quicktest.IsNil, quicktest.Commentf("%s", id))
+			quicktest.Assert(t, took < 200*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%v", took))
+			accepted = append(accepted, job.ID(id))
+		}
+		for _, id := range accepted[:12] {
+			quicktest.Assert(t, w.cancel(id), quicktest.IsNil)
+		}
+		time.Sleep(time.Second)
+		quicktest.Assert(t, w.command([]string{"workers", "4"}), quicktest.IsNil)
+		for i, id := range accepted {
+			want := job.Cancelled
+			if i >= 12 {
+				want = job.Completed
+			}
+			quicktest.Assert(t, w.await(id, want.String(), "5s"), quicktest.IsNil, quicktest.Commentf("%s", id))
+		}
+		w.store.SetUp()
+		time.Sleep(2 * time.Minute)
+		for _, id := range accepted {
+			_, err := w.state(id)
+			quicktest.Assert(t, err, quicktest.ErrorIs, entry.ErrNoJob)
+		}
+		quicktest.Assert(t, w.store.Rows("jobs"), quicktest.Equals, 0)
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,7 +76,7 @@
 	n.configs = p.Configurations(n.store)
 	n.holder = s.Box + "/" + xid.New().String()
 	n.settings.Store(s)
-	n.Entry = &entry.Entry{Ledger: n.ledger, Configuration: n.Configuration, Healthy: n.store.Healthy, Log: log, Figures: &n.Figures}
+	n.Entry = &entry.Entry{Ledger: n.ledger, Configuration: n.Configuration, Healthy: n.store.Healthy, Out: n.store.Out, Log: log, Figures: &n.Figures}
 	return n
 }
 
@@ -88,7 +88,7 @@
 
 // Ready reports whether the box should get new connections.
 func (n *Node) Ready() bool {
-	return !n.Stopping() && n.Configuration() != nil && n.store.Healthy()
+	return !n.Stopping() && n.Configuration() != nil && !n.store.Out()
 }
 
 // Reload takes in changed settings; addresses stay as they were at the start.
--- a/internal/relay/book.go
+++ b/internal/relay/book.go
@@ -71,11 +71,6 @@
 
 func (b *Book) ownKey() store.Key { return store.Key{Table: tableBoxes, Part: partBoxes, Name: b.Box} }
 
-// ownRange is the box's own row.
-func (b *Book) ownRange() store.Range {
-	return store.Range{Table: tableBoxes, Part: partBoxes, From: b.Box, To: b.Box + "\x00", Limit: 1}
-}
-
 // announce writes the box's row: its address and when it was written, in Unix milliseconds.
 func (b *Book) announce(ctx context.Context, s store.Store) error {
 	if b.Address == "" {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -33,9 +34,13 @@
 	Book    Book
 	Log     *zap.Logger
 	Figures *measure.Figures // nil for none.
+
+	probes int // Tries so far.
 }
 
 const (
+	// probeParts is the number of parts that are tried in turn.
+	probeParts = 16
 	// probeEvery is how often a box whose own path is out tries it: its return matters little while others pass calls on.
 	probeEvery = 300 * time.Millisecond
 	// probeTimeout bounds such a try; the store at its slowest answers after about 400 ms.
@@ -56,7 +61,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	_, _ = s.Direct.Read(ctx, s.Book.ownRange()) // What became of it is taken in by Direct.
+	// Any part may be out by itself, so each try asks another one; there need not be a row.
+	part := partBoxes + "/" + strconv.Itoa(s.probes%probeParts)
+	s.probes++
+	_, _ = s.Direct.Read(ctx, store.Range{Table: tableBoxes, Part: part, Limit: 1}) // What became of it is taken in by Direct.
 }
 
 // Commit implements store.Store.
@@ -95,21 +103,16 @@
 			return err
 		}
 	}
-	peers := s.peers()
-	if len(peers) == 0 {
-		return f(&s.Direct)
-	}
-	var err error
-	for _, p := range peers {
+	for _, p := range s.peers() {
 		began := time.Now()
-		err = f(s.Network.Peer(p.address))
+		err := f(s.Network.Peer(p.address))
 		s.Figures.Took("relay_call", time.Since(began))
 		s.Book.note(ctx, p, err, s.Log)
 		if !errors.Is(err, store.ErrRefused) {
 			return err
 		}
 	}
-	return err
+	return f(&s.Direct) // Nobody else reaches the store either; it may be back.
 }
 
 func (s *Store) peers() []*peer {
--- a/internal/relay/watched.go
+++ b/internal/relay/watched.go
@@ -61,6 +61,14 @@
 	return w.healthy()
 }
 
+// Out reports whether nothing has been answered for a while: a call now would be in vain. A store of which only some parts
+// are out is not.
+func (w *Watched) Out() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.healthy() && time.Since(w.answered) > silenceToDoubt
+}
+
 func (w *Watched) healthy() bool {
 	if w.answered.IsZero() || w.failures >= failuresToDoubt && time.Since(w.answered) > refusalToDoubt {
 		return false
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -203,11 +203,15 @@
 	for interval.Sleep(h.ctx, forgetEvery) {
 		h.mu.Lock()
 		old := h.old()
+		away := map[job.ID][]string{}
+		for _, id := range old {
+			away[id] = h.away[id]
+		}
 		h.mu.Unlock()
 		if len(old) == 0 {
 			continue
 		}
-		if err := h.Ledger.Drop(h.ctx, old); err != nil {
+		if err := h.Ledger.Drop(h.ctx, old, away); err != nil {
 			h.Log.Warn("scheduler: unable to drop old jobs", logsink.Error(err))
 			continue
 		}
@@ -230,6 +234,7 @@
 	}
 	delete(h.jobs, id)
 	delete(h.early, id)
+	delete(h.away, id)
 }
 
 // old returns a few of the jobs, and of the cancellations without a job, that need not be shown any more.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -94,6 +95,7 @@
 	stepTimes    map[claimKey]*stepTimes
 	pending      map[string]int       // As last committed.
 	early        map[job.ID]time.Time // Cancellations that came without a request, by when they were seen.
+	away         map[job.ID][]string  // Parts of the store, besides the first one, with rows of a job.
 	dropped      []job.ID             // Jobs whose requests are deleted and whose progress is to be.
 	ordering     sync.WaitGroup
 }
@@ -111,7 +113,7 @@
 	h := &shard{
 		Scheduler: s, tenure: tenure, ctx: inner, wake: make(chan struct{}, 1),
 		jobs: map[job.ID]*liveJob{}, workers: map[string]*workerState{}, dirty: map[job.ID]bool{},
-		claims: map[claimKey]claimed{}, noPlan: map[claimKey]time.Time{}, waitLogged: map[claimKey]time.Time{}, early: map[job.ID]time.Time{}, stepTimes: map[claimKey]*stepTimes{}, storeTrouble: time.Now(),
+		claims: map[claimKey]claimed{}, noPlan: map[claimKey]time.Time{}, waitLogged: map[claimKey]time.Time{}, early: map[job.ID]time.Time{}, away: map[job.ID][]string{}, stepTimes: map[claimKey]*stepTimes{}, storeTrouble: time.Now(),
 	}
 	defer h.ordering.Wait()
 	defer cancel()
@@ -172,6 +174,9 @@
 func (h *shard) takeChanges(list []ledger.Change, progress map[job.ID]*job.Progress) {
 	for i := range list {
 		c := &list[i]
+		if c.Away != "" && !slices.Contains(h.away[c.ID], c.Away) {
+			h.away[c.ID] = append(h.away[c.ID], c.Away)
+		}
 		if c.Request != nil {
 			h.addJob(c.Request, progress[c.ID])
 		}
