--- a/internal/emulator/judge.go
+++ b/internal/emulator/judge.go
@@ -56,6 +56,7 @@
 	TooEarly []string // Starts before an earlier step was done.
 	Starts   int
 	Fenced   int // Orders of a replaced box.
+	Stops    int // Orders to stop that were taken.
 	Ends     map[job.Outcome]int
 }
 
@@ -70,6 +71,12 @@
 	return f.judge.counts
 }
 
+func (f *Fleet) noteStop() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.judge.counts.Stops++
+}
+
 func (f *Fleet) noteFenced() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -193,6 +193,7 @@
 	if err := w.admit(o.Token); err != nil {
 		return err
 	}
+	w.fleet.noteStop()
 	w.rejected[o.Task] = max(w.rejected[o.Task], o.Run)
 	if a := w.runs[o.Task]; a != nil && a.number <= o.Run {
 		a.stopped = true
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -41,6 +41,7 @@
 //	gone ID                            fail where the job is still shown
 //	starts N                           fail where more runs were started in all
 //	fenced N                           fail where more orders of a replaced box were refused
+//	stops N                            fail where more orders to stop were taken
 //	ends OUTCOME N                     fail where more runs ended so
 //
 // At the end no promise may be broken.
@@ -121,7 +122,7 @@
 			return fmt.Errorf("it is %s, %v", state, err)
 		}
 		return nil
-	case "starts", "ends", "fenced":
+	case "starts", "ends", "fenced", "stops":
 		return w.countCommand(words)
 	}
 	return w.workerCommand(words)
@@ -374,8 +375,11 @@
 func (w *world) countCommand(words []string) error {
 	v := w.fleet.Verdict()
 	got, most := v.Starts, words[len(words)-1]
-	if words[0] == "fenced" {
+	switch words[0] {
+	case "fenced":
 		got = v.Fenced
+	case "stops":
+		got = v.Stops
 	}
 	if words[0] == "ends" {
 		got = 0
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -207,7 +207,9 @@
 	delete(j.since, g)
 	if j.Progress.State != before && j.Progress.State.Final() {
 		h.Log.Info("scheduler: job ended", zap.String("job", string(j.Request.ID)), zap.Stringer("state", j.Progress.State))
-		h.stopJob(j.Request.ID, "the job has ended")
+		if j.Progress.State != job.Completed { // All of its tasks have ended then, a gang's other members with the first.
+			h.stopJob(j.Request.ID, "the job has ended")
+		}
 	}
 }
 
