--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -74,7 +74,7 @@
 	Task  job.Task
 	Run   int
 	Saved string
-	Done  float64 // Share of its work that is done, 0 to 1; of a lasting task 1 once it is at work.
+	Done  float64 // Share of its work that is done, 0 to 1, negative if not told; of a lasting task 1 once it is at work.
 }
 
 // End is a run that has ended on a worker.
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -260,8 +260,10 @@
 	if r.confirmed.IsZero() {
 		r.confirmed = time.Now()
 	}
-	r.progress.note(x.Done, time.Now())
-	h.learnEarly(r)
+	if x.Done >= 0 {
+		r.progress.note(x.Done, time.Now())
+		h.learnEarly(r)
+	}
 	r.job.Save(x.Task, x.Run, x.Saved)
 	if r.job.Progress.State.Final() {
 		h.stop(w, r, "the job has ended")
--- /dev/null
+++ b/internal/scheduler/silence.go
@@ -0,0 +1,73 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/pulleyring/pulleyring/internal/job"
+	"go.uber.org/zap"
+)
+
+// judgeSilence gives up a worker that does not answer once everything on it has surely ended: its lease is over, or it
+// said that it would leave and its record is gone.
+func (h *shard) judgeSilence(w *workerState) {
+	if w.gone || w.failures == 0 && w.listed {
+		return
+	}
+	if !w.listed && w.Draining && w.failures > 0 {
+		h.loseWorker(w, "it has left")
+		return
+	}
+	if !w.listed && w.failures > 1 && h.recordsCount(w) {
+		h.loseWorker(w, "its record is gone and it does not answer")
+		return
+	}
+	if !w.listed && len(w.runs) == 0 {
+		h.loseWorker(w, "its record is gone")
+		return
+	}
+	if w.failures == 0 || len(w.runs) == 0 {
+		return
+	}
+	if time.Now().After(w.lastOrder.Add(h.leaseSurelyOver())) {
+		h.Log.Warn("scheduler: leases of a silent worker are over", zap.String("worker", w.ID), zap.Int("runs", len(w.runs)))
+		h.loseRuns(w)
+	}
+}
+
+const (
+	// recordGrace is how long a record must have been gone before a worker that does not answer counts as gone.
+	recordGrace = 500 * time.Millisecond
+	// recordReturn is how long after an outage of the store the records of workers that live may be missing (the pages:
+	// about two seconds).
+	recordReturn = 2500 * time.Millisecond
+	// recordLapse is how long after the begin of an outage records may go because of it: three heartbeats and some.
+	recordLapse = 10 * time.Second
+)
+
+// recordsCount reports whether the lack of a worker's record means that the worker is gone: it does unless the store was
+// in trouble lately.
+func (h *shard) recordsCount(w *workerState) bool {
+	quiet := time.Since(h.storeTrouble)
+	if quiet > recordLapse {
+		return time.Since(w.unlisted) > recordGrace
+	}
+	return quiet > recordReturn && time.Since(w.unlisted) > recordReturn
+}
+
+// leaseSurelyOver is the time after the last order by which a silent worker has ended everything.
+func (h *shard) leaseSurelyOver() time.Duration {
+	return time.Duration(float64(h.Bounds.MaxLease)*(1+clockDrift)) + h.Bounds.StopTime + answerTimeout
+}
+
+func (h *shard) loseWorker(w *workerState, why string) {
+	h.Log.Warn("scheduler: worker is gone", zap.String("worker", w.ID), zap.String("why", why), zap.Int("runs", len(w.runs)))
+	w.gone = true
+	h.loseRuns(w)
+	delete(h.workers, w.ID)
+}
+
+func (h *shard) loseRuns(w *workerState) {
+	for _, r := range w.runs {
+		h.endRun(w, r, job.Lapsed, "")
+	}
+}
