--- a/internal/relay/book.go
+++ b/internal/relay/book.go
@@ -22,7 +22,7 @@
 
 	mu    sync.Mutex
 	peers []*peer
-	next  int // The peer to begin with, so that calls are spread.
+	next  int // The peer to begin with; a failure moves it on to the next one.
 }
 
 // peer is another box.
