Freeze a test's box under the lock that finds the step

Cause: gate.reach found the step to freeze at, let go of its lock and froze the box only then. The go to a gang's other worker is sent by another goroutine at the same moment and slipped out in between: one member ran alone (partial_gangs 1 in frozen_before_go), or the attempt began in time where 3_lapsed_holds wants it late, so that no script noticed. Change: the freeze happens under that lock. Conclusion: traced; a fault of the harness, not of the code under test.

--- a/internal/box/world_test.go
+++ b/internal/box/world_test.go
@@ -53,20 +53,19 @@
 var errCut = fmt.Errorf("box: cut off from the worker")
 
 // reach waits where the box is frozen, freezes it where it was to be at this step, and refuses a worker that is cut off.
+// It freezes under the lock that finds the step: a box sends one kind of step to several workers at once, and none of them
+// may slip out in between.
 func (g *gate) reach(name string, v worker.Verb) error {
 	g.mu.Lock()
-	hit := g.freezeAt != "" && g.freezeAt == v
-	if hit {
+	if g.freezeAt != "" && g.freezeAt == v {
 		g.freezeAt = ""
+		g.block()
 	}
 	if g.cutAt == v && g.cutName == name {
 		g.cut = map[string]bool{name: true}
 	}
 	cut := g.cut[name]
 	g.mu.Unlock()
-	if hit {
-		g.freeze()
-	}
 	if cut {
 		return errCut
 	}
@@ -120,6 +119,11 @@
 func (g *gate) freeze() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.block()
+}
+
+// block makes pass wait; g.mu is held.
+func (g *gate) block() {
 	if g.thaw == nil {
 		g.thaw = make(chan struct{})
 	}
