Log what an ended run threw away and how a job stood to its goal

Cause: where worth is lost could not be told from the logs: a run's end named neither the work thrown away nor what it was stopped for, a job's end neither its goal nor its value. Change: those fields; one function for a job's allowed time instead of two copies of the formula.

--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -199,7 +199,7 @@
 			d.Placed[t.Worker]++
 		}
 	}
-	allowed := time.Duration(r.Terms.Stretch*float64(h.learned.whole(r))) + r.Terms.Objective
+	allowed := h.allowed(r)
 	from := time.UnixMilli(r.Due(g.Occurrence))
 	d.Goal, d.LastGoal = from.Add(allowed), from.Add(lateFactor*allowed)
 	d.Value = h.value(r)
@@ -211,6 +211,11 @@
 	return d
 }
 
+// allowed is the time from an occurrence's due time within which it earns all it can.
+func (h *shard) allowed(r *job.Request) time.Duration {
+	return time.Duration(r.Terms.Stretch*float64(h.learned.whole(r))) + r.Terms.Objective
+}
+
 // value is what one occurrence of a job earns at most, in the weights above.
 func (h *shard) value(r *job.Request) float64 {
 	weight := priorityValue[min(max(r.Terms.Priority, 0), len(priorityValue)-1)]
@@ -331,7 +336,7 @@
 // risk is the value that a job loses if a run of it starts anew.
 func (h *shard) risk(r *run, now time.Time) float64 {
 	request := r.job.Request
-	allowed := time.Duration(request.Terms.Stretch*float64(h.learned.whole(request))) + request.Terms.Objective
+	allowed := h.allowed(request)
 	goal := time.UnixMilli(request.Due(r.task.Occurrence)).Add(allowed)
 	chain := h.learned.chain(request, r.task.Step)
 	if now.Add(chain-now.Sub(r.placed)).After(goal) || now.Add(h.Bounds.StopTime+restartDelay+chain).Before(goal) {
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -120,7 +120,7 @@
 	if r.stopping {
 		return
 	}
-	r.stopping, r.stopAsked = true, time.Now()
+	r.stopping, r.stopAsked, r.stopWhy = true, time.Now(), why
 	h.Log.Info("scheduler: stopping a run", zap.String("task", r.task.String()), zap.Int("run", r.number),
 		zap.String("worker", w.ID), zap.String("why", why))
 	if w.Address == "" {
@@ -194,7 +194,8 @@
 	h.Figures.Count("runs_" + strings.ReplaceAll(outcome.String(), " ", "_"))
 	if outcome != job.Succeeded {
 		h.Log.Info("scheduler: run ended", zap.String("task", r.task.String()), zap.Int("run", r.number),
-			zap.String("worker", w.ID), zap.Stringer("outcome", outcome), zap.Duration("age", time.Since(r.placed)))
+			zap.String("worker", w.ID), zap.Stringer("outcome", outcome), zap.Duration("age", time.Since(r.placed)),
+			zap.Float64("core_seconds", h.loss(r, &j.Request.Steps[r.task.Step], time.Now())), zap.String("stopped_for", r.stopWhy))
 		h.stopGang(r, "another member ended")
 	}
 	h.learn(w, r, outcome)
@@ -206,7 +207,9 @@
 	}
 	delete(j.since, g)
 	if j.Progress.State != before && j.Progress.State.Final() {
-		h.Log.Info("scheduler: job ended", zap.String("job", string(j.Request.ID)), zap.Stringer("state", j.Progress.State))
+		h.Log.Info("scheduler: job ended", zap.String("job", string(j.Request.ID)), zap.Stringer("state", j.Progress.State),
+			zap.Int("priority", j.Request.Terms.Priority), zap.Duration("took", time.Since(time.UnixMilli(j.Request.Accepted))),
+			zap.Duration("goal", h.allowed(j.Request)), zap.Float64("value", h.value(j.Request)), zap.Int("occurrences", j.Request.Occurrences()))
 		if j.Progress.State != job.Completed { // All of its tasks have ended then, a gang's other members with the first.
 			h.stopJob(j.Request.ID, "the job has ended")
 		}
