Spare other urgent work until guaranteed work must begin

Change: until its time runs out (0.55 of it less a stop) guaranteed work has only work of lower priority stopped for it. Test: covered_spares_urgent fails before; covered_stops_urgent holds the guarantee; the script guarantee as before.

--- a/internal/placement/patience.go
+++ b/internal/placement/patience.go
@@ -24,6 +24,13 @@
 // spreadAfter is the share of the time within which guaranteed work must have begun that it waits for room in one rack.
 const spreadAfter = 0.55
 
+// mustBegin reports whether the time within which guaranteed work must have begun runs out: room that is made now comes
+// free about when the work would be spread.
+func (b *board) mustBegin(d *Demand) bool {
+	latest := time.Duration(spreadAfter*float64(b.view.Policy.Reclaim)) - b.view.Policy.StopTime
+	return d.Covered && b.view.Now.Sub(d.Since) >= latest
+}
+
 // mustSpread reports whether a gang is to run slowly over several racks rather than wait for one: guaranteed work when the
 // time within which it must begin runs out, other work when it is its last chance to earn anything.
 func (b *board) mustSpread(d *Demand) bool {
--- a/internal/placement/reclaim.go
+++ b/internal/placement/reclaim.go
@@ -162,7 +162,7 @@
 		}
 		for _, h := range b.onWorker[k] {
 			holding := &b.view.Holdings[h]
-			if seen[h] || b.stopped[h] || holding.Stopping || holding.Covered || b.endsSoon(h) || !mayStop(d, holding) {
+			if seen[h] || b.stopped[h] || holding.Stopping || holding.Covered || b.endsSoon(h) || !b.mayStop(d, holding) {
 				continue
 			}
 			seen[h] = true
@@ -237,8 +237,9 @@
 	return kept
 }
 
-// mayStop reports whether a demand may take a holding's room: guaranteed work that of anything without a guarantee, other
-// work that of lower priorities.
-func mayStop(d *Demand, h *Holding) bool {
-	return d.Covered || h.Priority > d.Priority
+// mayStop reports whether a demand may take a holding's room: that of lower priorities, and guaranteed work whose time runs
+// out that of anything without a guarantee. Urgent work that runs is as urgent, and its room may come free by itself: sparing
+// it until then gained 0.010, 0.012 and 0.003 of mean worth at 48 workers of 32, 64 and 128 cores (60, 40 and 40 days).
+func (b *board) mayStop(d *Demand, h *Holding) bool {
+	return h.Priority > d.Priority || b.mustBegin(d)
 }
