Look at the workers' records at most every 0.3 s

Cause: the wait for changes of the records ends with every heartbeat of every worker, so that the scheduler asked again as fast as it could: a third of all calls to the store. Change: a pause of 0.3 s between two looks. Test: heartbeats fails before: 322 answers in 10 s with 16 workers, at most 60 wanted; a worker that leaves is still avoided.

--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +29,7 @@
 	jobs    map[job.ID]*job.Request
 	work    map[job.ID]time.Duration
 	judge   judge
+	reads   int // Answers to those who follow the records.
 }
 
 // record is a worker's entry as of a version.
@@ -134,6 +137,26 @@
 	f.put(f.records[id].worker, false)
 }
 
+// Heartbeat writes every worker's record anew at an interval, one worker after the other, until the fleet's context ends.
+// Nothing in the records changes.
+func (f *Fleet) Heartbeat(every time.Duration) {
+	f.mu.Lock()
+	ids := slices.Sorted(maps.Keys(f.records))
+	f.mu.Unlock()
+	go func() {
+		for n := 0; interval.Sleep(f.ctx, every/time.Duration(len(ids))); n++ {
+			f.Record(ids[n%len(ids)])
+		}
+	}()
+}
+
+// RecordReads is how many answers those who follow the records got.
+func (f *Fleet) RecordReads() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reads
+}
+
 // Drain marks a worker's record as draining.
 func (f *Fleet) Drain(id string, leaves time.Duration) {
 	f.mu.Lock()
@@ -322,6 +345,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	l := scheduler.Listing{Version: f.version}
+	f.reads++
 	for id, r := range f.records {
 		switch {
 		case r.version <= version:
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -39,6 +39,8 @@
 //	weak BOX                           it has a thin link and little processor time from now on
 //	held BOX                           fail where another box has the lease
 //	tenures N                          fail where the lease was claimed more often
+//	heartbeats D                       every worker writes its record anew so often
+//	records_read N                     fail where there were more answers to those who follow the workers' records
 //	cancel ID
 //	state ID STATE within DURATION     wait for a state; fail where it does not come
 //	never ID STATE                     fail where the job has the state
@@ -125,6 +127,12 @@
 			return fmt.Errorf("%s has the lease", held)
 		}
 		return nil
+	case "heartbeats":
+		d, err := time.ParseDuration(words[1])
+		if err == nil {
+			w.fleet.Heartbeat(d)
+		}
+		return err
 	case "tenures":
 		return w.tenures(words[1])
 	case "cancel":
@@ -138,7 +146,7 @@
 			return fmt.Errorf("it is %s, %v", state, err)
 		}
 		return nil
-	case "starts", "ends", "fenced", "stops":
+	case "starts", "ends", "fenced", "stops", "records_read":
 		return w.countCommand(words)
 	}
 	return w.workerCommand(words)
@@ -433,6 +441,8 @@
 		got = v.Fenced
 	case "stops":
 		got = v.Stops
+	case "records_read":
+		got = w.fleet.RecordReads()
 	}
 	if words[0] == "ends" {
 		got = 0
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -70,6 +70,10 @@
 	jobsQuiet = 700 * time.Millisecond
 	// workersQuiet is the same for workers, whose records change seldom.
 	workersQuiet = 2 * time.Second
+	// workersPause is the pause between two looks at the workers' records: every worker's heartbeat ends a wait for changes,
+	// and a worker that leaves says so seconds before. Without it a third of all calls to the store were these (1,691 of 5,265
+	// on a calm day of 85 s with 48 workers, 8,118 of 23,703 with 350).
+	workersPause = 300 * time.Millisecond
 )
 
 // shard is the state of one tenure, under its own lock.
@@ -253,5 +257,6 @@
 		h.mu.Lock()
 		h.takeListing(listing, whole)
 		h.mu.Unlock()
+		interval.Sleep(h.ctx, workersPause)
 	}
 }
