--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -60,7 +60,6 @@
 	fleet.Worker
 	listed       bool      // Its record is in the store.
 	unlisted     time.Time // Since when it is not.
-	leavesAt     time.Time // Of one that drains: until then it surely stays.
 	runs         map[job.Task]*run
 	used         job.Resources
 	wake         chan struct{}
@@ -132,15 +131,10 @@
 		h.changed = true
 		h.signal()
 	}
-	drains := record.Draining && !w.Draining
 	w.Worker, w.listed = *record, true
 	if first {
 		h.sendStops(w)
 	}
-	if drains {
-		w.leavesAt = time.Now().Add(w.Leaves)
-		h.ordering.Go(func() { h.evacuate(w) })
-	}
 	w.signal()
 }
 
