Look for work to stop only where stopping can be enough

Cause: a decision over 350 workers and 5,000 waiting tasks took 186 ms, over 1,100 and 20,000 it took 7.8 s: each search for work to stop summed up the room of all workers, walked maps of tasks, and went through racks where stopping everything is not enough. Change: room that comes free is kept by worker and brought up to date as work is stopped; a holding knows its workers; a rack is searched only if stopping all candidates would make the room.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -16,12 +16,18 @@
 	index    map[string]int
 	everyone []int   // All workers.
 	racks    [][]int // Workers by rack, in the order of the view.
-	onWorker [][]int // Holdings by worker.
+	onWorker [][]int // Holdings by worker, once for each task.
+	places   [][]int // Workers by holding, once for each task.
 	idle     int     // Usable workers on which nothing runs.
 	reserve  int     // Idle workers that are left to urgent work.
 	draining int     // Tasks for which room is draining.
 	outcome  Outcome
-	stopped  map[int]bool // Holdings stopped by this decision.
+	stopped  []bool          // By holding: stopped by this decision.
+	soon     []job.Resources // By worker: comes free within the time that a stop takes.
+	room     []job.Resources // Scratch of futureRoom.
+	inside   []bool          // Scratch of cheapest, by worker.
+	seen     []int           // By holding: the last look for candidates that found it.
+	looks    int             // For candidates so far.
 }
 
 // Decide places the demands: guaranteed work first, stopping other work where it must, then the rest by what it earns for
@@ -67,7 +73,12 @@
 }
 
 func newBoard(v *View) *board {
-	b := &board{view: v, free: make([]job.Resources, len(v.Workers)), index: make(map[string]int, len(v.Workers)), stopped: map[int]bool{}}
+	b := &board{
+		view: v, free: make([]job.Resources, len(v.Workers)), index: make(map[string]int, len(v.Workers)),
+		stopped: make([]bool, len(v.Holdings)), seen: make([]int, len(v.Holdings)), places: make([][]int, len(v.Holdings)),
+		soon: make([]job.Resources, len(v.Workers)), room: make([]job.Resources, len(v.Workers)),
+		inside: make([]bool, len(v.Workers)),
+	}
 	racks := map[string]int{}
 	for i := range v.Workers {
 		w := &v.Workers[i]
@@ -87,10 +98,12 @@
 		for _, worker := range v.Holdings[h].Tasks {
 			if k, ok := b.index[worker]; ok {
 				b.onWorker[k] = append(b.onWorker[k], h)
+				b.places[h] = append(b.places[h], k)
 			}
 		}
 	}
 	for k := range v.Workers {
+		b.soon[k] = b.freeingSoon(k)
 		if b.isIdle(k) {
 			b.idle++
 		}
--- /dev/null
+++ b/internal/placement/decide_bench_test.go
@@ -0,0 +1,59 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/pulleyring/pulleyring/internal/job"
+)
+
+// BenchmarkDecide decides over a site that is seven tenths full, with tasks waiting in groups of 16: a third of them urgent
+// gangs, a third gangs that are not, a third single tasks. What decisions cost grows with both sizes; the figures are in
+// docs/CAPACITY.md.
+func BenchmarkDecide(b *testing.B) {
+	for _, size := range []struct{ workers, tasks int }{{48, 500}, {350, 5000}, {1100, 20000}} {
+		b.Run(fmt.Sprintf("workers=%d/tasks=%d", size.workers, size.tasks), func(b *testing.B) {
+			v := busyView(size.workers, size.tasks)
+			b.ReportAllocs()
+			for b.Loop() {
+				Decide(v)
+			}
+		})
+	}
+}
+
+// busyView draws the view of a busy site; the same sizes give the same view.
+func busyView(workers, tasks int) *View {
+	random := rand.New(rand.NewPCG(1, 1))
+	v := &View{Now: time.Unix(1000, 0), Policy: Policy{FarFactor: 3, Reclaim: 3 * time.Second, StopTime: time.Second, WasteCost: 0.0015}}
+	for k := range workers {
+		v.Workers = append(v.Workers, Worker{
+			ID: fmt.Sprintf("w%04d", k), Service: "s", Rack: fmt.Sprintf("r%d", k/8), Capacity: gpus(8), Free: gpus(8), Usable: true,
+		})
+	}
+	for k := range workers {
+		for v.Workers[k].Free.Accelerators > 0 && random.Float64() < 0.7 {
+			v.Workers[k].Free = v.Workers[k].Free.Sub(gpus(1))
+			v.Holdings = append(v.Holdings, Holding{
+				Job: job.ID(fmt.Sprint("h", len(v.Holdings))), Priority: random.IntN(3), Each: gpus(1), Tasks: map[int]string{0: v.Workers[k].ID},
+				Loss: 10 * random.Float64(), Remaining: time.Duration(random.IntN(8000)) * time.Millisecond,
+			})
+		}
+	}
+	const group = 16
+	for n := range tasks / group {
+		d := Demand{
+			Job: job.ID(fmt.Sprint("d", n)), Service: "s", Priority: n % 3, Placed: map[string]int{}, Since: v.Now.Add(-time.Second),
+			Step: &job.Step{Count: group, Each: gpus(1 << random.IntN(4)), Gang: n%3 < 2, RackLocal: n%2 == 0}, Remaining: 3 * time.Second,
+			Goal: v.Now.Add(time.Duration(4+random.IntN(20)) * time.Second), Value: 3, LateValue: 1, Work: 100,
+		}
+		d.LastGoal = d.Goal.Add(20 * time.Second)
+		for i := range group {
+			d.Waiting = append(d.Waiting, i)
+		}
+		v.Demands = append(v.Demands, d)
+	}
+	return v
+}
