Bar a worker on which a run fails as soon as it has begun

Cause: a failure counted 1 against its worker, less where the task had failed elsewhere before, and two within 4 s barred it; gangs met the same failing workers again, a job has 2 or 3 tries. Jobs that are themselves to blame fail after some work. Change: a failure within a tenth of the task's time, 0.2 s at most, counts 6: its worker is barred for 8 s. Test: TestFailureAtOnceBarsTheWorker, two of its cases fail before.

--- a/internal/scheduler/doubt.go
+++ b/internal/scheduler/doubt.go
@@ -12,6 +12,15 @@
 	doubtHalfLife = 4 * time.Second
 	// barredAt is the level from which a worker gets no new runs: more than one failure in a half-life.
 	barredAt = 1.5
+	// againWeight is what the failure of a task counts for that failed elsewhere before, against 1 for a first one.
+	againWeight = 0.3
+	// atOnceWeight is what a run counts for that failed as soon as it had begun: its worker is barred for 8 s. Tasks that are
+	// themselves to blame fail after some work: on a day with 350 workers of which 29 failed everything for 5.5 s, 171 of 324
+	// failures came within 0.1 s of the placement, up to 15 on one worker.
+	atOnceWeight = 6
+	// atOnceShare and atOnceMost say what "as soon as" is: a share of the time that the task should take, and a bound.
+	atOnceShare = 0.1
+	atOnceMost  = 200 * time.Millisecond
 )
 
 // doubt counts a worker's recent failures; the zero value trusts it.
@@ -50,11 +59,22 @@
 			h.learnSpeed(w, r, now.Sub(r.placed))
 		}
 	case job.FailedRun:
-		// A task that failed elsewhere too is more likely to blame than the worker.
-		weight := 1.0
-		if len(r.job.avoid[r.group()]) > 0 {
-			weight = 0.3
-		}
-		w.doubt.add(weight, now)
+		w.doubt.add(h.blame(r, now), now)
+	}
+}
+
+// blame is what a failed run counts for against its worker.
+func (h *shard) blame(r *run, now time.Time) float64 {
+	begun := r.placed
+	if !r.confirmed.IsZero() {
+		begun = r.confirmed
+	}
+	atOnce := min(atOnceMost, time.Duration(atOnceShare*float64(h.learned.task(r.job.Request, r.task.Step))))
+	switch {
+	case now.Sub(begun) < atOnce:
+		return atOnceWeight
+	case len(r.job.avoid[r.group()]) > 0:
+		return againWeight // A task that failed elsewhere too is more likely to blame than the worker.
 	}
+	return 1
 }
--- /dev/null
+++ b/internal/scheduler/doubt_test.go
@@ -0,0 +1,37 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pulleyring/pulleyring/internal/job"
+)
+
+// TestFailureAtOnceBarsTheWorker: a run that fails as soon as it has begun says more of its worker than of its job.
+func TestFailureAtOnceBarsTheWorker(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		age      time.Duration // Of the run when it failed.
+		earlier  bool          // The task failed elsewhere before.
+		barredIn time.Duration // How long after the failure is looked.
+		barred   bool
+	}{
+		{"at once", 30 * time.Millisecond, false, 5 * time.Second, true},
+		{"at once, after a failure elsewhere", 30 * time.Millisecond, true, 5 * time.Second, true},
+		{"at once, forgiven later", 30 * time.Millisecond, false, 10 * time.Second, false},
+		{"after some work", 2 * time.Second, false, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			j := &liveJob{Life: job.NewLife(request("a", 4*time.Second), nil), avoid: map[job.Group]map[string]bool{}}
+			if c.earlier {
+				j.avoid[job.Group{}] = map[string]bool{"other": true}
+			}
+			now := time.Now()
+			h, w := &shard{}, &workerState{}
+			r := &run{job: j, placed: now.Add(-c.age), confirmed: now.Add(-c.age)}
+			h.learn(w, r, job.FailedRun)
+			quicktest.Assert(t, w.doubt.barred(now.Add(c.barredIn)), quicktest.Equals, c.barred)
+		})
+	}
+}
