--- a/internal/placement/patience.go
+++ b/internal/placement/patience.go
@@ -32,15 +32,12 @@
 }
 
 // mustSpread reports whether a gang is to run slowly over several racks rather than wait for one: guaranteed work when the
-// time within which it must begin runs out, other work when it is its last chance to earn anything.
+// time within which it must begin runs out, other work when it has waited beside plenty of room.
 func (b *board) mustSpread(d *Demand) bool {
 	if d.Covered {
 		return b.view.Now.Sub(d.Since) >= time.Duration(spreadAfter*float64(b.view.Policy.Reclaim))
 	}
-	if b.idleTooLong(d) {
-		return true
-	}
-	return b.view.Now.Add(time.Duration(b.view.Policy.FarFactor * float64(d.Remaining))).After(d.LastGoal)
+	return b.idleTooLong(d)
 }
 
 // idlePatience is how long work waits for better room while there is plenty of room in all: less than the 3 s after which
