--- a/internal/node/fitness.go
+++ b/internal/node/fitness.go
@@ -56,4 +56,4 @@
 }
 
 // isDeputy reports whether this box is one of those that watch the lease closely.
-func (n *Node) isDeputy() bool { return n.relay.Book.Fitter() < deputies }
+func (n *Node) isDeputy() bool { return n.relay.Book.FitterBoxes() < deputies }
--- a/internal/relay/book.go
+++ b/internal/relay/book.go
@@ -170,9 +170,9 @@
 	b.peers = found
 }
 
-// Fitter counts the boxes that have renewed their rows lately and are fitter to schedule than this one; boxes that are
+// FitterBoxes counts the boxes that have renewed their rows lately and are fitter to schedule than this one; boxes that are
 // equally fit are ranked by their names.
-func (b *Book) Fitter() int {
+func (b *Book) FitterBoxes() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := 0
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -118,15 +118,15 @@
 
 // TestBoxesAreRanked ranks the fit before the weak and equals by name, and leaves out those that no longer announce themselves.
 func TestBoxesAreRanked(t *testing.T) {
-	inSite(t, func(ctx context.Context, t *testing.T, s *site) {
+	inSite(t, func(_ context.Context, t *testing.T, s *site) {
 		s.boxes[0].Book.Takeover = time.Second
 		time.Sleep(2*announceEvery + time.Second)
-		quicktest.Assert(t, s.boxes[0].Book.Fitter(), quicktest.Equals, 2)
-		quicktest.Assert(t, s.boxes[1].Book.Fitter(), quicktest.Equals, 0)
-		quicktest.Assert(t, s.boxes[2].Book.Fitter(), quicktest.Equals, 1)
+		quicktest.Assert(t, s.boxes[0].Book.FitterBoxes(), quicktest.Equals, 2)
+		quicktest.Assert(t, s.boxes[1].Book.FitterBoxes(), quicktest.Equals, 0)
+		quicktest.Assert(t, s.boxes[2].Book.FitterBoxes(), quicktest.Equals, 1)
 		s.store.Cut("box-1")
 		s.network.Cut("box-1")
 		time.Sleep(presumedGone + 2*announceEvery)
-		quicktest.Assert(t, s.boxes[2].Book.Fitter(), quicktest.Equals, 0)
+		quicktest.Assert(t, s.boxes[2].Book.FitterBoxes(), quicktest.Equals, 0)
 	})
 }
--- a/internal/scheduler/doubt_test.go
+++ b/internal/scheduler/doubt_test.go
@@ -2,12 +2,18 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
 	"github.com/pulleyring/pulleyring/internal/job"
 )
 
+// inBubble runs a subtest whose clock stands still while it works.
+func inBubble(t *testing.T, name string, f func(t *testing.T)) {
+	t.Run(name, func(t *testing.T) { synctest.Test(t, f) })
+}
+
 // TestFailureAtOnceBarsTheWorker: a run that fails as soon as it has begun says more of its worker than of its job.
 func TestFailureAtOnceBarsTheWorker(t *testing.T) {
 	for _, c := range []struct {
@@ -22,7 +28,7 @@
 		{"at once, forgiven later", 30 * time.Millisecond, false, 10 * time.Second, false},
 		{"after some work", 2 * time.Second, false, 0, false},
 	} {
-		t.Run(c.name, func(t *testing.T) {
+		inBubble(t, c.name, func(t *testing.T) {
 			j := &liveJob{Life: job.NewLife(request("a", 4*time.Second), nil), avoid: map[job.Group]map[string]bool{}}
 			if c.earlier {
 				j.avoid[job.Group{}] = map[string]bool{"other": true}
