Keep the waiting time of a task whose start was refused

Cause: when a placed run turned out never to have run (its worker refused it or never got it), the group's waiting time began anew, and with it the time within which guaranteed work must have begun: two such refusals could take it past 3.4 s. Change: only a run that has run ends the waiting time. Test: TestNeverRanGoesOnWaiting fails before.

--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -205,7 +205,9 @@
 		}
 		j.avoid[g][w.ID] = outcome == job.FailedRun
 	}
-	delete(j.since, g)
+	if outcome != job.NeverRan { // Else it has waited all along, and guaranteed work must begin within its time.
+		delete(j.since, g)
+	}
 	if j.Progress.State != before && j.Progress.State.Final() {
 		h.Log.Info("scheduler: job ended", zap.String("job", string(j.Request.ID)), zap.Stringer("state", j.Progress.State),
 			zap.Int("priority", j.Request.Terms.Priority), zap.Duration("took", time.Since(time.UnixMilli(j.Request.Accepted))),
--- /dev/null
+++ b/internal/scheduler/since_test.go
@@ -0,0 +1,27 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pulleyring/pulleyring/internal/job"
+	"go.uber.org/zap"
+)
+
+// TestNeverRanGoesOnWaiting: a task whose start was refused has waited since before it was placed, so that guaranteed work
+// still begins within its time; one that has run waits anew.
+func TestNeverRanGoesOnWaiting(t *testing.T) {
+	for outcome, kept := range map[job.Outcome]bool{job.NeverRan: true, job.Stopped: false, job.Lapsed: false} {
+		h := &shard{Scheduler: &Scheduler{Log: zap.NewNop()}, wake: make(chan struct{}, 1), jobs: map[job.ID]*liveJob{}, dirty: map[job.ID]bool{}}
+		h.addJob(request("a", time.Second), nil)
+		j, group, since := h.jobs["a"], job.Group{}, time.Unix(1000, 0)
+		j.since[group] = since
+		order := j.Place(group, map[int]string{0: "w"})[0]
+		r := &run{task: order.Task, number: order.Run, job: j}
+		w := &workerState{runs: map[job.Task]*run{r.task: r}}
+		h.endRun(w, r, outcome, "")
+		_, waits := j.since[group]
+		quicktest.Check(t, waits, quicktest.Equals, kept, quicktest.Commentf("%v", outcome))
+	}
+}
