--- a/internal/box/script_test.go
+++ b/internal/box/script_test.go
@@ -321,7 +321,7 @@
 
 func (s *script) expectOutcome(caller, id, outcome string) error {
 	for _, t := range s.told {
-		if t.Caller == caller && t.ID == id && string(t.Last().Outcome) == outcome {
+		if t.Caller == caller && t.ID == id && string(s.last(t).Outcome) == outcome {
 			return nil
 		}
 	}
--- a/internal/box/world_test.go
+++ b/internal/box/world_test.go
@@ -388,7 +388,7 @@
 		end := time.Now().Add(patience)
 		for n := 0; time.Now().Before(end); n++ {
 			reply, answered := w.call(w.box(first+n), func(ctx context.Context, a *actor) (request.Reply, error) {
-				if t.Last().Outcome != "" {
+				if w.last(t).Outcome != "" {
 					reply, err := a.Intake.Ask(ctx, id)
 					if err == nil {
 						return reply, nil
@@ -456,17 +456,29 @@
 // longestCall is longer than anything that a box begins.
 const longestCall = 2 * time.Minute
 
-// judge asks again for every request through every live box, and then counts.
+// last is what a caller was told last.
+func (w *world) last(t *judge.Told) request.Reply {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return t.Last()
+}
+
+// judge asks again for every request through every live box, and then counts. Callers that have no outcome yet go on asking
+// meanwhile.
 func (w *world) judge() *judge.Judgement {
 	for _, name := range w.order {
 		a := w.boxes[name]
 		for _, t := range w.told {
 			reply, err := a.Intake.Ask(w.ctx, t.Identity)
+			w.mu.Lock()
 			if err == nil && (reply.Outcome.Final() || !t.Settled()) {
 				t.Replies = append(t.Replies, reply)
 			}
+			w.mu.Unlock()
 		}
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	return judge.Judge(w.told, w.platform.Records())
 }
 
