Work out once what the search for work to stop repeated

Cause: reading the change again. The search marked the suitable workers anew for each holding it chose; the time that guaranteed work waits for a rack was reckoned in two places; a comment was broken over odd lines. Change: the marks are set once a search; rackPatience serves both places; the comment.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -25,7 +25,7 @@
 	stopped  []bool          // By holding: stopped by this decision.
 	soon     []job.Resources // By worker: comes free within the time that a stop takes.
 	room     []job.Resources // Scratch of futureRoom.
-	inside   []bool          // Scratch of cheapest, by worker.
+	inside   []bool          // Scratch of planRoom, by worker: among those that are looked at, and suitable.
 	seen     []int           // By holding: the last look for candidates that found it.
 	looks    int             // For candidates so far.
 }
--- a/internal/placement/patience.go
+++ b/internal/placement/patience.go
@@ -27,15 +27,19 @@
 // mustBegin reports whether the time within which guaranteed work must have begun runs out: room that is made now comes
 // free about when the work would be spread.
 func (b *board) mustBegin(d *Demand) bool {
-	latest := time.Duration(spreadAfter*float64(b.view.Policy.Reclaim)) - b.view.Policy.StopTime
-	return d.Covered && b.view.Now.Sub(d.Since) >= latest
+	return d.Covered && b.view.Now.Sub(d.Since) >= b.rackPatience()-b.view.Policy.StopTime
+}
+
+// rackPatience is how long guaranteed work waits for room in one rack.
+func (b *board) rackPatience() time.Duration {
+	return time.Duration(spreadAfter * float64(b.view.Policy.Reclaim))
 }
 
 // mustSpread reports whether a gang is to run slowly over several racks rather than wait for one: guaranteed work when the
 // time within which it must begin runs out, other work when it has waited beside plenty of room.
 func (b *board) mustSpread(d *Demand) bool {
 	if d.Covered {
-		return b.view.Now.Sub(d.Since) >= time.Duration(spreadAfter*float64(b.view.Policy.Reclaim))
+		return b.view.Now.Sub(d.Since) >= b.rackPatience()
 	}
 	return b.idleTooLong(d)
 }
--- a/internal/placement/reclaim.go
+++ b/internal/placement/reclaim.go
@@ -1,8 +1,7 @@
 package placement
 
-// makeRoom stops the work whose loss is least so that an urgent demand fits, and claims the room; it reports
-// whether there is a way. Guaranteed work gets its
-// room whatever that costs; other urgent work only what its being in time is worth.
+// makeRoom stops the work whose loss is least so that an urgent demand fits, and claims the room; it reports whether there is
+// a way. Guaranteed work gets its room whatever that costs, other urgent work only if being in time is worth more.
 func (b *board) makeRoom(i int) bool {
 	d := &b.view.Demands[i]
 	if d.NoPlan {
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -19,12 +19,16 @@
 		return nil
 	}
 	room := b.futureRoom(among)
+	clear(b.inside)
+	for _, k := range among {
+		b.inside[k] = b.suits(d, k)
+	}
 	for {
 		if p.workers = b.layInto(d, among, room); p.workers != nil {
 			p.stops = b.needed(d, p, among)
 			return p
 		}
-		at := b.cheapest(d, among, room, candidates)
+		at := b.cheapest(d, room, candidates)
 		if at < 0 {
 			return nil
 		}
@@ -126,11 +130,7 @@
 }
 
 // cheapest returns the place in candidates of the holding with the least loss for the room that it makes, -1 for none.
-func (b *board) cheapest(d *Demand, among []int, room []job.Resources, candidates []int) int {
-	clear(b.inside)
-	for _, k := range among {
-		b.inside[k] = b.suits(d, k)
-	}
+func (b *board) cheapest(d *Demand, room []job.Resources, candidates []int) int {
 	best, bestCost := -1, 0.0
 	for i, h := range candidates {
 		gain := b.gain(d, room, h)
