Know at once that a worker's process has ended, and what an order without an answer means

An order that surely never left counted as one that may have been carried out.

Change: orders tell apart a worker that hangs up, one at whose address nobody listens, an order that never left, and silence. A worker that hung up, has not answered since and does not listen has ended; its tasks wait again. A start that never left counts as not run.

--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -123,6 +123,17 @@
 	})
 }
 
+// End ends a worker's process: its connections are closed, its address refuses, and its record stays until it is forgotten.
+func (f *Fleet) End(id string) error {
+	if err := f.Crash(id); err != nil {
+		return err
+	}
+	return f.change(id, func(w *worker) {
+		w.over = true
+		w.notify()
+	})
+}
+
 // Forget removes a worker's record.
 func (f *Fleet) Forget(id string) {
 	f.mu.Lock()
@@ -224,6 +235,10 @@
 		return 0, err
 	}
 	w.mu.Lock()
+	if w.over {
+		w.mu.Unlock()
+		return 0, fleet.ErrNotListening
+	}
 	if w.late > 0 {
 		w.late--
 		w.mu.Unlock()
@@ -277,8 +292,11 @@
 	for first := true; ; first = false {
 		w.mu.Lock()
 		report, err := w.report(o)
-		changed := w.changed
+		changed, ended := w.changed, w.over
 		w.mu.Unlock()
+		if ended {
+			return report, lookAtEnded(first)
+		}
 		if err == fleet.ErrNoAnswer {
 			<-ctx.Done()
 			return report, err
@@ -298,6 +316,14 @@
 	}
 }
 
+// lookAtEnded is how a look ends whose worker's process has ended: before it was sent, or while it waited.
+func lookAtEnded(before bool) error {
+	if before {
+		return fleet.ErrNotListening
+	}
+	return fleet.ErrHungUp
+}
+
 // muted reports whether a look gets no answer, and counts it.
 func (w *worker) muted() bool {
 	w.mu.Lock()
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -27,6 +27,7 @@
 	changed  chan struct{}
 
 	dead   bool // Answers nobody and runs nothing.
+	over   bool // Its process has ended: nobody listens.
 	cut    bool // Answers nobody and runs on.
 	fails  bool // Everything that starts there fails.
 	stuck  bool // Nothing makes progress.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,8 +23,18 @@
 	Capacity job.Resources
 }
 
-// ErrNoAnswer says that an order may have been carried out, or may be seconds later.
-var ErrNoAnswer = errors.New("fleet: no answer")
+// What an order without an answer has come to.
+var (
+	// ErrNoAnswer says that an order may have been carried out, or may be seconds later.
+	ErrNoAnswer = errors.New("fleet: no answer")
+	// ErrHungUp is an ErrNoAnswer where the worker closed the connection in order, as the end of its process does; a cut
+	// resets it or says nothing.
+	ErrHungUp = errors.WithMessage(ErrNoAnswer, "fleet: the worker hung up")
+	// ErrNotSent says that an order surely never left: there was no connection to send it on.
+	ErrNotSent = errors.New("fleet: not sent")
+	// ErrNotListening says the same, because nobody listens at the worker's address.
+	ErrNotListening = errors.New("fleet: nobody listens")
+)
 
 // Refusal is why a worker surely did not carry out an order.
 type Refusal int
@@ -93,7 +103,7 @@
 	Ended   []End
 }
 
-// Orders gives orders to workers. Errors are a Refusal or ErrNoAnswer; the clock is the worker's, 0 where not told.
+// Orders gives orders to workers. Errors are a Refusal or one of those above; the clock is the worker's, 0 where not told.
 // Each call is bounded in time by ctx.
 type Orders interface {
 	Start(ctx context.Context, w *Worker, o *Start) (clock int64, err error)
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -29,7 +29,7 @@
 //	many N PREFIX WORDS                submit so many, named PREFIX0, PREFIX1, ...
 //	sleep DURATION
 //	kill|start|stop|freeze BOX [D]     of a box
-//	crash|cut|heal|fail|well|stick|unstick|refuse|take|forget|record WORKER
+//	crash|end|cut|heal|fail|well|stick|unstick|refuse|take|forget|record WORKER
 //	late WORKER N                      so many orders are carried out late
 //	mute WORKER N                      so many orders are carried out without an answer
 //	drain WORKER DURATION
@@ -334,6 +334,8 @@
 	switch words[0] {
 	case "crash":
 		return w.fleet.Crash(id)
+	case "end":
+		return w.fleet.End(id)
 	case "forget":
 		w.fleet.Forget(id)
 		return nil
--- a/internal/scheduler/held_test.go
+++ b/internal/scheduler/held_test.go
@@ -35,7 +35,7 @@
 	return &shard{
 		Scheduler: &Scheduler{Log: zap.NewNop(), Configuration: func() *queue.Configuration { return nil }},
 		wake:      make(chan struct{}, 1), jobs: map[job.ID]*liveJob{}, workers: map[string]*workerState{}, dirty: map[job.ID]bool{},
-		claims: map[claimKey]claimed{}, noPlan: map[claimKey]time.Time{}, waitLogged: map[claimKey]time.Time{}, stepTimes: map[claimKey]*stepTimes{},
+		lives: map[string]time.Time{}, claims: map[claimKey]claimed{}, noPlan: map[claimKey]time.Time{}, waitLogged: map[claimKey]time.Time{}, stepTimes: map[claimKey]*stepTimes{},
 	}
 }
 
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/pulleyring/pulleyring/internal/fleet"
 	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/pulleyring/pulleyring/internal/job"
@@ -92,7 +93,7 @@
 		r.stopKnown = time.Now()
 		w.signal()
 		return true
-	case refused && try == 1:
+	case try == 1 && (refused || notSent(err)):
 		r.ordering = false
 		h.refused(w, r)
 		return true
@@ -107,6 +108,11 @@
 	return true
 }
 
+// notSent reports whether an order surely never left.
+func notSent(err error) bool {
+	return errors.Is(err, fleet.ErrNotSent) || errors.Is(err, fleet.ErrNotListening)
+}
+
 // refused ends a run that surely did not start.
 func (h *shard) refused(w *workerState, r *run) {
 	if w.runs[r.task] != r {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -88,9 +88,10 @@
 	workers      map[string]*workerState
 	roster       []*workerState // The workers by their names; nil once one came or went.
 	holdings     holdings
-	view         placement.View  // Of the last decision; its lists are used again.
-	dirty        map[job.ID]bool // Jobs whose progress is to be committed.
-	launches     []*run          // Placed runs to be ordered once they are committed.
+	view         placement.View       // Of the last decision; its lists are used again.
+	dirty        map[job.ID]bool      // Jobs whose progress is to be committed.
+	launches     []*run               // Placed runs to be ordered once they are committed.
+	lives        map[string]time.Time // Of workers whose process has ended, by when that was found.
 	claims       map[claimKey]claimed
 	noPlan       map[claimKey]time.Time // Until when no room is looked for.
 	waitLogged   map[claimKey]time.Time // When it was last logged why a group waits.
@@ -123,7 +124,7 @@
 	h := &shard{
 		Scheduler: s, tenure: tenure, ctx: inner, wake: make(chan struct{}, 1),
 		jobs: map[job.ID]*liveJob{}, workers: map[string]*workerState{}, dirty: map[job.ID]bool{},
-		claims: map[claimKey]claimed{}, noPlan: map[claimKey]time.Time{}, waitLogged: map[claimKey]time.Time{}, early: map[job.ID]time.Time{}, away: map[job.ID][]string{}, forgotten: map[job.ID]forgotten{}, stepTimes: map[claimKey]*stepTimes{}, storeTrouble: time.Now(),
+		lives: map[string]time.Time{}, claims: map[claimKey]claimed{}, noPlan: map[claimKey]time.Time{}, waitLogged: map[claimKey]time.Time{}, early: map[job.ID]time.Time{}, away: map[job.ID][]string{}, forgotten: map[job.ID]forgotten{}, stepTimes: map[claimKey]*stepTimes{}, storeTrouble: time.Now(),
 	}
 	defer h.ordering.Wait()
 	defer cancel()
--- a/internal/scheduler/silence.go
+++ b/internal/scheduler/silence.go
@@ -1,8 +1,11 @@
 package scheduler
 
 import (
+	"maps"
 	"time"
 
+	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/fleet"
 	"github.com/pulleyring/pulleyring/internal/job"
 	"go.uber.org/zap"
 )
@@ -59,6 +62,30 @@
 	return time.Duration(float64(h.Bounds.MaxLease)*(1+clockDrift)) + h.Bounds.StopTime + answerTimeout
 }
 
+// hasEnded takes in an order without an answer and reports whether it shows that the worker's process is gone, with all that
+// ran there: it closed a connection in order, has not answered since, and nobody listens at its address. A worker that is
+// cut off does not do both: its connections are reset or silent, and those that are open go on where new ones are
+// refused. Its record shows it up to 4.5 s longer (three heartbeats), for which gangs with a member there waited.
+func (h *shard) hasEnded(w *workerState, err error) bool {
+	w.hungUp = w.hungUp || errors.Is(err, fleet.ErrHungUp)
+	return w.hungUp && errors.Is(err, fleet.ErrNotListening)
+}
+
+// endedLifeKept is how long the name of a life that has ended is kept: its record is gone long before.
+const endedLifeKept = time.Minute
+
+// endLife gives up a worker whose process has ended.
+func (h *shard) endLife(w *workerState) {
+	if w.gone {
+		return
+	}
+	maps.DeleteFunc(h.lives, func(_ string, ended time.Time) bool { return time.Since(ended) > endedLifeKept })
+	h.lives[w.ID] = time.Now()
+	h.loseWorker(w, "its process has ended")
+	h.changed = true
+	h.signal()
+}
+
 func (h *shard) loseWorker(w *workerState, why string) {
 	h.Log.Warn("scheduler: worker is gone", zap.String("worker", w.ID), zap.String("why", why), zap.Int("runs", len(w.runs)))
 	w.gone = true
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -76,6 +76,7 @@
 	acknowledged int64     // Number of the last end whose effect is committed.
 	told         int64     // Number of the last end that the worker was told to forget.
 	failures     int       // Orders in a row without an answer.
+	hungUp       bool      // It closed a connection in order and has not answered since.
 	unhealthy    time.Time // Takes no new runs until then.
 	doubt        doubt
 	slow         slowness
@@ -98,7 +99,7 @@
 	if clock == 0 {
 		return
 	}
-	w.clock, w.clockAt = clock, time.Now()
+	w.clock, w.clockAt, w.hungUp = clock, time.Now(), false
 }
 
 // usable reports whether the worker takes new runs.
@@ -126,6 +127,9 @@
 }
 
 func (h *shard) addWorker(record *fleet.Worker) {
+	if _, over := h.lives[record.ID]; over {
+		return // The record of a life that has ended stays for some seconds.
+	}
 	w := h.workers[record.ID]
 	if w == nil {
 		w = h.newWorker(record.ID)
@@ -307,6 +311,10 @@
 func (h *shard) noteFailure(w *workerState, err error, order string) {
 	refusal, refused := refusalOf(err)
 	if !refused {
+		if h.hasEnded(w, err) {
+			h.endLife(w)
+			return
+		}
 		h.Figures.Count("orders_unanswered")
 		w.failures++
 		if w.failures == 1 {
