Expect run times by what a queue's tasks took, as far as its declarations are off

Cause: on the large site declared run times are off by nine tenths, so that gangs seemed to have a minute more to their goal than they had, and waited 10 s and more beside idle workers that were kept for urgent work.

Change: for each queue the error of its declarations and that of what its tasks usually took are followed, and a step that is not known yet is expected by both, weighed by their errors.

--- a/internal/scheduler/estimate.go
+++ b/internal/scheduler/estimate.go
@@ -26,6 +26,7 @@
 type learned struct {
 	ratio float64 // Real run time over the declared one, smoothed; 0 before the first.
 	work  mean    // Core-seconds of a job, as declared.
+	times guess   // How long tasks run, step by step.
 }
 
 // smoothing is the weight of the newest run in the learned ratio.
@@ -57,14 +58,15 @@
 		e.steps = map[claimKey]*mean{}
 	}
 	key := stepOf(r.ID, step)
+	l := e.of(r.Terms.Queue)
 	if e.steps[key] == nil {
 		e.steps[key] = &mean{}
+		l.times.take(took, l.corrected(r.Steps[step].Estimate))
 	}
 	e.steps[key].add(took.Seconds())
 	if r.Steps[step].Estimate <= 0 {
 		return
 	}
-	l := e.of(r.Terms.Queue)
 	ratio := float64(took) / float64(r.Steps[step].Estimate)
 	if l.ratio == 0 {
 		l.ratio = ratio
@@ -78,11 +80,15 @@
 		return max(time.Duration(m.value*float64(time.Second)), leastEstimate)
 	}
 	l := e.of(r.Terms.Queue)
-	d := r.Steps[step].Estimate
+	return max(l.times.blend(l.corrected(r.Steps[step].Estimate)), leastEstimate)
+}
+
+// corrected is a declared run time times what real ones were of declared ones.
+func (l *learned) corrected(declared time.Duration) time.Duration {
 	if l.ratio > 0 {
-		d = time.Duration(float64(d) * l.ratio)
+		return time.Duration(float64(declared) * l.ratio)
 	}
-	return max(d, leastEstimate)
+	return declared
 }
 
 // leastEstimate bounds what is reckoned with; a run takes a few tens of milliseconds of orders alone.
