Send a start without an answer again sooner, three times in all

Cause: while one order in twenty gets no answer and is carried out seconds later, each such start holds up its gang for 0.7 s, and after two of them the whole gang is stopped and waits for that.

Change: a start waits 0.3, 0.4 and 0.7 s for its answer.

Test: script late_start_again (failed before).

--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -13,12 +13,14 @@
 	"go.uber.org/zap"
 )
 
-const (
-	// startTries is how often a start without an answer is sent; the same run starts only once at a worker.
-	startTries = 2
-	// stopRetry is the pause between two tries of a stop without an answer.
-	stopRetry = 150 * time.Millisecond
-)
+// startTimeouts bound the answers to the tries of a start; the same run starts only once at a worker. A worker answers within a
+// few ms, and a packet that was lost comes again after 200 ms. Each try that is missed makes a whole gang wait, and after
+// the last one the gang begins anew: where one order in twenty gets no answer, two tries lose one member in 400 and every
+// tenth gang of 40, three tries one in 200.
+var startTimeouts = [...]time.Duration{300 * time.Millisecond, 400 * time.Millisecond, answerTimeout}
+
+// stopRetry is the pause between two tries of a stop without an answer.
+const stopRetry = 150 * time.Millisecond
 
 // launch orders a run whose placement is committed.
 func (h *shard) launch(r *run) {
@@ -42,7 +44,7 @@
 		if order == nil {
 			return
 		}
-		ctx, cancel := context.WithTimeout(h.ctx, answerTimeout)
+		ctx, cancel := context.WithTimeout(h.ctx, startTimeouts[try-1])
 		clock, err := h.Orders.Start(ctx, &target, order)
 		cancel()
 		if h.ctx.Err() != nil {
@@ -97,7 +99,7 @@
 		r.ordering = false
 		h.refused(w, r)
 		return true
-	case !refused && try < startTries && !w.Draining && !w.gone:
+	case !refused && try < len(startTimeouts) && !w.Draining && !w.gone:
 		return false
 	}
 	// An earlier try may have been carried out, or may be yet.
