--- a/internal/emulator/judge.go
+++ b/internal/emulator/judge.go
@@ -71,6 +71,13 @@
 	return f.judge.counts
 }
 
+// Running is how many tasks run now.
+func (f *Fleet) Running() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.judge.running)
+}
+
 func (f *Fleet) noteStop() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -50,6 +50,7 @@
 //	starts N                           fail where more runs were started in all
 //	fenced N                           fail where more orders of a replaced box were refused
 //	stops N                            fail where more orders to stop were taken
+//	running N                          fail where more tasks run
 //	ends OUTCOME N                     fail where more runs ended so
 //
 // At the end no promise may be broken.
@@ -148,7 +149,7 @@
 			return fmt.Errorf("it is %s, %v", state, err)
 		}
 		return nil
-	case "starts", "ends", "fenced", "stops", "records_read", "lease_reads":
+	case "starts", "running", "ends", "fenced", "stops", "records_read", "lease_reads":
 		return w.countCommand(words)
 	}
 	return w.workerCommand(words)
@@ -438,6 +439,8 @@
 	v := w.fleet.Verdict()
 	got, most := v.Starts, words[len(words)-1]
 	switch words[0] {
+	case "running":
+		got = w.fleet.Running()
 	case "fenced":
 		got = v.Fenced
 	case "stops":
