Notice deaf feeds of jobs by how often jobs come, and read parts side by side

Cause: for a second before the store forgets its history its feeds tell of nothing.

Change: a feed may be quiet for 8 usual gaps between two jobs, 0.2 to 0.7 s; once the first part has come quickly the others are read side by side.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -178,20 +179,42 @@
 	Version int64
 }
 
-// Jobs reads all requests and cancellations. A feed from the version that it returns misses nothing.
+// partQuick is the time within which the first part must have been read for the others to be read side by side.
+const partQuick = 100 * time.Millisecond
+
+// Jobs reads all requests and cancellations. A feed from the version that it returns misses nothing. Parts are read side by
+// side where the first one came quickly: one after the other they took 0.9 s for 600 jobs on a busy box, while a thin link
+// carries no more at a time.
 func (l *Ledger) Jobs(ctx context.Context) (Changes, error) {
-	var all store.Page
-	for n := range requestParts {
-		page, err := store.ReadAll(ctx, l.Store, store.Range{Table: tableJobs, Part: l.partOf(n)})
-		if err != nil {
-			return Changes{}, err
+	began := time.Now()
+	all, err := l.jobsIn(ctx, 0)
+	if err != nil {
+		return Changes{}, err
+	}
+	var (
+		pages  [requestParts]store.Page
+		failed [requestParts]error
+		group  sync.WaitGroup
+	)
+	quick := time.Since(began) < partQuick
+	for n := 1; n < requestParts; n++ {
+		group.Go(func() { pages[n], failed[n] = l.jobsIn(ctx, n) })
+		if !quick {
+			group.Wait()
 		}
-		if n == 0 {
-			all.Version = page.Version // Of the first read: the feed goes on from there.
+	}
+	group.Wait()
+	for n := 1; n < requestParts; n++ {
+		if failed[n] != nil {
+			return Changes{}, failed[n]
 		}
-		all.Rows = append(all.Rows, page.Rows...)
+		all.Rows = append(all.Rows, pages[n].Rows...)
 	}
-	return l.changes(all)
+	return l.changes(all) // The version is that of the first read.
+}
+
+func (l *Ledger) jobsIn(ctx context.Context, part int) (store.Page, error) {
+	return store.ReadAll(ctx, l.Store, store.Range{Table: tableJobs, Part: l.partOf(part)})
 }
 
 // Drop deletes the requests and cancellations of jobs that need not be shown any more; away names the parts besides the
--- a/internal/node/accept_test.go
+++ b/internal/node/accept_test.go
@@ -196,3 +196,26 @@
 		quicktest.Assert(t, w.store.Rows("jobs"), quicktest.Equals, 0)
 	})
 }
+
+// TestDeafFeedIsMadeUpSoon: at 25 jobs a second, a feed that tells of nothing is noticed soon, and the rows are read at once.
+func TestDeafFeedIsMadeUpSoon(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		quicktest.Assert(t, w.command([]string{"workers", "8"}), quicktest.IsNil)
+		for i := range 50 {
+			_, err := handIn(w, "box-1", fmt.Sprint("before", i))
+			quicktest.Assert(t, err, quicktest.IsNil)
+			time.Sleep(35 * time.Millisecond)
+		}
+		w.store.SetSlow(30 * time.Millisecond)
+		w.store.SetDeaf()
+		began := time.Now()
+		_, err := handIn(w, "box-1", "deaf")
+		quicktest.Assert(t, err, quicktest.IsNil)
+		for state, err := w.state("deaf"); state == job.Queued; state, err = w.state("deaf") {
+			quicktest.Assert(t, err, quicktest.IsNil)
+			time.Sleep(5 * time.Millisecond)
+		}
+		took := time.Since(began)
+		quicktest.Assert(t, took < 650*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%v", took))
+	})
+}
--- /dev/null
+++ b/internal/scheduler/patience_test.go
@@ -0,0 +1,31 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+func TestPatienceFollowsTheFeed(t *testing.T) {
+	var p patience
+	quicktest.Assert(t, p.quiet(), quicktest.Equals, quietMost)
+	for range 50 {
+		p.told(2, 80*time.Millisecond) // 25 a second.
+	}
+	quicktest.Assert(t, p.quiet(), quicktest.Equals, 320*time.Millisecond)
+	for _, want := range []time.Duration{640 * time.Millisecond, quietMost, quietMost} { // Nobody hands anything in any more.
+		p.heardNothing()
+		quicktest.Assert(t, p.quiet(), quicktest.Equals, want)
+	}
+	p.told(1, 40*time.Millisecond)
+	quicktest.Assert(t, p.quiet(), quicktest.Equals, 320*time.Millisecond)
+	for range 100 {
+		p.told(100, 80*time.Millisecond)
+	}
+	quicktest.Assert(t, p.quiet(), quicktest.Equals, quietLeast)
+	for range 100 {
+		p.told(1, time.Second)
+	}
+	quicktest.Assert(t, p.quiet(), quicktest.Equals, quietMost)
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -66,10 +66,7 @@
 	// retryPause is the pause after a call to the store failed; after a commit it doubles up to retryMost.
 	retryPause = 100 * time.Millisecond
 	retryMost  = 400 * time.Millisecond
-	// jobsQuiet is how long the feed of jobs may tell of nothing before the rows are read: a feed can be deaf for a
-	// second and more, and then end without a word.
-	jobsQuiet = 700 * time.Millisecond
-	// workersQuiet is the same for workers, whose records change seldom.
+	// workersQuiet is how long the feed of workers may tell of nothing before their records are read.
 	workersQuiet = 2 * time.Second
 	// workersPause is the pause between two looks at the workers' records: every worker's heartbeat ends a wait for changes,
 	// and a worker that leaves says so seconds before. After a full answer there is none: 3,000 workers write 2,000 records a
@@ -223,9 +220,14 @@
 
 // followJobs takes in requests and cancellations as they are written.
 func (h *shard) followJobs(version int64) {
+	var patience patience
 	for h.ctx.Err() == nil {
-		changes, err := h.Ledger.WatchJobs(h.ctx, version, jobsQuiet)
-		if err != nil || len(changes.List) == 0 {
+		began := time.Now()
+		changes, err := h.Ledger.WatchJobs(h.ctx, version, patience.quiet())
+		if err == nil && len(changes.List) > 0 {
+			patience.told(len(changes.List), time.Since(began))
+		} else {
+			patience.heardNothing()
 			changes, err = h.Ledger.Jobs(h.ctx)
 		}
 		if err != nil {
