Let one run that fails at once make workers unproven, and never wait long beside plenty of room

Change: a single run that fails as soon as it has begun makes workers unproven until something has worked there; a gang that has room twice over waits no longer than 2 s for proven ones.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -50,6 +50,7 @@
 	d := &b.view.Demands[i]
 	b.served[i] = true
 	b.consider(d)
+	b.avoidUnproven(d)
 	b.unclaim(i)
 	claimed := d.Claim != nil && !b.dropped[i]
 	if b.place(i) || b.placeOnDrained(i) {
--- a/internal/placement/layout.go
+++ b/internal/placement/layout.go
@@ -10,14 +10,24 @@
 
 // consider makes a demand the one that suits speaks of.
 func (b *board) consider(d *Demand) {
-	careful := d.LastAttempt && b.view.Now.Sub(d.Since) < carefulPatience
 	for k := range b.view.Workers {
 		w := &b.view.Workers[k]
-		b.suitable[k] = w.Usable && !(careful && w.Unproven) && w.Service == d.Service && !d.Avoid[w.ID] &&
+		b.suitable[k] = w.Usable && w.Service == d.Service && !d.Avoid[w.ID] &&
 			(d.Step.Label == "" || slices.Contains(w.Labels, d.Step.Label))
 	}
 }
 
+// avoidUnproven leaves a gang with one attempt left only the workers on which something has worked of late, for as long as
+// it can wait for them.
+func (b *board) avoidUnproven(d *Demand) {
+	if !d.LastAttempt || b.view.Now.Sub(d.Since) >= carefulPatience || b.idleTooLong(d) {
+		return
+	}
+	for k := range b.view.Workers {
+		b.suitable[k] = b.suitable[k] && !b.view.Workers[k].Unproven
+	}
+}
+
 // carefulPatience is how long a gang with one attempt left waits for workers on which something has worked of late. At 1,100
 // workers and 500 starts a second most are proven within 1 s, but gangs of 40 members and more found no room on them within
 // 2 s, and failed for good on others.
--- a/internal/scheduler/doubt.go
+++ b/internal/scheduler/doubt.go
@@ -75,7 +75,7 @@
 	atOnce := min(atOnceMost, time.Duration(atOnceShare*float64(h.learned.task(r.job.Request, r.task.Step))))
 	switch {
 	case now.Sub(begun) < atOnce:
-		h.outbreak.failed(r.job.Request.ID, r.placed, now)
+		h.outbreak.failed(r.placed, now)
 		return atOnceWeight
 	case len(r.job.avoid[r.group()]) > 0:
 		return againWeight // A task that failed elsewhere too is more likely to blame than the worker.
--- a/internal/scheduler/outbreak.go
+++ b/internal/scheduler/outbreak.go
@@ -10,8 +10,6 @@
 	// outbreakOver is how long after the last run that failed as soon as it had begun workers that fail everything are taken to
 	// be about: as long as such a worker is barred.
 	outbreakOver = 8 * time.Second
-	// outbreakJobs is how many jobs must have lost such a run: a single one may be to blame itself.
-	outbreakJobs = 2
 	// provenAfter is the age of a run that has not failed at once: its worker would have told of the end by then, as a look there
 	// waits for one.
 	provenAfter = atOnceMost + 100*time.Millisecond
@@ -19,27 +17,24 @@
 
 // outbreak is a time in which workers fail everything that they start, and nobody knows which. On a day with 9% of 1,100
 // workers failing all for 6 s, gangs of 20 to 70 members used up their two or three attempts within a second, each on other
-// workers that were not known yet: 15 of 1,000 jobs failed so, all that were not served. The zero value is none.
+// workers that were not known yet: 15 of 1,000 jobs failed so, all that were not served. A single such run
+// begins one: tasks that are themselves to blame fail after some work. The zero value is none.
 type outbreak struct {
 	began time.Time
 	last  time.Time
-	jobs  map[job.ID]bool // With such a run.
 }
 
 // failed takes in a run that was placed at a time and failed as soon as it had begun.
-func (o *outbreak) failed(id job.ID, placed, now time.Time) {
-	if now.Sub(o.last) > outbreakOver {
-		*o = outbreak{began: placed, jobs: map[job.ID]bool{}}
-	}
-	if placed.Before(o.began) {
+func (o *outbreak) failed(placed, now time.Time) {
+	if !o.active(now) || placed.Before(o.began) {
 		o.began = placed
 	}
-	o.last, o.jobs[id] = now, true
+	o.last = now
 }
 
 // active reports whether workers are about that fail everything.
 func (o *outbreak) active(now time.Time) bool {
-	return len(o.jobs) >= outbreakJobs && now.Sub(o.last) <= outbreakOver
+	return !o.last.IsZero() && now.Sub(o.last) <= outbreakOver
 }
 
 // proven reports whether a run that began on a worker since a time has not failed at once.
