Bound the idle connections to workers by the box's descriptors

Cause: at 3,000 workers the scheduler's box held 7,995 connections, with 8,192 descriptors of which 200 are reserved: calls to workers found none left.

Change: idle connections to workers are kept up to a quarter of the descriptors, the newest.

Test: TestIdleConnectionsAreBounded.

--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -51,7 +51,7 @@
 		Network:        &relay.HTTP{Client: platform.NewClient()},
 		Configurations: func(st store.Store) node.Configurations { return &platform.Configurations{Store: st} },
 		Directory:      func(st store.Store) scheduler.Directory { return &platform.Directory{Store: st, Log: log} },
-		Orders:         &platform.Workers{Client: platform.NewClient()},
+		Orders:         &platform.Workers{Client: platform.NewWorkerClient(platform.IdleConnections(s.Means.Descriptors))},
 		Front:          platform.Front,
 		Readiness:      platform.Readiness,
 	}
--- a/internal/node/fitness.go
+++ b/internal/node/fitness.go
@@ -31,6 +31,7 @@
 type Means struct {
 	Cores        float64 // Processor time a second, in cores.
 	MegabitsPerS float64 // Of its network link.
+	Descriptors  int     // Files and sockets that a box may have open.
 }
 
 // takeover is how long a take-over of a large site would take with these means.
