Let only the hang-up of a look show that a worker's process has ended

Workers that live close idle connections; a start that crosses that on its way sees a hang-up as well. With a cut that refuses new connections beginning just then, a worker that runs on would have been taken as ended, and its tasks would have run twice.

Change: the hang-up must be that of a look that was under way for 50 ms, or that went over the connection of a look answered within the last 0.5 s; of any order only once the worker was due to leave.

Test: TestEndOfAProcess, nine cases.

--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -242,7 +242,7 @@
 		h.signal()
 	}
 	w.heard(report.Clock)
-	w.failures = 0
+	w.failures, w.lookedAt = 0, time.Now()
 	w.told = max(w.told, acknowledged)
 	present := map[job.Task]int{}
 	for i := range report.Running {
--- a/internal/scheduler/silence.go
+++ b/internal/scheduler/silence.go
@@ -62,12 +62,26 @@
 	return time.Duration(float64(h.Bounds.MaxLease)*(1+clockDrift)) + h.Bounds.StopTime + answerTimeout
 }
 
-// hasEnded takes in an order without an answer and reports whether it shows that the worker's process is gone, with all that
-// ran there: it closed a connection in order, has not answered since, and nobody listens at its address. A worker that is
-// cut off does not do both: its connections are reset or silent, and those that are open go on where new ones are
-// refused. Its record shows it up to 4.5 s longer (three heartbeats), for which gangs with a member there waited.
-func (h *shard) hasEnded(w *workerState, err error) bool {
-	w.hungUp = w.hungUp || errors.Is(err, fleet.ErrHungUp)
+// A worker that lives also closes connections, idle ones, and an order that crosses that on its way sees a hang-up too.
+const (
+	// hangUpAfter is the age from which a look is no such order: it would have found out within a round trip of a few ms.
+	hangUpAfter = 50 * time.Millisecond
+	// connectionFresh is how long after a look's answer the next look goes over the same connection before that can count as
+	// idle; workers keep idle ones for 2 s.
+	connectionFresh = 500 * time.Millisecond
+)
+
+// dueToLeave reports whether the time that a worker said it had left is over.
+func (w *workerState) dueToLeave(now time.Time) bool {
+	return w.Draining && !w.leavesAt.IsZero() && now.After(w.leavesAt)
+}
+
+// hasEnded reports whether an order without an answer shows that the worker's process is gone, with all that ran there: it closed
+// the connection of a look in order, or of any order once it was due to leave, has not answered since, and nobody listens
+// at its address. A worker that is cut off does not do both: its connections are reset or silent, and those that are open
+// go on where new ones are refused. Its record shows it up to 4.5 s longer (three heartbeats), for which gangs with a
+// member there waited.
+func (w *workerState) hasEnded(err error) bool {
 	return w.hungUp && errors.Is(err, fleet.ErrNotListening)
 }
 
--- a/internal/scheduler/talk.go
+++ b/internal/scheduler/talk.go
@@ -31,7 +31,7 @@
 			return
 		}
 		if err != nil {
-			h.lookFailed(w, err)
+			h.lookFailed(w, err, sent)
 			interval.SleepOrWoken(h.ctx, pause, nil)
 			pause = min(2*pause, lookRetryMost)
 			continue
@@ -95,9 +95,13 @@
 	}
 }
 
-func (h *shard) lookFailed(w *workerState, err error) {
+// lookFailed takes in a look without an answer.
+func (h *shard) lookFailed(w *workerState, err error, sent time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if time.Since(sent) >= hangUpAfter || sent.Sub(w.lookedAt) < connectionFresh {
+		w.hungUp = w.hungUp || errors.Is(err, fleet.ErrHungUp)
+	}
 	h.noteFailure(w, err, "look")
 }
 
@@ -112,7 +116,10 @@
 func (h *shard) noteFailure(w *workerState, err error, order string) {
 	refusal, refused := refusalOf(err)
 	if !refused {
-		if h.hasEnded(w, err) {
+		if w.dueToLeave(time.Now()) {
+			w.hungUp = w.hungUp || errors.Is(err, fleet.ErrHungUp)
+		}
+		if w.hasEnded(err) {
 			h.endLife(w)
 			return
 		}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -68,12 +68,14 @@
 	wake         chan struct{}
 	clock        int64     // Worker's clock at clockAt; 0 before the first answer.
 	clockAt      time.Time // When that answer came.
+	lookedAt     time.Time // When the last look was answered.
 	lastOrder    time.Time // When the last order that renews the lease was sent.
 	applied      int64     // Number of the last end that was taken in.
 	acknowledged int64     // Number of the last end whose effect is committed.
 	told         int64     // Number of the last end that the worker was told to forget.
 	failures     int       // Orders in a row without an answer.
-	hungUp       bool      // It closed a connection in order and has not answered since.
+	hungUp       bool      // It closed a connection as its end does, and has not answered since.
+	leavesAt     time.Time // When the time that it said it had left is over; zero before it said so.
 	soundSince   time.Time // When the newest run began there that has not failed at once.
 	unhealthy    time.Time // Takes no new runs until then.
 	doubt        doubt
@@ -139,6 +141,9 @@
 		h.changed = true
 		h.signal()
 	}
+	if record.Draining && w.leavesAt.IsZero() {
+		w.leavesAt = time.Now().Add(record.Leaves)
+	}
 	w.Worker, w.listed = *record, true
 	if first {
 		h.sendStops(w)
