Wait for the answers to starts as long as answers take

Starts that waited 0.3 s for their answer, as fit boxes do, were given up and broke their gangs.

Change: a start waits four times as long as the slowest answer lately, between the bounds there were and 0.7 s.

--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -13,7 +13,7 @@
 	"go.uber.org/zap"
 )
 
-// startTimeouts bound the answers to the tries of a start; the same run starts only once at a worker. A worker answers within a
+// startTimeouts are the least bounds of the answers to the tries of a start; the same run starts only once at a worker. A worker answers within a
 // few ms, and a packet that was lost comes again after 200 ms. Each try that is missed makes a whole gang wait, and after
 // the last one the gang begins anew: where one order in twenty gets no answer, two tries lose one member in 400 and every
 // tenth gang of 40, three tries one in 200.
@@ -44,12 +44,14 @@
 		if order == nil {
 			return
 		}
-		ctx, cancel := context.WithTimeout(h.ctx, startTimeouts[try-1])
+		sent := time.Now()
+		ctx, cancel := context.WithTimeout(h.ctx, h.startTimeout(try))
 		clock, err := h.Orders.Start(ctx, &target, order)
 		cancel()
 		if h.ctx.Err() != nil {
 			return
 		}
+		h.noteAnswer(err, time.Since(sent))
 		if h.started(w, r, clock, err, try) {
 			return
 		}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -100,6 +100,7 @@
 	storeTrouble time.Time // When the store last failed a call.
 	learned      estimates
 	outbreak     outbreak
+	answers      answerTimes
 	stepTimes    map[claimKey]*stepTimes
 	pending      map[string]int       // As last committed.
 	early        map[job.ID]time.Time // Cancellations that came without a request, by when they were seen.
--- a/internal/scheduler/talk.go
+++ b/internal/scheduler/talk.go
@@ -30,6 +30,9 @@
 		if h.ctx.Err() != nil {
 			return
 		}
+		if look.Wait == 0 {
+			h.noteAnswer(err, time.Since(sent))
+		}
 		if err != nil {
 			h.lookFailed(w, err, sent)
 			interval.SleepOrWoken(h.ctx, pause, nil)
