--- a/internal/placement/layout.go
+++ b/internal/placement/layout.go
@@ -83,10 +83,10 @@
 	var best map[int]string
 	var bestRank layoutRank
 	for _, rack := range b.racks {
-		if b.fits(d, rack, b.free) < len(d.Waiting) {
+		workers := b.spread(d, rack, len(d.Waiting))
+		if workers == nil {
 			continue
 		}
-		workers := b.spread(d, rack, len(d.Waiting))
 		rank := layoutRank{b.hazard(workers), b.slowest(workers), b.rackFree(rack)}
 		if best == nil || rank.before(bestRank) {
 			best, bestRank = workers, rank
--- a/internal/scheduler/answers.go
+++ b/internal/scheduler/answers.go
@@ -5,9 +5,9 @@
 // answerFactor is how many times longer than the slowest answer lately an answer may take.
 const answerFactor = 4
 
-// answerTimes follows how long answers take to starts, and to looks that wait for nothing. A box with 0.12 cores and 2 Mbit/s gets them after some 100 ms: with
-// bounds for fit boxes alone it gave up starts that were under way, and three days at 120 workers were worth 0.04 instead
-// of 0.11. The zero value has seen none.
+// answerTimes follows how long answers take to starts, and to looks that wait for nothing. A box with 0.12 cores and 2 Mbit/s
+// gets them late: with bounds for fit boxes alone it gave up starts that were under way, and three days at 120 workers
+// were worth 0.04 instead of 0.11. The zero value has seen none.
 type answerTimes struct {
 	slowest time.Duration // Lately: each answer halves what is remembered of those before.
 }
--- a/internal/scheduler/estimate.go
+++ b/internal/scheduler/estimate.go
@@ -77,7 +77,7 @@
 // task is how long a task of a step should take.
 func (e *estimates) task(r *job.Request, step int) time.Duration {
 	if m := e.steps[stepOf(r.ID, step)]; m != nil {
-		return max(time.Duration(m.value*float64(time.Second)), leastEstimate)
+		return max(seconds(m.value), leastEstimate)
 	}
 	l := e.of(r.Terms.Queue)
 	return max(l.times.blend(l.corrected(r.Steps[step].Estimate)), leastEstimate)
--- a/internal/scheduler/guess.go
+++ b/internal/scheduler/guess.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// seconds turns a number of seconds into a duration.
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 const (
 	// leastSteps is how many steps of a queue must have told their run time before it is used beside the declared ones.
 	leastSteps = 5
@@ -53,9 +56,9 @@
 	}
 	usual := g.usual.value
 	if declared <= 0 || g.declaredError.count == 0 {
-		return time.Duration(math.Exp(usual) * float64(time.Second))
+		return seconds(math.Exp(usual))
 	}
 	trust := max(g.usualError.value, leastError)
 	trust /= trust + max(g.declaredError.value, leastError) // Of the declaration: the further off the usual, the more.
-	return time.Duration(math.Exp((1-trust)*usual+trust*math.Log(declared.Seconds())) * float64(time.Second))
+	return seconds(math.Exp((1-trust)*usual + trust*math.Log(declared.Seconds())))
 }
--- a/internal/scheduler/lagging.go
+++ b/internal/scheduler/lagging.go
@@ -67,8 +67,6 @@
 	return slow, whole
 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
 // endLagging takes in which workers the gangs on a worker show to be slow, so that others avoid them, and has a gang begin anew
 // without them where it would earn nothing any more otherwise. On a day with 17% of the workers 6.6 times slower for
 // 5.5 s, most gangs had a member on one, and urgent gangs of 2.5 s took 7 to 20 s. Spells pass: with every gang begun anew
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -63,7 +63,7 @@
 	if p.rate <= 0 {
 		return time.Time{}, time.Time{}
 	}
-	return p.at.Add(time.Duration((1 - p.share) / p.rate * float64(time.Second))), p.at.Add(staleAfter)
+	return p.at.Add(seconds((1 - p.share) / p.rate)), p.at.Add(staleAfter)
 }
 
 // stalled is how long a run has stood still although it should have moved; total is how long all of its work should take.
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -24,19 +24,14 @@
 
 // launch orders a run whose placement is committed.
 func (h *shard) launch(r *run) {
-	w := h.workers[r.job.workerOf(r.task)]
-	if w == nil || w.runs[r.task] != r || r.stopping {
+	w := r.worker
+	if w.runs[r.task] != r || r.stopping {
 		return
 	}
 	r.ordering = true
 	h.ordering.Go(func() { h.start(w, r) })
 }
 
-func (j *liveJob) workerOf(t job.Task) string {
-	p, _ := j.Task(t)
-	return p.Worker
-}
-
 // start sends the start of a run and takes in the answer.
 func (h *shard) start(w *workerState, r *run) {
 	for try := 1; ; try++ {
