Start nothing in halls that the operator has emptied

Change: the operator's rows are read together with the configuration (one call as before) and are part of what a decision is made from: workers of emptied halls take no new task, room claimed there is given up, a placement whose order was not sent yet is withdrawn, a start that is repeated is stopped. What is known has an age; past the bound less a second no start is sent anywhere. Reserves count the workers of open halls. The judge of the emulator held an end against a box although the worker's lease had lapsed before anybody could take note of it (all boxes frozen for 8 s, leases of 6 s): the users' rules except that for good, and so does the judge now; the trace is the script all_frozen.

--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -17,6 +17,8 @@
 type Fleet struct {
 	MaxLease time.Duration
 	GangWait time.Duration
+	// EmptyWithin is how long after a hall was emptied work may still start there.
+	EmptyWithin time.Duration
 
 	mu      sync.Mutex
 	ctx     context.Context
--- a/internal/emulator/judge.go
+++ b/internal/emulator/judge.go
@@ -13,6 +13,7 @@
 	running map[job.Task]string // Where a task runs now.
 	done    map[job.Task]doneEnd
 	leases  map[string]time.Time // By worker: when its lease is over; zero for one that crashed.
+	emptied map[string]time.Time // By hall: since when nothing more may start there.
 	counts  Verdict
 }
 
@@ -22,12 +23,13 @@
 	worker string
 	number int64
 	acked  bool
+	lapsed bool // The worker's lease was over before anybody took note of it.
 }
 
 // counts reports whether the task must not start again.
 func (j *judge) doneCounts(t job.Task) bool {
 	d, ok := j.done[t]
-	return ok && (d.acked || time.Now().Before(j.leases[d.worker]))
+	return ok && (d.acked || !d.lapsed && time.Now().Before(j.leases[d.worker]))
 }
 
 // acknowledged notes that a worker's ends up to a number were taken note of while its lease ran.
@@ -35,7 +37,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for t, d := range f.judge.done {
-		if d.worker == w.record.ID && d.number <= upTo && time.Now().Before(f.judge.leases[d.worker]) {
+		if d.worker == w.record.ID && d.number <= upTo && !d.lapsed && time.Now().Before(f.judge.leases[d.worker]) {
 			d.acked = true
 			f.judge.done[t] = d
 		}
@@ -46,14 +48,30 @@
 func (f *Fleet) leased(w *worker, until time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if before := f.judge.leases[w.record.ID]; !before.IsZero() && time.Now().After(before) {
+		f.judge.lapse(w.record.ID)
+	}
 	f.judge.leases[w.record.ID] = until
 }
 
+// lapse notes that a worker's lease was over. For the ends that nobody had taken note of by then this holds for good (the users'
+// rules), also once the lease runs again: a box that stood still for longer than a lease can't know of them.
+func (j *judge) lapse(worker string) {
+	for t, d := range j.done {
+		if d.worker == worker && !d.acked {
+			d.lapsed = true
+			j.done[t] = d
+		}
+	}
+}
+
 // Verdict counts broken promises and what ran.
 type Verdict struct {
-	Twice    []string // Two runs of a task at a time, or one after it was done.
-	Unasked  []string // Starts of what nobody handed in, or with another payload.
-	TooEarly []string // Starts before an earlier step was done.
+	Twice    []string       // Two runs of a task at a time, or one after it was done.
+	Unasked  []string       // Starts of what nobody handed in, or with another payload.
+	TooEarly []string       // Starts before an earlier step was done.
+	Emptied  []string       // Starts in a hall that was emptied more than EmptyWithin before.
+	InHall   map[string]int // Starts by hall.
 	Starts   int
 	Fenced   int // Orders of a replaced box.
 	Stops    int // Orders to stop that were taken.
@@ -61,7 +79,10 @@
 }
 
 func newJudge() judge {
-	return judge{running: map[job.Task]string{}, done: map[job.Task]doneEnd{}, leases: map[string]time.Time{}, counts: Verdict{Ends: map[job.Outcome]int{}}}
+	return judge{
+		running: map[job.Task]string{}, done: map[job.Task]doneEnd{}, leases: map[string]time.Time{}, emptied: map[string]time.Time{},
+		counts: Verdict{Ends: map[job.Outcome]int{}, InHall: map[string]int{}},
+	}
 }
 
 // Verdict returns what was found so far.
@@ -142,6 +163,7 @@
 		c.Twice = append(c.Twice, fmt.Sprintf("%s on %s after it was done", a.task, w.record.ID))
 	}
 	f.judgeOrder(a)
+	f.judgeHall(w, a)
 	f.judge.running[a.task] = w.record.ID
 	if a.gang == 0 {
 		return
@@ -169,6 +191,26 @@
 	}
 }
 
+// judgeHall finds starts in emptied halls; orders that the worker itself carried out late don't count.
+func (f *Fleet) judgeHall(w *worker, a *activity) {
+	c, hall := &f.judge.counts, w.record.Hall
+	c.InHall[hall]++
+	if since, ok := f.judge.emptied[hall]; ok && !w.belated && time.Since(since) > f.EmptyWithin {
+		c.Emptied = append(c.Emptied, fmt.Sprintf("%s on %s, %s after %s was emptied", a.task, w.record.ID, time.Since(since), hall))
+	}
+}
+
+// Empty notes that the operator has emptied a hall, or taken it back.
+func (f *Fleet) Empty(hall string, emptied bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !emptied {
+		delete(f.judge.emptied, hall)
+		return
+	}
+	f.judge.emptied[hall] = time.Now()
+}
+
 // ended notes an end.
 func (f *Fleet) ended(w *worker, a *activity, outcome job.Outcome) {
 	f.mu.Lock()
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -22,6 +22,7 @@
 	changed chan struct{}
 
 	latency  time.Duration
+	commits  time.Duration // How much longer a transaction takes.
 	outage   outage
 	cut      map[string]outage // By box.
 	loseRate float64           // Share of writes that are done and not answered.
@@ -64,13 +65,16 @@
 func (s *Store) SetUp() {
 	s.set(func() {
 		s.outage, s.latency, s.loseRate, s.cut, s.deaf = up, storeLatency, 0, map[string]outage{}, false
-		s.partsOut = nil
+		s.partsOut, s.commits = nil, 0
 	})
 }
 
 // SetSlow sets how long a call takes.
 func (s *Store) SetSlow(d time.Duration) { s.set(func() { s.latency = d }) }
 
+// SetCommitsSlow sets how much longer a transaction takes than other calls.
+func (s *Store) SetCommitsSlow(d time.Duration) { s.set(func() { s.commits = d }) }
+
 // SetThin sets how long a row that is read takes over a box's link to the store. Answers come in the order in which the
 // store gave them.
 func (s *Store) SetThin(perRow time.Duration) { s.set(func() { s.perRow = perRow }) }
@@ -146,6 +150,9 @@
 // Compact drops the history, so that feeds must begin anew.
 func (s *Store) Compact() { s.set(func() { s.oldest, s.history = s.version, nil }) }
 
+// Operate carries out a transaction of the operator's, whose path to the store never fails.
+func (s *Store) Operate(tx *store.Transaction) { s.set(func() { s.change(tx) }) }
+
 func (s *Store) set(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -204,9 +211,10 @@
 		s.mu.Unlock()
 		return store.ErrRefused
 	}
+	wait := begin.Sub(now) + s.commits
 	s.turns[part] = begin.Add(s.latency)
 	s.mu.Unlock()
-	if !interval.Sleep(ctx, begin.Sub(now)) {
+	if !interval.Sleep(ctx, wait) {
 		return store.ErrUnknown
 	}
 	return nil
@@ -269,6 +277,11 @@
 	if !holds {
 		return 0, c, lost
 	}
+	return s.change(tx), nil, lost
+}
+
+// change carries a transaction out, whatever its conditions, and returns its version. The caller holds the lock.
+func (s *Store) change(tx *store.Transaction) int64 {
 	s.version++
 	for _, w := range tx.Writes {
 		w.Version = s.version
@@ -283,7 +296,7 @@
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return s.version, nil, lost
+	return s.version
 }
 
 // Read implements store.Store.
--- a/internal/emulator/view.go
+++ b/internal/emulator/view.go
@@ -53,7 +53,9 @@
 		time.AfterFunc(lateBy, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
+			w.belated = true
 			_ = do(w) // Nobody hears the answer.
+			w.belated = false
 		})
 		<-ctx.Done()
 		return 0, fleet.ErrNoAnswer
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -26,15 +26,16 @@
 	count    int64
 	changed  chan struct{}
 
-	dead   bool // Answers nobody and runs nothing.
-	over   bool // Its process has ended: nobody listens.
-	cut    bool // Answers nobody and runs on.
-	fails  bool // Everything that starts there fails.
-	stuck  bool // Nothing makes progress.
-	slower int  // How many times longer all work there takes; 0 and 1 for a sound worker.
-	late   int  // So many orders get no answer and are carried out late.
-	refuse bool // Takes no starts.
-	mute   int  // So many orders are carried out at once and get no answer.
+	dead    bool // Answers nobody and runs nothing.
+	over    bool // Its process has ended: nobody listens.
+	cut     bool // Answers nobody and runs on.
+	fails   bool // Everything that starts there fails.
+	stuck   bool // Nothing makes progress.
+	slower  int  // How many times longer all work there takes; 0 and 1 for a sound worker.
+	late    int  // So many orders get no answer and are carried out late.
+	refuse  bool // Takes no starts.
+	belated bool // It carries out an order late just now.
+	mute    int  // So many orders are carried out at once and get no answer.
 }
 
 // activity is a run on a worker.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -29,6 +29,8 @@
 	ErrNoJob = errors.New("entry: no such job")
 	// ErrUnavailable says that the store can't be reached and that nothing was done.
 	ErrUnavailable = errors.New("entry: the store can't be reached")
+	// ErrClosed says that every hall is emptied: nothing was done, as nothing could start.
+	ErrClosed = errors.New("entry: every hall is emptied")
 	// ErrUndecided says that the call may have taken effect or may do so later.
 	ErrUndecided = errors.New("entry: no answer from the store")
 )
@@ -47,6 +49,7 @@
 	Configuration func() *queue.Configuration
 	Healthy       func() bool // Whether the store's last calls were answered.
 	Out           func() bool // Whether the store has answered nothing for a while.
+	Closed        func() bool // Whether every hall is emptied, so that nothing can start.
 	Log           *zap.Logger
 	Figures       *measure.Figures // nil for none.
 
@@ -100,6 +103,10 @@
 	}
 	r.Accepted = time.Now().UnixMilli()
 	began := time.Now()
+	if e.refuseClosed(ctx, r) {
+		e.logCall("submit", r.ID, c, began, ErrClosed)
+		return ErrClosed
+	}
 	err := e.write(ctx, func(ctx context.Context) error { return e.Ledger.Submit(ctx, r) })
 	e.logCall("submit", r.ID, c, began, err)
 	if errors.Is(err, ledger.ErrCancelled) {
@@ -114,6 +121,22 @@
 	return err
 }
 
+// refuseClosed reports whether a job is to be refused because every hall is emptied. One that is to run later waits, and one that
+// was accepted before stays accepted.
+func (e *Entry) refuseClosed(ctx context.Context, r *job.Request) bool {
+	if !e.Closed() || r.Schedule.Times > 0 {
+		return false
+	}
+	e.mu.Lock()
+	_, known := e.known[r.ID]
+	e.mu.Unlock()
+	if known {
+		return false
+	}
+	kept, err := e.Ledger.Request(ctx, r.ID)
+	return err == nil && kept == nil
+}
+
 // Cancel cancels a job, also one that has not come yet.
 func (e *Entry) Cancel(ctx context.Context, c Caller, id job.ID) error {
 	began := time.Now()
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -35,6 +35,15 @@
 	metrics.GetOrRegisterCounter(name, f.registry).Inc(n)
 }
 
+// Set sets a gauge.
+func (f *Figures) Set(name string, n int64) {
+	if f == nil {
+		return
+	}
+	f.init()
+	metrics.GetOrRegisterGauge(name, f.registry).Update(n)
+}
+
 // Took adds a time to a histogram, in microseconds.
 func (f *Figures) Took(name string, d time.Duration) {
 	if f == nil {
--- a/internal/node/commands_test.go
+++ b/internal/node/commands_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/entry"
 	"github.com/pulleyring/pulleyring/internal/job"
 )
 
@@ -28,7 +30,7 @@
 		time.Sleep(time.Second)
 		return nil
 	}
-	rack, gpu := 8, 8
+	rack, gpu, halls := 8, 8, 1
 	for i := 2; i+1 < len(words); i += 2 {
 		value, err := strconv.Atoi(words[i+1])
 		if err != nil {
@@ -39,14 +41,41 @@
 			rack = value
 		case "gpu":
 			gpu = value
+		case "halls":
+			halls = value
 		}
 	}
 	for i := range n {
-		w.addWorker(fmt.Sprintf("w%d", i+1), i/rack, job.Resources{MilliCPU: 64000, MemoryMB: 256000, Accelerators: int64(gpu)})
+		w.addWorker(fmt.Sprintf("w%d", i+1), i/rack, fmt.Sprintf("hall-%d", 1+i/rack%halls), job.Resources{MilliCPU: 64000, MemoryMB: 256000, Accelerators: int64(gpu)})
 	}
 	return nil
 }
 
+// operatorCommand is what the operator does, and what callers see of it.
+func (w *world) operatorCommand(words []string) error {
+	switch words[0] {
+	case "site":
+		n, err := strconv.Atoi(words[1])
+		for i := range n {
+			w.halls = append(w.halls, fmt.Sprintf("hall-%d", i+1))
+		}
+		return err
+	case "rejected":
+		began := time.Now()
+		r, err := w.request(words[1:])
+		if err != nil {
+			return err
+		}
+		err = w.submitAt(w.boxes[w.order[0]].node, words[2], words[3], r)
+		if !errors.Is(err, entry.ErrClosed) || time.Since(began) > 50*time.Millisecond {
+			return fmt.Errorf("%v after %s", err, time.Since(began))
+		}
+		return nil
+	}
+	w.empty(words[1], words[0] == "empty")
+	return nil
+}
+
 func (w *world) submitMany(count, prefix string, words []string) error {
 	n, err := strconv.Atoi(count)
 	for i := range n {
@@ -59,6 +88,15 @@
 
 // submitWords hands in a job that a script describes.
 func (w *world) submitWords(words []string) error {
+	r, err := w.request(words)
+	if err != nil {
+		return err
+	}
+	return w.submit(words[1], words[2], r)
+}
+
+// request is a job that a script describes.
+func (w *world) request(words []string) (*job.Request, error) {
 	r := &job.Request{ID: job.ID(words[0]), Payload: "payload of " + words[0]}
 	step := job.Step{Count: 1, Each: job.Resources{MilliCPU: 1000, MemoryMB: 1000, Accelerators: 1}, Estimate: time.Second}
 	work, second := time.Second, 0
@@ -75,20 +113,20 @@
 			continue
 		}
 		if i+1 == len(words) {
-			return fmt.Errorf("%s has no value", words[i])
+			return nil, fmt.Errorf("%s has no value", words[i])
 		}
 		i++
 		if words[i-1] == "work" {
 			d, err := time.ParseDuration(words[i])
 			if err != nil {
-				return err
+				return nil, err
 			}
 			work, step.Estimate = d, d
 			continue
 		}
 		n, err := strconv.Atoi(words[i])
 		if err != nil {
-			return err
+			return nil, err
 		}
 		switch words[i-1] {
 		case "tasks":
@@ -100,7 +138,7 @@
 		case "then":
 			second = n
 		default:
-			return fmt.Errorf("unknown word %q", words[i-1])
+			return nil, fmt.Errorf("unknown word %q", words[i-1])
 		}
 	}
 	r.Steps = []job.Step{step}
@@ -110,7 +148,7 @@
 		r.Steps = append(r.Steps, next)
 	}
 	w.fleet.Expect(r, work)
-	return w.submit(words[1], words[2], r)
+	return r, nil
 }
 
 func (w *world) boxCommand(words []string) error {
@@ -230,17 +268,15 @@
 	case "up":
 		w.store.SetUp()
 		w.network.Heal()
+	case "part_out":
+		w.store.SetPartOut("") // In it lies what the operator wrote.
 	case "compact":
 		w.store.Compact()
 	case "deaf":
 		w.store.SetDeaf()
-	case "slow", "thin":
+	case "slow", "thin", "commits":
 		d, err := time.ParseDuration(words[1])
-		if words[0] == "thin" {
-			w.store.SetThin(d)
-			return err
-		}
-		w.store.SetSlow(d)
+		map[string]func(time.Duration){"slow": w.store.SetSlow, "thin": w.store.SetThin, "commits": w.store.SetCommitsSlow}[words[0]](d)
 		return err
 	case "lose":
 		share, err := strconv.ParseFloat(words[1], 64)
@@ -269,6 +305,8 @@
 	v := w.fleet.Verdict()
 	got, most := v.Starts, words[len(words)-1]
 	switch words[0] {
+	case "hall_starts":
+		got = v.InHall[words[1]]
 	case "running":
 		got = w.fleet.Running()
 	case "fenced":
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -23,64 +23,12 @@
 	// leaseTimeout bounds one such look, so that the end of a silence is found soon; the store at its slowest answers
 	// after about 400 ms.
 	leaseTimeout = 700 * time.Millisecond
-	// configPoll bounds the time in which a deaf feed of the configuration stays unnoticed.
-	configPoll = 800 * time.Millisecond
 	// feedWait is how long a feed waits for a change.
 	feedWait = 10 * time.Second
 	// retryPause is the pause after a call to the store failed.
 	retryPause = 150 * time.Millisecond
 )
 
-// followConfiguration keeps the newest configuration: a feed tells of changes at once, and the row is read every now and
-// then in case the feed is deaf.
-func (n *Node) followConfiguration(ctx context.Context) {
-	changed := make(chan struct{}, 1)
-	var group sync.WaitGroup
-	defer group.Wait()
-	version := int64(0)
-	for ctx.Err() == nil {
-		config, at, err := n.configs.Read(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			interval.Sleep(ctx, retryPause)
-			continue
-		}
-		if old := n.config.Load(); config != nil && (old == nil || config.Version > old.Version) {
-			n.config.Store(config)
-			n.log.Info("node: configuration in force", zap.Int64("version", config.Version), zap.Int("queues", len(config.Queues)),
-				zap.Int("workspaces", len(config.Workspaces)))
-		}
-		if version == 0 {
-			version = at
-			group.Go(func() { n.watchConfiguration(ctx, at, changed) })
-		}
-		interval.SleepOrWoken(ctx, configPoll, changed)
-	}
-}
-
-func (n *Node) watchConfiguration(ctx context.Context, version int64, changed chan<- struct{}) {
-	for ctx.Err() == nil {
-		next, err := n.configs.Wait(ctx, version, feedWait)
-		if errors.Is(err, store.ErrHistoryGone) {
-			_, next, err = n.configs.Read(ctx)
-		}
-		if err != nil {
-			interval.Sleep(ctx, retryPause)
-			continue
-		}
-		if next == version {
-			continue
-		}
-		version = next
-		select {
-		case changed <- struct{}{}:
-		default:
-		}
-	}
-}
-
 // schedule takes the lease whenever nobody renews it, and schedules for as long as it is held.
 func (n *Node) schedule(ctx context.Context) {
 	released := make(chan struct{}, 1)
@@ -173,7 +121,7 @@
 	n.Figures.Count("leases_claimed")
 	n.log.Info("node: lease claimed", zap.Int64("epoch", tenure.Epoch()), zap.String("from", lease.Holder))
 	s := &scheduler.Scheduler{
-		Ledger: n.ledger, Directory: n.platform.Directory(n.store), Orders: n.platform.Orders, Configuration: n.Configuration,
+		Ledger: n.ledger, Directory: n.platform.Directory(n.store), Orders: n.platform.Orders, Configuration: n.Configuration, Halls: n.Halls,
 		Bounds: n.settings.Load().Bounds, Log: n.log, Figures: &n.Figures,
 	}
 	err = s.Run(ctx, tenure)
--- /dev/null
+++ b/internal/node/halls_test.go
@@ -0,0 +1,96 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pulleyring/pulleyring/internal/job"
+	"go.uber.org/zap"
+)
+
+// TestEmptiedHallUnderFaults empties a hall at the moment of each fault of testdata/emptied and has work come all the time:
+// none of it starts there once the bound is over, and all of it is done in the end.
+func TestEmptiedHallUnderFaults(t *testing.T) {
+	f, err := os.Open("testdata/emptied/faults.txt")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer f.Close()
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		if strings.HasPrefix(lines.Text(), "#") {
+			continue
+		}
+		parts := strings.Split(lines.Text(), "|")
+		quicktest.Assert(t, parts, quicktest.HasLen, 3)
+		t.Run(strings.TrimSpace(parts[0]), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playEmptied(t, parts[1], parts[2]) })
+		})
+	}
+}
+
+func playEmptied(t *testing.T, before, after string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := newWorld(ctx, 1, zap.NewNop())
+	defer func() {
+		cancel()
+		w.group.Wait()
+	}()
+	commands := []string{"site 3", "boxes 3", "workers 12 rack 2 halls 3", "sleep 500ms"}
+	play(t, w, commands)
+	var caller work
+	caller.run(w)
+	play(t, w, []string{"sleep 2s"})
+	play(t, w, strings.Split(before, ";"))
+	play(t, w, []string{"empty hall-1"})
+	play(t, w, strings.Split(after, ";"))
+	play(t, w, []string{"sleep 12s", "store up", "reopen hall-1"})
+	caller.stop()
+	quicktest.Assert(t, w.broken(), quicktest.HasLen, 0)
+	for id := range w.accepted {
+		quicktest.Assert(t, w.await(id, job.Completed.String(), "60s"), quicktest.IsNil, quicktest.Commentf("%s", id))
+	}
+	quicktest.Assert(t, w.broken(), quicktest.HasLen, 0)
+}
+
+func play(t *testing.T, w *world, commands []string) {
+	for _, line := range commands {
+		if words := strings.Fields(line); len(words) > 0 {
+			quicktest.Assert(t, w.command(words), quicktest.IsNil, quicktest.Commentf("%s", line))
+		}
+	}
+}
+
+// work is a caller that hands jobs in, one after the other.
+type work struct {
+	over chan struct{}
+	done chan struct{}
+}
+
+// workEvery is the pause between two jobs.
+const workEvery = 150 * time.Millisecond
+
+func (c *work) run(w *world) {
+	c.over, c.done = make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(c.done)
+		for n := 0; ; n++ {
+			select {
+			case <-c.over:
+				return
+			case <-time.After(workEvery):
+			}
+			shape := [...]string{"normal desk-key gpu 8 work 700ms", "urgent court-key tasks 2 gpu 4 work 500ms gang", "bulk desk-key tasks 6 gpu 2 work 900ms"}[n%3]
+			_ = w.submitWords(strings.Fields(fmt.Sprintf("job%d %s", n, shape))) // One that no box takes during a fault is given up.
+		}
+	}()
+}
+
+func (c *work) stop() {
+	close(c.over)
+	<-c.done
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,8 +30,8 @@
 
 // Configurations reads the configuration that the operator put in force.
 type Configurations interface {
-	// Read returns the configuration, nil for none, and the store's newest version.
-	Read(ctx context.Context) (*queue.Configuration, int64, error)
+	// Read returns all that the operator has put in force.
+	Read(ctx context.Context) (queue.Instructions, error)
 	// Wait returns after a change past a version, or after a time, with the version to go on from.
 	Wait(ctx context.Context, since int64, wait time.Duration) (int64, error)
 }
@@ -58,6 +58,7 @@
 	holder   string // The box with this start of it.
 	log      *zap.Logger
 	config   atomic.Pointer[queue.Configuration]
+	halls    atomic.Pointer[queue.Halls]
 	relay    *relay.Store
 	store    *relay.Watched // The store over any path.
 	configs  Configurations
@@ -76,13 +77,27 @@
 	n.configs = p.Configurations(n.store)
 	n.holder = s.Box + "/" + xid.New().String()
 	n.settings.Store(s)
-	n.Entry = &entry.Entry{Ledger: n.ledger, Configuration: n.Configuration, Healthy: n.store.Healthy, Out: n.store.Out, Log: log, Figures: &n.Figures}
+	n.Entry = &entry.Entry{Ledger: n.ledger, Configuration: n.Configuration, Healthy: n.store.Healthy, Out: n.store.Out, Closed: n.closed, Log: log, Figures: &n.Figures}
 	return n
 }
 
 // Configuration returns the configuration in force, nil before the first.
 func (n *Node) Configuration() *queue.Configuration { return n.config.Load() }
 
+// Halls returns which halls are emptied, as last heard.
+func (n *Node) Halls() queue.Halls {
+	if h := n.halls.Load(); h != nil {
+		return *h
+	}
+	return queue.Halls{}
+}
+
+// closed reports whether every hall of the site is emptied, so that nothing can start.
+func (n *Node) closed() bool {
+	h := n.Halls()
+	return h.AllEmptied(n.settings.Load().Halls)
+}
+
 // Stopping reports whether the box has been told to stop.
 func (n *Node) Stopping() bool { return n.stopping.Load() }
 
@@ -140,7 +155,7 @@
 func (n *Node) Work(planned, ctx context.Context) {
 	var group sync.WaitGroup
 	group.Go(func() { n.relay.Run(ctx) })
-	group.Go(func() { n.followConfiguration(ctx) })
+	group.Go(func() { n.followOperator(ctx) })
 	group.Go(func() { n.schedule(planned) })
 	group.Wait()
 }
--- /dev/null
+++ b/internal/node/operator.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/interval"
+	"github.com/pulleyring/pulleyring/internal/queue"
+	"github.com/pulleyring/pulleyring/internal/store"
+	"go.uber.org/zap"
+)
+
+// operatorPoll bounds the time in which a deaf feed of what the operator wants stays unnoticed, and the usual age of what is
+// known of emptied halls.
+const operatorPoll = 800 * time.Millisecond
+
+// followOperator keeps the newest configuration and the emptied halls: a feed tells of changes at once, and the rows are
+// read every now and then in case the feed is deaf.
+func (n *Node) followOperator(ctx context.Context) {
+	changed := make(chan struct{}, 1)
+	var group sync.WaitGroup
+	defer group.Wait()
+	watched := false
+	for ctx.Err() == nil {
+		asked := time.Now()
+		in, err := n.configs.Read(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			interval.Sleep(ctx, retryPause)
+			continue
+		}
+		n.takeConfiguration(in.Configuration)
+		n.takeHalls(&queue.Halls{Emptied: in.Emptied, AsOf: asked})
+		if !watched {
+			watched = true
+			group.Go(func() { n.watchOperator(ctx, in.Version, changed) })
+		}
+		interval.SleepOrWoken(ctx, operatorPoll, changed)
+	}
+}
+
+// takeConfiguration puts a configuration in force unless it is older than the one that is.
+func (n *Node) takeConfiguration(config *queue.Configuration) {
+	old := n.config.Load()
+	if config == nil || old != nil && config.Version <= old.Version {
+		return
+	}
+	n.config.Store(config)
+	n.log.Info("node: configuration in force", zap.Int64("version", config.Version), zap.Int("queues", len(config.Queues)),
+		zap.Int("workspaces", len(config.Workspaces)))
+}
+
+// takeHalls takes in which halls are emptied. Reads follow each other, and each is of its own moment, so that none is older
+// than the one before.
+func (n *Node) takeHalls(halls *queue.Halls) {
+	old := n.Halls()
+	n.halls.Store(halls)
+	n.Figures.Set("halls_emptied", int64(len(halls.Emptied)))
+	if !slices.Equal(old.Emptied, halls.Emptied) {
+		n.log.Info("node: emptied halls", zap.Strings("halls", halls.Emptied), zap.Strings("before", old.Emptied),
+			zap.Duration("took", time.Since(halls.AsOf)))
+	}
+}
+
+func (n *Node) watchOperator(ctx context.Context, version int64, changed chan<- struct{}) {
+	for ctx.Err() == nil {
+		next, err := n.configs.Wait(ctx, version, feedWait)
+		if errors.Is(err, store.ErrHistoryGone) {
+			var in queue.Instructions
+			in, err = n.configs.Read(ctx)
+			next = in.Version
+		}
+		if err != nil {
+			interval.Sleep(ctx, retryPause)
+			continue
+		}
+		if next == version {
+			continue
+		}
+		version = next
+		select {
+		case changed <- struct{}{}:
+		default:
+		}
+	}
+}
--- a/internal/node/random_test.go
+++ b/internal/node/random_test.go
@@ -25,12 +25,17 @@
 
 // TestRandomFaults plays drawn scripts of jobs and faults: whatever comes in whatever order, no task runs twice, nothing
 // runs that nobody handed in, and every accepted job ends.
-func TestRandomFaults(t *testing.T) {
+func TestRandomFaults(t *testing.T) { checkDrawn(t, drawFaults) }
+
+// TestRandomEmptiedHalls does the same while halls are emptied and taken back: nothing starts in one beyond the bound.
+func TestRandomEmptiedHalls(t *testing.T) { checkDrawn(t, drawEmptied) }
+
+func checkDrawn(t *testing.T, draw func(r *rapid.T, shard int) []string) {
 	for i := range 8 {
 		t.Run(fmt.Sprint(i), func(t *testing.T) {
 			t.Parallel()
 			rapid.Check(t, func(r *rapid.T) {
-				lines := drawFaults(r, i)
+				lines := draw(r, i)
 				var failed error
 				synctest.Test(t, func(*testing.T) { failed = playLines(lines) })
 				if failed != nil {
@@ -101,6 +106,31 @@
 	return s.lines
 }
 
+// drawnHalls is the number of halls of a drawn site in which halls are emptied.
+const drawnHalls = 2
+
+func drawEmptied(r *rapid.T, shard int) []string {
+	s := &script{T: r, lines: []string{
+		fmt.Sprintf("site %d", drawnHalls), fmt.Sprintf("boxes %d", drawnBoxes), fmt.Sprintf("workers %d rack 2 halls %d", drawnWorkers, drawnHalls),
+	}, killed: map[string]bool{}, gone: map[string]bool{}}
+	for range shard {
+		_ = rapid.Uint64().Draw(r, "skipped")
+	}
+	for range rapid.IntRange(4, 16).Draw(r, "steps") {
+		switch rapid.IntRange(0, 3).Draw(r, "hall") {
+		case 0:
+			s.add("%s hall-%d", rapid.SampledFrom([]string{"empty", "empty", "reopen"}).Draw(r, "operator"), rapid.IntRange(1, drawnHalls).Draw(r, "which"))
+		default:
+			s.step()
+		}
+	}
+	for i := range drawnHalls {
+		s.add("reopen hall-%d", i+1)
+	}
+	s.heal()
+	return s.lines
+}
+
 func (s *script) add(format string, args ...any) {
 	s.lines = append(s.lines, fmt.Sprintf(format, args...))
 }
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -22,7 +22,12 @@
 // TestScripts plays every script of testdata/scripts on the emulator. A script is a list of commands, one a line:
 //
 //	boxes N                            start boxes box-1 to box-N and wait until they serve
-//	workers N [rack N] [gpu N]         add workers w1 to wN, so many to a rack
+//	site N                             the halls of the site are hall-1 to hall-N; before boxes
+//	workers N [rack N] [gpu N] [halls N]  add workers w1 to wN, so many to a rack; the racks are in halls by turns
+//	empty HALL                         the operator has a hall emptied
+//	reopen HALL                        and takes it back
+//	hall_starts HALL N                 fail where more runs were started in a hall
+//	rejected ID QUEUE KEY [WORDS]      hand a job in, and fail where it is accepted or is not refused at once
 //	submit ID QUEUE KEY [WORDS]        hand a job in: tasks N, gpu N, cpu N, work DURATION, gang, local, saves, then N (a second step)
 //	many N PREFIX WORDS                submit so many, named PREFIX0, PREFIX1, ...
 //	sleep DURATION
@@ -32,7 +37,7 @@
 //	late WORKER N                      so many orders are carried out late
 //	mute WORKER N                      so many orders are carried out without an answer
 //	drain WORKER DURATION
-//	store busy|silent|up|compact|deaf|slow D|lose SHARE|cut BOX|refuse BOX|thin D
+//	store busy|silent|up|compact|deaf|part_out|slow D|commits D|lose SHARE|cut BOX|refuse BOX|thin D
 //	part BOX                           the other boxes and it don't reach each other; "store up" ends that too
 //	holder                             fail where another box has the lease than the one that the store turned away last
 //	weak BOX                           it has a thin link and little processor time from now on
@@ -95,11 +100,14 @@
 	var broken []string
 	broken = append(broken, v.Twice...)
 	broken = append(broken, v.Unasked...)
+	broken = append(broken, v.Emptied...)
 	return append(broken, v.TooEarly...)
 }
 
 func (w *world) command(words []string) error {
 	switch words[0] {
+	case "site", "empty", "reopen", "rejected":
+		return w.operatorCommand(words)
 	case "boxes", "workers":
 		return w.setUp(words)
 	case "submit":
@@ -147,7 +155,7 @@
 			return fmt.Errorf("it is %s, %v", state, err)
 		}
 		return nil
-	case "starts", "running", "ends", "fenced", "stops", "records_read", "lease_reads":
+	case "starts", "hall_starts", "running", "ends", "fenced", "stops", "records_read", "lease_reads":
 		return w.countCommand(words)
 	}
 	return w.workerCommand(words)
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -10,6 +10,7 @@
 type Settings struct {
 	Box       string // Name, unique in the site.
 	Hall      string
+	Halls     []string      // All halls of the site, sorted; none where they are not known.
 	Front     string        // IP:port for clients.
 	Ready     string        // IP:port where the balancer asks whether the box is ready.
 	Metrics   string        // IP:port for counters and histograms; empty for none.
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/pulleyring/pulleyring/internal/emulator"
 	"github.com/pulleyring/pulleyring/internal/fleet"
 	"github.com/pulleyring/pulleyring/internal/job"
@@ -22,6 +23,8 @@
 	testMaxLease = 6 * time.Second
 	testGangWait = 3 * time.Second
 	testStopTime = 400 * time.Millisecond
+	// testEmptied is the time after a hall was emptied within which work may still start there.
+	testEmptied = 5 * time.Second
 )
 
 // world is a site on the emulator: boxes, workers, a store and a client.
@@ -30,9 +33,10 @@
 	store *emulator.Store
 	fleet *emulator.Fleet
 	// Boxes call the store through each other over it.
-	network emulator.Network
-	config  *fixedConfiguration
-	log     *zap.Logger
+	network  emulator.Network
+	operator *operator
+	log      *zap.Logger
+	halls    []string
 
 	mu       sync.Mutex
 	struck   string // The box that the store turned away last.
@@ -50,24 +54,50 @@
 	kill context.CancelFunc
 }
 
-// fixedConfiguration is a configuration that tests change.
-type fixedConfiguration struct {
+// operator is what tests want of the system. It is written to the store, and read from there over a box's path.
+type operator struct {
 	mu      sync.Mutex
 	current queue.Configuration
+	emptied map[string]bool
+}
+
+// operatorTable holds a row for each hall that is emptied.
+const operatorTable = "operator"
+
+// instructions is the operator's rows as a box reads them; it implements Configurations.
+type instructions struct {
+	*operator
+	store store.Store
 }
 
 // Read implements Configurations.
-func (c *fixedConfiguration) Read(context.Context) (*queue.Configuration, int64, error) {
+func (c *instructions) Read(ctx context.Context) (queue.Instructions, error) {
+	page, err := c.store.Read(ctx, store.Range{Table: operatorTable})
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	copied := c.current
-	return &copied, copied.Version, nil
+	in := queue.Instructions{Configuration: &copied, Version: page.Version}
+	for i := range page.Rows {
+		in.Emptied = append(in.Emptied, page.Rows[i].Name)
+	}
+	return in, err
 }
 
 // Wait implements Configurations.
-func (c *fixedConfiguration) Wait(ctx context.Context, since int64, _ time.Duration) (int64, error) {
-	<-ctx.Done()
-	return since, store.ErrUnknown
+func (c *instructions) Wait(ctx context.Context, since int64, wait time.Duration) (int64, error) {
+	page, err := c.store.Watch(ctx, operatorTable, since, wait)
+	return page.Version, err
+}
+
+// empty has a hall emptied, or taken back.
+func (w *world) empty(hall string, emptied bool) {
+	key := store.Key{Table: operatorTable, Name: hall}
+	tx := &store.Transaction{Deletes: []store.Key{key}}
+	if emptied {
+		tx = &store.Transaction{Writes: []store.Row{{Key: key}}}
+	}
+	w.store.Operate(tx)
+	w.fleet.Empty(hall, emptied)
 }
 
 func newWorld(ctx context.Context, seed uint64, log *zap.Logger) *world {
@@ -81,9 +111,11 @@
 		Services:   []queue.Service{{Name: "s", Guards: true}},
 		Workspaces: []queue.Workspace{{Name: "desk", Keys: []string{"desk-key"}, Guaranteed: 16}, {Name: "court", Keys: []string{"court-key"}, Guaranteed: 8}},
 	}
+	workers := emulator.NewFleet(ctx, testMaxLease, testGangWait)
+	workers.EmptyWithin = testEmptied
 	return &world{
-		ctx: ctx, store: emulator.NewStore(seed), fleet: emulator.NewFleet(ctx, testMaxLease, testGangWait), log: log,
-		config: &fixedConfiguration{current: config}, boxes: map[string]*testBox{},
+		ctx: ctx, store: emulator.NewStore(seed), fleet: workers, log: log,
+		operator: &operator{current: config}, boxes: map[string]*testBox{},
 		accepted: map[job.ID]*job.Request{},
 	}
 }
@@ -94,11 +126,11 @@
 	view := w.fleet.For(gate)
 	p := Platform{
 		Store: w.store.For(name, gate), Network: w.network.For(name, gate), Orders: view,
-		Configurations: func(store.Store) Configurations { return w.config },
+		Configurations: func(s store.Store) Configurations { return &instructions{w.operator, s} },
 		Directory:      func(store.Store) scheduler.Directory { return view },
 	}
-	s := &Settings{Box: name, Relay: name, StopAfter: 6 * time.Second, Bounds: scheduler.Bounds{
-		MaxLease: testMaxLease, StopTime: testStopTime, GangWait: testGangWait, Retain: time.Minute,
+	s := &Settings{Box: name, Relay: name, Halls: w.halls, StopAfter: 6 * time.Second, Bounds: scheduler.Bounds{
+		MaxLease: testMaxLease, StopTime: testStopTime, GangWait: testGangWait, Retain: time.Minute, Emptied: testEmptied,
 		Policy: placement.Policy{FarFactor: 3, Reclaim: 3 * time.Second, StopTime: testStopTime, WasteCost: 0.0015},
 	}}
 	n := New(s, p, w.log.With(zap.String("box", name)))
@@ -114,21 +146,21 @@
 	w.group.Go(func() { n.Work(planned, killed) })
 }
 
-func (w *world) addWorker(name string, rack int, capacity job.Resources) {
+func (w *world) addWorker(name string, rack int, hall string, capacity job.Resources) {
 	label := fmt.Sprintf("r%d", rack)
-	w.fleet.Add(fleet.Worker{ID: name, Service: "s", Address: name, Labels: []string{"a", label}, Rack: label, Capacity: capacity})
+	w.fleet.Add(fleet.Worker{ID: name, Service: "s", Address: name, Hall: hall, Labels: []string{"a", label}, Rack: label, Capacity: capacity})
 }
 
 // submit hands a job in, at one box after the other until it is accepted or the tries are used up.
 func (w *world) submit(queueName, key string, r *job.Request) error {
-	w.mu.Lock()
-	order := append([]string(nil), w.order...)
-	w.mu.Unlock()
-	var err error
+	nodes := w.nodes()
+	err := errors.New("no box runs")
 	for try := range 8 {
-		b := w.boxes[order[try%len(order)]]
+		if len(nodes) == 0 {
+			break
+		}
 		copied := *r
-		if err = w.submitAt(b.node, queueName, key, &copied); err == nil {
+		if err = w.submitAt(nodes[try%len(nodes)], queueName, key, &copied); err == nil {
 			w.mu.Lock()
 			w.accepted[r.ID] = r
 			w.mu.Unlock()
@@ -139,6 +171,17 @@
 	return err
 }
 
+// nodes are the boxes that callers may reach.
+func (w *world) nodes() []*Node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var nodes []*Node
+	for _, name := range w.order {
+		nodes = append(nodes, w.boxes[name].node)
+	}
+	return nodes
+}
+
 func (w *world) submitAt(n *Node, queueName, key string, r *job.Request) error {
 	ctx, cancel := context.WithTimeout(w.ctx, 3*time.Second)
 	defer cancel()
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -17,6 +17,7 @@
 	everyone []int           // All workers.
 	racks    [][]int         // Workers by rack, in the order of the view.
 	onWorker [][]int         // Holdings by worker, once for each task.
+	open     int             // Workers in halls that are not emptied.
 	idle     int             // Usable workers on which nothing runs.
 	reserve  int             // Idle workers that are left to urgent work.
 	draining int             // Tasks for which room is draining.
@@ -83,11 +84,13 @@
 	b := &board{
 		view: v, free: make([]job.Resources, workers), everyone: make([]int, workers), soon: make([]job.Resources, workers),
 		suitable: make([]bool, workers), served: make([]bool, len(v.Demands)), dropped: make([]bool, len(v.Demands)),
-		stopped: make([]bool, holdings), reserve: int(reserveShare * float64(workers)),
+		stopped: make([]bool, holdings),
 	}
 	for k := range v.Workers {
 		b.free[k], b.everyone[k] = v.Workers[k].Free, k
 	}
+	b.open = openWorkers(v)
+	b.reserve = int(reserveShare * float64(b.open))
 	b.racks = racksOf(v)
 	b.onWorker = holdingsByWorker(v)
 	for k := range v.Workers {
@@ -104,6 +107,17 @@
 	return b
 }
 
+// openWorkers counts the workers in halls where work may start: shares of the site are shares of these.
+func openWorkers(v *View) int {
+	n := 0
+	for k := range v.Workers {
+		if !v.Workers[k].Closed {
+			n++
+		}
+	}
+	return n
+}
+
 // racksOf lists the workers of each rack.
 func racksOf(v *View) [][]int {
 	var racks [][]int
--- a/internal/placement/drain.go
+++ b/internal/placement/drain.go
@@ -8,14 +8,14 @@
 	"github.com/pulleyring/pulleyring/internal/job"
 )
 
-// drainShare bounds the room that drains at a time, as a share of the workers, one a task: what drains is idle meanwhile.
+// drainShare bounds the room that drains at a time, as a share of the workers in open halls, one a task: what drains is idle meanwhile.
 const drainShare = 0.4
 
 // planDrain sets room aside for a gang that finds none, where it will come free first: nothing is stopped, but no other
 // work of its kind starts there.
 func (b *board) planDrain(i int) {
 	d := &b.view.Demands[i]
-	if b.draining > 0 && float64(b.draining+len(d.Waiting)) > drainShare*float64(len(b.view.Workers)) {
+	if b.draining > 0 && float64(b.draining+len(d.Waiting)) > drainShare*float64(b.open) {
 		return
 	}
 	racks := b.racks
--- a/internal/placement/explain.go
+++ b/internal/placement/explain.go
@@ -4,6 +4,7 @@
 type Wait struct {
 	Need     int
 	Suitable int // Workers that may run its tasks, room aside.
+	Closed   int // Workers in halls where nothing may start now.
 	Now      int // Tasks that fit now, over all workers.
 	Rack     int // Tasks that fit now into the best rack.
 	Empty    int // Tasks that would fit into the best rack if it were empty.
@@ -15,7 +16,7 @@
 	d := &v.Demands[i]
 	b.consider(d)
 	b.unclaim(i)
-	w := Wait{Need: len(d.Waiting)}
+	w := Wait{Need: len(d.Waiting), Closed: len(v.Workers) - b.open}
 	for _, rack := range b.racks {
 		now, empty := 0, 0
 		for _, k := range rack {
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -35,6 +35,7 @@
 	Free     job.Resources // Not taken by runs whose end is not known.
 	Freeing  job.Resources // Taken by runs that are being stopped.
 	Usable   bool          // It takes new runs.
+	Closed   bool          // Nothing new may start in its hall.
 	Unproven bool          // Workers are about that fail everything, and nothing has worked there since.
 	Doubt    float64       // 0 for a worker without recent failures; higher is worse.
 	Slowness float64       // How many times longer than elsewhere work takes there; 0 or 1 for a sound one.
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -92,7 +92,7 @@
 		w := placement.Explain(view, i)
 		h.Log.Info("scheduler: waiting", zap.String("job", string(d.Job)), zap.Int("occurrence", d.Group.Occurrence),
 			zap.Int("step", d.Group.Step), zap.Duration("waited", now.Sub(d.Since)), zap.Duration("to_goal", d.Goal.Sub(now)),
-			zap.Int("tasks", w.Need), zap.Int("suitable_workers", w.Suitable), zap.Int("fit_now", w.Now),
+			zap.Int("tasks", w.Need), zap.Int("suitable_workers", w.Suitable), zap.Int("closed_workers", w.Closed), zap.Int("fit_now", w.Now),
 			zap.Int("fit_in_rack", w.Rack), zap.Int("fit_in_empty_rack", w.Empty), zap.Bool("draining", d.Draining),
 			zap.Bool("claimed", d.Claim != nil))
 	}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -35,7 +35,7 @@
 // start sends the start of a run and takes in the answer.
 func (h *shard) start(w *workerState, r *run) {
 	for try := 1; ; try++ {
-		order, target := h.nextStart(w, r)
+		order, target := h.nextStart(w, r, try)
 		if order == nil {
 			return
 		}
@@ -54,13 +54,17 @@
 }
 
 // nextStart is the order to send, nil once the run is not to start any more.
-func (h *shard) nextStart(w *workerState, r *run) (*fleet.Start, fleet.Worker) {
+func (h *shard) nextStart(w *workerState, r *run, try int) (*fleet.Start, fleet.Worker) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if w.runs[r.task] != r || r.stopping {
 		r.ordering = false
 		return nil, fleet.Worker{}
 	}
+	if halls := h.openHalls(); !halls.open(w.Hall, time.Now()) {
+		h.withdraw(w, r, try)
+		return nil, fleet.Worker{}
+	}
 	w.lastOrder = time.Now()
 	return &fleet.Start{
 		Order:   job.Order{Task: r.task, Run: r.number, Worker: w.ID, Saved: r.saved},
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -39,6 +39,7 @@
 	StopTime time.Duration // Longest time that a stop takes.
 	GangWait time.Duration // How long a gang's member waits for the others.
 	Retain   time.Duration // How long a job is shown after its end.
+	Emptied  time.Duration // Time after a hall was emptied within which work may still start there; 0 for no bound.
 	Policy   placement.Policy
 }
 
@@ -48,6 +49,7 @@
 	Directory     Directory
 	Orders        fleet.Orders
 	Configuration func() *queue.Configuration
+	Halls         func() queue.Halls // Which halls are emptied, as last heard.
 	Bounds        Bounds
 	Log           *zap.Logger
 	Figures       *measure.Figures // nil for none.
@@ -100,6 +102,8 @@
 	storeTrouble time.Time // When the store last failed a call.
 	learned      estimates
 	outbreak     outbreak
+	emptied      []string // Halls that were emptied as of the last decision.
+	hallsUnknown bool     // What is known of emptied halls was too old then.
 	answers      answerTimes
 	stepTimes    map[claimKey]*stepTimes
 	pending      map[string]int       // As last committed.
--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -17,9 +17,12 @@
 	h.markCovered()
 	h.takeRoster()
 	v.Workers, v.Holdings, v.Demands = v.Workers[:0], v.Holdings[:0], v.Demands[:0]
+	halls := h.takeHalls(now)
 	outbreak := h.outbreak.active(now)
 	for _, w := range h.roster {
 		shown := w.view(now)
+		shown.Closed = !halls.open(w.Hall, now)
+		shown.Usable = shown.Usable && !shown.Closed
 		shown.Unproven = outbreak && !w.proven(h.outbreak.began, now)
 		v.Workers = append(v.Workers, shown)
 	}
