Tell successors where workers are reached

Change: the scheduler keeps the workers' addresses in eight rows of the store, written with the next commit after a worker came or went; a take-over reads them. A worker without a record that does not answer is given up after 2.5 s as before in a running tenure; one that lives goes on. It costs a read of at most eight rows at a take-over.

--- a/internal/ledger/lease.go
+++ b/internal/ledger/lease.go
@@ -76,15 +76,16 @@
 
 // Batch is what a scheduler commits at once.
 type Batch struct {
-	Progress map[job.ID]*job.Progress
-	Summary  *Summary // nil to leave it.
-	Forget   []job.ID // Jobs whose progress is deleted; their requests were dropped before.
-	Release  bool     // Give the lease back.
+	Progress  map[job.ID]*job.Progress
+	Summary   *Summary          // nil to leave it.
+	Addresses map[int]Addresses // Rows of workers' addresses, whole.
+	Forget    []job.ID          // Jobs whose progress is deleted; their requests were dropped before.
+	Release   bool              // Give the lease back.
 }
 
 // Limits of one batch, so that its transaction stays under the store's 100 entries and 1 MB.
 const (
-	MaxBatchRows  = 80
+	MaxBatchRows  = 72
 	MaxForget     = 15
 	MaxBatchTasks = 15000 // About 45 bytes each.
 )
@@ -180,6 +181,11 @@
 			return nil, err
 		}
 	}
+	for row, addresses := range b.Addresses {
+		if err := add(tableAddresses, addressRowName(row), addresses); err != nil {
+			return nil, err
+		}
+	}
 	if b.Release {
 		if err := add(tableRelease, t.ledger.Shard, lease.Epoch); err != nil {
 			return nil, err
--- /dev/null
+++ b/internal/scheduler/addresses.go
@@ -0,0 +1,46 @@
+package scheduler
+
+import "github.com/pulleyring/pulleyring/internal/ledger"
+
+// addresses follows where workers are reached, for the successor: it can ask a worker whose record is gone. Without them it
+// waited for all leases there to be over, 12 s instead of 2.5 s: 9 urgent jobs of 650 were lost so on a day on which a hall and then all boxes
+// lost power. The zero value knows none.
+type addresses struct {
+	before ledger.Addresses // As the predecessor knew them.
+	stale  map[int]bool     // Rows that are to be written anew.
+}
+
+// begin takes over what the predecessor knew; its rows are written anew, as some of the lives in them may be over.
+func (a *addresses) begin(before ledger.Addresses) {
+	a.before = before
+	for row := range ledger.AddressRows {
+		a.touch(row)
+	}
+}
+
+func (a *addresses) touch(row int) {
+	if a.stale == nil {
+		a.stale = map[int]bool{}
+	}
+	a.stale[row] = true
+}
+
+// changed notes that a worker came or went.
+func (a *addresses) changed(worker string) { a.touch(ledger.AddressRow(worker)) }
+
+// collectAddresses adds the rows that are to be written anew to a batch. They wait for the next batch and set off none.
+func (h *shard) collectAddresses(b *ledger.Batch) {
+	if len(h.addresses.stale) == 0 {
+		return
+	}
+	b.Addresses = map[int]ledger.Addresses{}
+	for row := range h.addresses.stale {
+		b.Addresses[row] = ledger.Addresses{}
+	}
+	h.addresses.stale = nil
+	for id, w := range h.workers {
+		if row := b.Addresses[ledger.AddressRow(id)]; row != nil && w.Address != "" {
+			row[id] = w.Address
+		}
+	}
+}
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -89,6 +89,7 @@
 		delete(h.dirty, id)
 	}
 	h.collect(f)
+	h.collectAddresses(&f.batch)
 	f.batch.Forget = h.dropped
 	h.dropped = nil
 	if !maps.Equal(pending, h.pending) {
@@ -161,6 +162,9 @@
 	if f.batch.Summary != nil {
 		h.pending = nil
 	}
+	for row := range f.batch.Addresses {
+		h.addresses.touch(row)
+	}
 }
 
 // releaseTimeout bounds the give-back of a lease at a planned stop; past it the others find out by its silence.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -102,6 +102,7 @@
 	storeTrouble time.Time // When the store last failed a call.
 	learned      estimates
 	outbreak     outbreak
+	addresses    addresses
 	emptied      []string // Halls that were emptied as of the last decision.
 	hallsUnknown bool     // What is known of emptied halls was too old then.
 	answers      answerTimes
--- a/internal/scheduler/silence.go
+++ b/internal/scheduler/silence.go
@@ -105,6 +105,7 @@
 	w.gone = true
 	h.loseRuns(w)
 	delete(h.workers, w.ID)
+	h.addresses.changed(w.ID)
 	h.roster = nil
 }
 
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -65,11 +65,13 @@
 	var (
 		changes  ledger.Changes
 		progress map[job.ID]*job.Progress
+		reached  ledger.Addresses
 		listing  Listing
 	)
 	reads := []func() error{
 		func() (err error) { changes, err = h.Ledger.Jobs(ctx); return err },
 		func() (err error) { progress, err = h.Ledger.Progress(ctx); return err },
+		func() (err error) { reached, err = h.Ledger.Addresses(ctx); return err },
 		func() (err error) { listing, err = h.Directory.Workers(ctx); return err },
 	}
 	for _, read := range reads {
@@ -79,6 +81,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.addresses.begin(reached)
 	h.takeListing(listing, true)
 	h.takeChanges(changes.List, progress)
 	return changes.Version, listing.Version, nil
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -144,6 +144,9 @@
 	if record.Draining && w.leavesAt.IsZero() {
 		w.leavesAt = time.Now().Add(record.Leaves)
 	}
+	if w.Address != record.Address {
+		h.addresses.changed(record.ID)
+	}
 	w.Worker, w.listed = *record, true
 	if first {
 		h.sendStops(w)
@@ -160,10 +163,11 @@
 	}
 }
 
-// newWorker adds a life of a worker. Its address may not be known: a predecessor placed runs there and its record is gone.
+// newWorker adds a life of a worker. Its record may be gone, as a predecessor placed runs there; where it is reached is told by the
+// predecessor then.
 func (h *shard) newWorker(id string) *workerState {
 	w := &workerState{runs: map[job.Task]*run{}, wake: make(chan struct{}, 1), lastOrder: time.Now(), unlisted: time.Now(), failures: 1}
-	w.ID = id
+	w.ID, w.Address = id, h.addresses.before[id]
 	h.workers[id] = w
 	h.roster = nil
 	h.ordering.Go(func() { h.talk(w) })
