Don't let older work that ends well clear a worker that fails at once

Change: after a failure at once only work that was placed later clears the doubt, or proves the worker. Test: script outbreak_old_work (11 failed runs instead of one before). The emulator can spoil what starts on a worker while older work goes on.

--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -186,6 +186,11 @@
 	return f.change(id, func(w *worker) { w.fails = fail })
 }
 
+// Spoil makes everything that starts on a worker from now on fail, or ends that.
+func (f *Fleet) Spoil(id string, spoil bool) error {
+	return f.change(id, func(w *worker) { w.spoils = spoil })
+}
+
 // Stick makes the work on a worker stand still, or go on.
 func (f *Fleet) Stick(id string, stuck bool) error {
 	return f.change(id, func(w *worker) { w.stuck = stuck })
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -29,7 +29,8 @@
 	dead    bool // Answers nobody and runs nothing.
 	over    bool // Its process has ended: nobody listens.
 	cut     bool // Answers nobody and runs on.
-	fails   bool // Everything that starts there fails.
+	fails   bool // Everything there fails, also what began before.
+	spoils  bool // Everything that starts there fails; what began before goes on.
 	stuck   bool // Nothing makes progress.
 	slower  int  // How many times longer all work there takes; 0 and 1 for a sound worker.
 	late    int  // So many orders get no answer and are carried out late.
@@ -50,6 +51,7 @@
 	saved   string
 	saves   bool
 	stopped bool
+	spoiled bool // It began where everything fails that starts.
 }
 
 // share is how much of the work is done, in whole percent as the real workers tell it.
@@ -119,7 +121,7 @@
 			w.end(a, job.GangMissing)
 		}
 	case w.stuck:
-	case w.fails:
+	case w.fails || a.spoiled:
 		w.end(a, job.FailedRun)
 	default:
 		a.done += tick / time.Duration(max(w.slower, 1))
@@ -180,6 +182,7 @@
 		return fleet.Outdated
 	}
 	a := w.fleet.activity(o)
+	a.spoiled = w.spoils
 	used := a.each
 	for _, other := range w.runs {
 		used = used.Add(other.each)
--- a/internal/node/commands_test.go
+++ b/internal/node/commands_test.go
@@ -241,6 +241,8 @@
 		return w.fleet.Cut(id, words[0] == "cut")
 	case "fail", "well":
 		return w.fleet.Fail(id, words[0] == "fail")
+	case "spoil", "unspoil":
+		return w.fleet.Spoil(id, words[0] == "spoil")
 	case "stick", "unstick":
 		return w.fleet.Stick(id, words[0] == "stick")
 	case "refuse", "take":
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -32,7 +32,7 @@
 //	many N PREFIX WORDS                submit so many, named PREFIX0, PREFIX1, ...
 //	sleep DURATION
 //	kill|start|stop|freeze BOX [D]     of a box
-//	crash|end|cut|heal|fail|well|stick|unstick|refuse|take|forget|record WORKER
+//	crash|end|cut|heal|fail|well|spoil|unspoil|stick|unstick|refuse|take|forget|record WORKER
 //	slow WORKER N                      all work there takes so many times as long
 //	late WORKER N                      so many orders are carried out late
 //	mute WORKER N                      so many orders are carried out without an answer
--- a/internal/scheduler/doubt.go
+++ b/internal/scheduler/doubt.go
@@ -46,15 +46,18 @@
 	d.value, d.at = d.level(now)+weight, now
 }
 
-// learn takes in how a run ended, for the worker's trust and for the queue's run times.
+// learn takes in how a run ended, for the worker's trust and for the queue's run times. The success of work that is older than a
+// failure at once tells nothing of what starts now: with any success clearing the doubt, a worker that failed all that started, while seven
+// older tasks ended well there, was unbarred each time, and 11 of 24 tasks failed there instead of one (script outbreak_old_work). After
+// other failures any success clears it: a task may be to blame itself, and a worker in doubt is used last.
 func (h *shard) learn(w *workerState, r *run, outcome job.Outcome) {
 	now := time.Now()
 	switch outcome {
 	case job.Succeeded:
-		w.doubt = doubt{}
-		if r.placed.After(w.soundSince) {
-			w.soundSince = r.placed
+		if r.placed.After(w.failedAt) {
+			w.doubt = doubt{}
 		}
+		w.notFailed(r)
 		if r.saved == "" && !r.adopted {
 			if !r.learned && !r.far {
 				h.learned.ran(r.job.Request, r.task.Step, now.Sub(r.placed))
@@ -62,12 +65,12 @@
 			h.learnSpeed(w, r, now.Sub(r.placed))
 		}
 	case job.FailedRun:
-		w.doubt.add(h.blame(r, now), now)
+		w.doubt.add(h.blame(w, r, now), now)
 	}
 }
 
 // blame is what a failed run counts for against its worker.
-func (h *shard) blame(r *run, now time.Time) float64 {
+func (h *shard) blame(w *workerState, r *run, now time.Time) float64 {
 	begun := r.placed
 	if !r.confirmed.IsZero() {
 		begun = r.confirmed
@@ -76,6 +79,7 @@
 	switch {
 	case now.Sub(begun) < atOnce:
 		h.outbreak.failed(r.placed, now)
+		w.failedAt = now
 		return atOnceWeight
 	case len(r.job.avoid[r.group()]) > 0:
 		return againWeight // A task that failed elsewhere too is more likely to blame than the worker.
--- a/internal/scheduler/outbreak.go
+++ b/internal/scheduler/outbreak.go
@@ -37,16 +37,23 @@
 	return !o.last.IsZero() && now.Sub(o.last) <= outbreakOver
 }
 
-// proven reports whether a run that began on a worker since a time has not failed at once.
+// proven reports whether a run that began on a worker since a time, and since one last failed at once there, has not failed at once.
 func (w *workerState) proven(since, now time.Time) bool {
 	if w.soundSince.Before(since) {
 		for _, r := range w.runs {
-			if !r.confirmed.IsZero() && now.Sub(r.confirmed) > provenAfter && r.placed.After(w.soundSince) {
-				w.soundSince = r.placed
+			if !r.confirmed.IsZero() && now.Sub(r.confirmed) > provenAfter {
+				w.notFailed(r)
 			}
 		}
 	}
-	return !w.soundSince.Before(since)
+	return !w.soundSince.Before(since) && !w.soundSince.Before(w.failedAt)
+}
+
+// notFailed takes in that a run has not failed at once.
+func (w *workerState) notFailed(r *run) {
+	if r.placed.After(w.soundSince) && r.placed.After(w.failedAt) {
+		w.soundSince = r.placed
+	}
 }
 
 // isLastAttempt reports whether a task that has failed before has one attempt left: it is not tried on workers that may fail
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -77,6 +77,7 @@
 	hungUp       bool      // It closed a connection as its end does, and has not answered since.
 	leavesAt     time.Time // When the time that it said it had left is over; zero before it said so.
 	soundSince   time.Time // When the newest run began there that has not failed at once.
+	failedAt     time.Time // When a run last failed there as soon as it had begun.
 	unhealthy    time.Time // Takes no new runs until then.
 	doubt        doubt
 	slow         slowness
