--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -46,6 +46,7 @@
 		{"submit", "submit -box URL -key FILE [options]", "submit a request and print what became of it", runSubmit},
 		{"ask", "ask -box URL -key FILE COMMAND", "carry out an operator's command", runAsk},
 		{"apply", "apply -box URL -key FILE [-replaces VERSION] SITE.ini", "put a site configuration in force", runApply},
+		{"halls", "halls [-boxes URL,URL]", "print which halls boxes take as emptied, and how old that is", runHalls},
 		{"timeline", "timeline -box URL -key FILE [-job JOB]", "print the events of all boxes in order", runTimeline},
 		{"load", "load -box URL -key FILE -workspace NAME [options]", "send small requests and measure them, against calling the executors directly", runLoad},
 		{"trial", "trial [-sites NAMES] [-bursts NAMES] [-seeds FIRST-LAST]", "compare the decider with its baselines on bursts", runTrial},
--- /dev/null
+++ b/internal/cli/halls.go
@@ -0,0 +1,69 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/node"
+)
+
+// hallsWithin bounds the call to each box.
+const hallsWithin = 3 * time.Second
+
+// runHalls prints which halls boxes take as emptied, box by box: a box that lags behind is seen by its age.
+func runHalls(e *env, args []string) int {
+	set := e.flags("halls")
+	boxes := set.String("boxes", "http://127.0.0.1:7000", "base `URLs` of the boxes' figures, by commas")
+	if code, done := e.parse(set, args); done {
+		return code
+	}
+	if set.NArg() > 0 {
+		return e.usageError("halls", "unexpected %q", set.Arg(0))
+	}
+	code := exitGood
+	for _, box := range strings.Split(*boxes, ",") {
+		halls, err := fetchHalls(box)
+		if err != nil {
+			fmt.Fprintf(e.out, "%s: %v\n", box, err)
+			code = exitBad
+			continue
+		}
+		fmt.Fprintln(e.out, describeHalls(box, halls))
+	}
+	return code
+}
+
+func fetchHalls(box string) (node.HallsReport, error) {
+	var report node.HallsReport
+	ctx, cancel := context.WithTimeout(context.Background(), hallsWithin)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, strings.TrimSuffix(box, "/")+"/halls", http.NoBody)
+	if err != nil {
+		return report, errors.Wrap(err, "halls: unable to make the request")
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return report, errors.Wrap(err, "halls: no answer")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return report, errors.Errorf("halls: answered %s", response.Status)
+	}
+	return report, errors.Wrap(json.NewDecoder(response.Body).Decode(&report), "halls: unable to decode the answer")
+}
+
+func describeHalls(box string, report node.HallsReport) string {
+	if !report.Known {
+		return box + ": not known yet"
+	}
+	emptied := "none"
+	if len(report.Emptied) > 0 {
+		emptied = strings.Join(report.Emptied, ", ")
+	}
+	return fmt.Sprintf("%s: emptied %s, as of %s ago", box, emptied, time.Duration(report.AgeMs)*time.Millisecond)
+}
--- a/internal/node/halls_test.go
+++ b/internal/node/halls_test.go
@@ -94,3 +94,21 @@
 	close(c.over)
 	<-c.done
 }
+
+func TestHallsReport(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		w := newWorld(ctx, 1, zap.NewNop())
+		defer func() {
+			cancel()
+			w.group.Wait()
+		}()
+		play(t, w, []string{"site 2", "boxes 1", "empty hall-2", "sleep 1s"})
+		report := w.boxes["box-1"].node.hallsReport()
+		quicktest.Check(t, report.Known, quicktest.IsTrue)
+		quicktest.Check(t, report.Emptied, quicktest.DeepEquals, []string{"hall-2"})
+		quicktest.Check(t, report.AgeMs <= operatorPollMost.Milliseconds(), quicktest.IsTrue, quicktest.Commentf("%d", report.AgeMs))
+		var unheard Node
+		quicktest.Check(t, unheard.hallsReport(), quicktest.DeepEquals, HallsReport{})
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -171,10 +171,11 @@
 	}
 }
 
-// figuresHandler serves counters and histograms.
+// figuresHandler serves counters and histograms, and which halls are emptied.
 func (n *Node) figuresHandler() http.Handler {
 	mux := chi.NewRouter()
 	mux.Method(http.MethodGet, "/metrics", &n.Figures)
+	mux.Get("/halls", n.serveHalls)
 	return mux
 }
 
