Try last attempts where most runs have begun well

Change: such runs are counted by worker, and tasks with one attempt left go where most were. Test: case unproven_last_proofs, TestProofsCountInTheirOutbreakAfterTheLastFailure.

--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -23,7 +23,10 @@
 		shown := w.view(now)
 		shown.Closed = !halls.open(w.Hall, now)
 		shown.Usable = shown.Usable && !shown.Closed
-		shown.Unproven = outbreak && !w.proven(h.outbreak.began, now)
+		if outbreak {
+			shown.Proofs = h.proofs(w, now)
+			shown.Unproven = shown.Proofs == 0
+		}
 		v.Workers = append(v.Workers, shown)
 	}
 	for _, x := range h.holdings.list {
