--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -27,7 +27,6 @@
 	stopped  []bool          // By holding: stopped by this decision.
 	soon     []job.Resources // By worker: comes free within the time that a stop takes.
 	suitable []bool          // By worker: may run tasks of the demand that is being considered.
-	careful  bool            // Those tasks have one attempt left, and workers are about that fail everything.
 	search   search          // Scratch of planRoom.
 }
 
@@ -52,7 +51,6 @@
 	d := &b.view.Demands[i]
 	b.served[i] = true
 	b.consider(d)
-	b.careful = b.isCareful(d)
 	b.avoidUnproven(d)
 	b.unclaim(i)
 	claimed := d.Claim != nil && !b.dropped[i]
--- a/internal/placement/layout.go
+++ b/internal/placement/layout.go
@@ -25,7 +25,7 @@
 
 // avoidUnproven leaves a gang with one attempt left only proven workers.
 func (b *board) avoidUnproven(d *Demand) {
-	if !d.Step.Gang || !b.careful {
+	if !d.Step.Gang || !b.isCareful(d) {
 		return
 	}
 	for k := range b.view.Workers {
@@ -107,23 +107,11 @@
 func (b *board) hazard(workers map[int]string) int {
 	n := 0
 	for _, w := range workers {
-		n += b.mistrust(&b.view.Workers[b.mustSeat(w)])
+		n += unproven(&b.view.Workers[b.mustSeat(w)])
 	}
 	return n
 }
 
-// proofsEnough is how many runs that have not failed at once speak for a worker as much as more do.
-const proofsEnough = 4
-
-// mistrust is how little speaks for a worker while some are about that fail everything: for tasks with one attempt left the number of
-// proofs counts, for others whether there is one.
-func (b *board) mistrust(w *Worker) int {
-	if b.careful {
-		return proofsEnough - min(w.Proofs, proofsEnough)
-	}
-	return unproven(w)
-}
-
 // slowest is the slowness of the slowest worker of a layout, on which the whole gang waits.
 func (b *board) slowest(workers map[int]string) int {
 	level := 0
@@ -225,7 +213,7 @@
 	slices.SortStableFunc(order, func(x, y int) int {
 		return cmp.Or(
 			cmp.Compare(b.view.Workers[x].Doubt, b.view.Workers[y].Doubt),
-			cmp.Compare(b.mistrust(&b.view.Workers[x]), b.mistrust(&b.view.Workers[y])),
+			cmp.Compare(unproven(&b.view.Workers[x]), unproven(&b.view.Workers[y])),
 			cmp.Compare(b.slowLevel(x), b.slowLevel(y)),
 			cmp.Compare(b.free[x].Cores(), b.free[y].Cores()),
 			cmp.Compare(b.view.Workers[x].ID, b.view.Workers[y].ID))
@@ -245,14 +233,14 @@
 		among = b.near(d.Step.DataRack)
 	}
 	l := &layout{board: b, demand: d, workers: map[int]string{}, taken: map[int]int{}}
-	if b.careful {
-		careful, others := splitWaiting(d)
-		l.lay(careful, b.proven(b.openTo(d, b.fullestFirst(d, among))))
-		b.careful = false
-		l.lay(others, b.openTo(d, b.fullestFirst(d, among)))
+	order := b.openTo(d, b.fullestFirst(d, among))
+	if !b.isCareful(d) {
+		l.lay(d.Waiting, order)
 		return l.workers
 	}
-	l.lay(d.Waiting, b.openTo(d, b.fullestFirst(d, among)))
+	careful, others := splitWaiting(d)
+	l.lay(careful, b.proven(order))
+	l.lay(others, order)
 	return l.workers
 }
 
@@ -266,7 +254,7 @@
 
 // proven leaves out the workers that may fail everything.
 func (b *board) proven(order []int) []int {
-	return slices.DeleteFunc(order, func(k int) bool { return b.view.Workers[k].Unproven })
+	return slices.DeleteFunc(slices.Clone(order), func(k int) bool { return b.view.Workers[k].Unproven })
 }
 
 // splitWaiting parts the waiting tasks with one attempt left from the others.
--- a/internal/placement/script_test.go
+++ b/internal/placement/script_test.go
@@ -18,7 +18,7 @@
 
 // TestDecisions plays the cases of testdata. A case is a list of lines:
 //
-//	worker NAME rack RACK gpu FREE [freeing N] [doubt X] [slow X] [label L] [unusable] [unproven] [proofs N]
+//	worker NAME rack RACK gpu FREE [freeing N] [doubt X] [slow X] [label L] [unusable] [unproven]
 //	holding NAME priority N gpu EACH on WORKER... [loss N] [left SECONDS [known]] [covered] [stopping]
 //	demand NAME priority N tasks N gpu EACH [gang] [local] [covered] [waited D] [goal D] [takes D] [value X] [near RACK] [most N] [avoid W] [last] [lasts N] [claim W...]
 //	start NAME WORKER...    exactly these starts, one worker a task in any order
@@ -172,8 +172,6 @@
 				w.Doubt = n
 			case "slow":
 				w.Slowness = n
-			case "proofs":
-				w.Proofs = int(n)
 			default:
 				return fmt.Errorf("unknown word %q", words[i])
 			}
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -37,7 +37,6 @@
 	Usable   bool          // It takes new runs.
 	Closed   bool          // Nothing new may start in its hall.
 	Unproven bool          // Workers are about that fail everything, and nothing has worked there since.
-	Proofs   int           // While such workers are about: runs that began there and have not failed at once.
 	Doubt    float64       // 0 for a worker without recent failures; higher is worse.
 	Slowness float64       // How many times longer than elsewhere work takes there; 0 or 1 for a sound one.
 }
--- a/internal/scheduler/doubt.go
+++ b/internal/scheduler/doubt.go
@@ -54,10 +54,10 @@
 	now := time.Now()
 	switch outcome {
 	case job.Succeeded:
-		if r.placed.After(w.proofs.failed) {
+		if r.placed.After(w.failedAt) {
 			w.doubt = doubt{}
 		}
-		h.notFailed(w, r)
+		w.notFailed(r)
 		if r.saved == "" && !r.adopted {
 			if !r.learned && !r.far {
 				h.learned.ran(r.job.Request, r.task.Step, now.Sub(r.placed))
@@ -79,7 +79,7 @@
 	switch {
 	case now.Sub(begun) < atOnce:
 		h.outbreak.failed(r.placed, now)
-		w.proofs.failedAtOnce(now)
+		w.failedAt = now
 		return atOnceWeight
 	case len(r.job.avoid[r.group()]) > 0:
 		return againWeight // A task that failed elsewhere too is more likely to blame than the worker.
--- a/internal/scheduler/outbreak.go
+++ b/internal/scheduler/outbreak.go
@@ -20,18 +20,13 @@
 // workers that were not known yet: 15 of 1,000 jobs failed so, all that were not served. A single such run
 // begins one: tasks that are themselves to blame fail after some work. The zero value is none.
 type outbreak struct {
-	number int // Of those seen so far.
-	began  time.Time
-	last   time.Time
+	began time.Time
+	last  time.Time
 }
 
 // failed takes in a run that was placed at a time and failed as soon as it had begun.
 func (o *outbreak) failed(placed, now time.Time) {
-	if !o.active(now) {
-		o.number++
-		o.began = placed
-	}
-	if placed.Before(o.began) {
+	if !o.active(now) || placed.Before(o.began) {
 		o.began = placed
 	}
 	o.last = now
@@ -42,46 +37,22 @@
 	return !o.last.IsZero() && now.Sub(o.last) <= outbreakOver
 }
 
-// proofs counts the runs on a worker that began in an outbreak, and since one last failed at once there, and have not failed at once.
-// One proves little where workers fail only some of what starts: on a day with 16% of 350 workers failing a third for 5 s,
-// 3 of 470 urgent gangs lost all of their attempts.
-type proofs struct {
-	count  int
-	of     int       // The outbreak that they are of.
-	failed time.Time // When a run last failed there at once.
-}
-
-// failedAtOnce takes in that a run failed at once.
-func (p *proofs) failedAtOnce(now time.Time) { p.count, p.failed = 0, now }
-
-// take takes in that a run that was placed at a time has not failed at once.
-func (p *proofs) take(o *outbreak, placed time.Time) {
-	if p.of != o.number {
-		p.of, p.count = o.number, 0
-	}
-	if !placed.Before(o.began) && placed.After(p.failed) {
-		p.count++
-	}
-}
-
-// proofs counts those of a worker; its runs are counted once, when they are old enough or have ended well.
-func (h *shard) proofs(w *workerState, now time.Time) int {
-	for _, r := range w.runs {
-		if !r.confirmed.IsZero() && now.Sub(r.confirmed) > provenAfter {
-			h.notFailed(w, r)
+// proven reports whether a run that began on a worker since a time, and since one last failed at once there, has not failed at once.
+func (w *workerState) proven(since, now time.Time) bool {
+	if w.soundSince.Before(since) {
+		for _, r := range w.runs {
+			if !r.confirmed.IsZero() && now.Sub(r.confirmed) > provenAfter {
+				w.notFailed(r)
+			}
 		}
 	}
-	if w.proofs.of != h.outbreak.number {
-		return 0
-	}
-	return w.proofs.count
+	return !w.soundSince.Before(since) && !w.soundSince.Before(w.failedAt)
 }
 
 // notFailed takes in that a run has not failed at once.
-func (h *shard) notFailed(w *workerState, r *run) {
-	if !r.proof {
-		r.proof = true
-		w.proofs.take(&h.outbreak, r.placed)
+func (w *workerState) notFailed(r *run) {
+	if r.placed.After(w.soundSince) && r.placed.After(w.failedAt) {
+		w.soundSince = r.placed
 	}
 }
 
--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -23,10 +23,7 @@
 		shown := w.view(now)
 		shown.Closed = !halls.open(w.Hall, now)
 		shown.Usable = shown.Usable && !shown.Closed
-		if outbreak {
-			shown.Proofs = h.proofs(w, now)
-			shown.Unproven = shown.Proofs == 0
-		}
+		shown.Unproven = outbreak && !w.proven(h.outbreak.began, now)
 		v.Workers = append(v.Workers, shown)
 	}
 	for _, x := range h.holdings.list {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -48,7 +48,6 @@
 	stopKnown time.Time // The worker has taken the stop: the run can't start there any more.
 	far       bool      // It takes longer there than elsewhere.
 	progress  progress
-	proof     bool // It was counted as one that has not failed at once.
 	learned   bool // What its progress tells of its step has been taken in.
 }
 
@@ -77,7 +76,8 @@
 	failures     int       // Orders in a row without an answer.
 	hungUp       bool      // It closed a connection as its end does, and has not answered since.
 	leavesAt     time.Time // When the time that it said it had left is over; zero before it said so.
-	proofs       proofs    // That it does not fail everything.
+	soundSince   time.Time // When the newest run began there that has not failed at once.
+	failedAt     time.Time // When a run last failed there as soon as it had begun.
 	unhealthy    time.Time // Takes no new runs until then.
 	doubt        doubt
 	slow         slowness
