Follow feeds in one place, make test worlds in one place

Cause: the feeds of the operator's rows and of given-back leases were the same loop twice, and tests made a world in three places. Change: a feed type with the loop; inEmptyWorld; what the last decision knew of halls is one value. No behaviour changes.

--- a/internal/node/accept_test.go
+++ b/internal/node/accept_test.go
@@ -16,6 +16,14 @@
 
 // inWorld runs f in a bubble with three boxes that serve.
 func inWorld(t *testing.T, f func(t *testing.T, w *world)) {
+	inEmptyWorld(t, func(t *testing.T, w *world) {
+		quicktest.Assert(t, w.command([]string{"boxes", "3"}), quicktest.IsNil)
+		f(t, w)
+	})
+}
+
+// inEmptyWorld runs f in a bubble without any boxes yet.
+func inEmptyWorld(t *testing.T, f func(t *testing.T, w *world)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		w := newWorld(ctx, 1, zap.NewNop())
@@ -23,7 +31,6 @@
 			cancel()
 			w.group.Wait()
 		}()
-		quicktest.Assert(t, w.command([]string{"boxes", "3"}), quicktest.IsNil)
 		f(t, w)
 	})
 }
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -11,7 +11,6 @@
 	"github.com/pulleyring/pulleyring/internal/ledger"
 	"github.com/pulleyring/pulleyring/internal/logsink"
 	"github.com/pulleyring/pulleyring/internal/scheduler"
-	"github.com/pulleyring/pulleyring/internal/store"
 	"go.uber.org/zap"
 )
 
@@ -23,10 +22,6 @@
 	// leaseTimeout bounds one such look, so that the end of a silence is found soon; the store at its slowest answers
 	// after about 400 ms.
 	leaseTimeout = 700 * time.Millisecond
-	// feedWait is how long a feed waits for a change.
-	feedWait = 10 * time.Second
-	// retryPause is the pause after a call to the store failed.
-	retryPause = 150 * time.Millisecond
 )
 
 // schedule takes the lease whenever nobody renews it, and schedules for as long as it is held.
@@ -34,7 +29,7 @@
 	released := make(chan struct{}, 1)
 	var group sync.WaitGroup
 	defer group.Wait()
-	group.Go(func() { n.watchRelease(ctx, released) })
+	group.Go(func() { n.releaseFeed().watch(ctx, 0, released) })
 	var seen ledger.Lease
 	var since time.Time
 	for ctx.Err() == nil {
@@ -85,26 +80,16 @@
 	return n.ledger.Lease(ctx)
 }
 
-func (n *Node) watchRelease(ctx context.Context, released chan<- struct{}) {
-	version := int64(0)
-	for ctx.Err() == nil {
-		next, err := n.ledger.WatchRelease(ctx, version, feedWait)
-		if errors.Is(err, store.ErrHistoryGone) {
-			var lease ledger.Lease
-			lease, err = n.ledger.Lease(ctx)
-			next = lease.Version
-		}
-		if err != nil {
-			interval.Sleep(ctx, retryPause)
-			continue
-		}
-		if next != version {
-			version = next
-			select {
-			case released <- struct{}{}:
-			default:
-			}
-		}
+// releaseFeed tells of leases that are given back.
+func (n *Node) releaseFeed() *feed {
+	return &feed{
+		Wait: func(ctx context.Context, since int64) (int64, error) {
+			return n.ledger.WatchRelease(ctx, since, feedWait)
+		},
+		Newest: func(ctx context.Context) (int64, error) {
+			lease, err := n.ledger.Lease(ctx)
+			return lease.Version, err
+		},
 	}
 }
 
--- a/internal/node/halls_test.go
+++ b/internal/node/halls_test.go
@@ -2,17 +2,14 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"os"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
 	"github.com/pulleyring/pulleyring/internal/job"
-	"go.uber.org/zap"
 )
 
 // TestEmptiedHallUnderFaults empties a hall at the moment of each fault of testdata/emptied and has work come all the time:
@@ -28,18 +25,12 @@
 		parts := strings.Split(lines.Text(), "|")
 		quicktest.Assert(t, parts, quicktest.HasLen, 3)
 		t.Run(strings.TrimSpace(parts[0]), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { playEmptied(t, parts[1], parts[2]) })
+			inEmptyWorld(t, func(t *testing.T, w *world) { playEmptied(t, w, parts[1], parts[2]) })
 		})
 	}
 }
 
-func playEmptied(t *testing.T, before, after string) {
-	ctx, cancel := context.WithCancel(context.Background())
-	w := newWorld(ctx, 1, zap.NewNop())
-	defer func() {
-		cancel()
-		w.group.Wait()
-	}()
+func playEmptied(t *testing.T, w *world, before, after string) {
 	commands := []string{"site 3", "boxes 3", "workers 12 rack 2 halls 3", "sleep 500ms"}
 	play(t, w, commands)
 	var caller work
@@ -96,13 +87,7 @@
 }
 
 func TestHallsReport(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(context.Background())
-		w := newWorld(ctx, 1, zap.NewNop())
-		defer func() {
-			cancel()
-			w.group.Wait()
-		}()
+	inEmptyWorld(t, func(t *testing.T, w *world) {
 		play(t, w, []string{"site 2", "boxes 1", "empty hall-2", "sleep 1s"})
 		report := w.boxes["box-1"].node.hallsReport()
 		quicktest.Check(t, report.Known, quicktest.IsTrue)
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -6,10 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/pulleyring/pulleyring/internal/queue"
-	"github.com/pulleyring/pulleyring/internal/store"
 	"go.uber.org/zap"
 )
 
@@ -47,7 +45,7 @@
 		n.takeHalls(&queue.Halls{Emptied: in.Emptied, AsOf: asked})
 		if !watched {
 			watched = true
-			group.Go(func() { n.watchOperator(ctx, in.Version, changed) })
+			group.Go(func() { n.operatorFeed().watch(ctx, in.Version, changed) })
 		}
 		interval.SleepOrWoken(ctx, n.operatorPoll(), changed)
 	}
@@ -76,25 +74,13 @@
 	}
 }
 
-func (n *Node) watchOperator(ctx context.Context, version int64, changed chan<- struct{}) {
-	for ctx.Err() == nil {
-		next, err := n.configs.Wait(ctx, version, feedWait)
-		if errors.Is(err, store.ErrHistoryGone) {
-			var in queue.Instructions
-			in, err = n.configs.Read(ctx)
-			next = in.Version
-		}
-		if err != nil {
-			interval.Sleep(ctx, retryPause)
-			continue
-		}
-		if next == version {
-			continue
-		}
-		version = next
-		select {
-		case changed <- struct{}{}:
-		default:
-		}
+// operatorFeed tells of changes of what the operator wants.
+func (n *Node) operatorFeed() *feed {
+	return &feed{
+		Wait: func(ctx context.Context, since int64) (int64, error) { return n.configs.Wait(ctx, since, feedWait) },
+		Newest: func(ctx context.Context) (int64, error) {
+			in, err := n.configs.Read(ctx)
+			return in.Version, err
+		},
 	}
 }
--- a/internal/scheduler/halls.go
+++ b/internal/scheduler/halls.go
@@ -33,6 +33,12 @@
 	return o.known(now) && !o.IsEmptied(hall)
 }
 
+// seenHalls is what the last decision knew of emptied halls.
+type seenHalls struct {
+	emptied []string
+	unknown bool // It was too old.
+}
+
 // openHalls is what is known now.
 func (h *shard) openHalls() openHalls {
 	if h.Halls == nil {
@@ -45,14 +51,14 @@
 // that other room is looked for at once and not when the claim lapses, up to 8 s later.
 func (h *shard) takeHalls(now time.Time) openHalls {
 	halls := h.openHalls()
-	if known := halls.known(now); known == h.hallsUnknown {
-		h.hallsUnknown = !known
+	if known := halls.known(now); known == h.halls.unknown {
+		h.halls.unknown = !known
 		h.Log.Warn("scheduler: whether emptied halls are known", zap.Bool("known", known), zap.Time("as_of", halls.AsOf))
 	}
-	if slices.Equal(halls.Emptied, h.emptied) {
+	if slices.Equal(halls.Emptied, h.halls.emptied) {
 		return halls
 	}
-	h.emptied = halls.Emptied
+	h.halls.emptied = halls.Emptied
 	clear(h.noPlan)
 	for key, c := range h.claims {
 		if h.claimsIn(&c, &halls) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -103,8 +103,7 @@
 	learned      estimates
 	outbreak     outbreak
 	addresses    addresses
-	emptied      []string // Halls that were emptied as of the last decision.
-	hallsUnknown bool     // What is known of emptied halls was too old then.
+	halls        seenHalls
 	answers      answerTimes
 	stepTimes    map[claimKey]*stepTimes
 	pending      map[string]int       // As last committed.
