Draw workers that leave at short notice beside emptied halls

Cause: work that is lost with a leaving worker is begun anew now, and looks at it may overtake each other; no drawn script had such workers.

--- a/internal/node/random_test.go
+++ b/internal/node/random_test.go
@@ -27,7 +27,8 @@
 // runs that nobody handed in, and every accepted job ends.
 func TestRandomFaults(t *testing.T) { checkDrawn(t, drawFaults) }
 
-// TestRandomEmptiedHalls does the same while halls are emptied and taken back: nothing starts in one beyond the bound.
+// TestRandomEmptiedHalls does the same while halls are emptied and taken back, and workers leave at short notice: nothing starts in an
+// emptied hall beyond the bound.
 func TestRandomEmptiedHalls(t *testing.T) { checkDrawn(t, drawEmptied) }
 
 func checkDrawn(t *testing.T, draw func(r *rapid.T, shard int) []string) {
@@ -120,6 +121,8 @@
 		switch rapid.IntRange(0, 3).Draw(r, "hall") {
 		case 0:
 			s.add("%s hall-%d", rapid.SampledFrom([]string{"empty", "empty", "reopen"}).Draw(r, "operator"), rapid.IntRange(1, drawnHalls).Draw(r, "which"))
+		case 1:
+			s.leave()
 		default:
 			s.step()
 		}
@@ -205,6 +208,20 @@
 	}
 }
 
+// leave has a worker say that it leaves, and leave then.
+func (s *script) leave() {
+	w := s.worker()
+	if s.gone[w] || len(s.gone) >= drawnWorkers/4 {
+		return
+	}
+	s.gone[w] = true
+	s.add("heal %s", w)
+	s.add("drain %s 1800ms", w)
+	s.add("sleep 1800ms")
+	s.add("end %s", w)
+	s.add("forget %s", w)
+}
+
 func (s *script) boxFault() {
 	b := s.box()
 	switch rapid.SampledFrom([]string{"kill", "stop", "freeze", "freeze holder"}).Draw(s.T, "fault") {
