Correct two figures in comments; build the set of last attempts and look up a job's workspace in one place

'A tenth of all calls' for the looks of the boxes that look seldom was reckoned; measured are the looks of all, 3,507 of 20,249 calls. Besides, last attempts were listed and then made a set, and the entry looked up a known job in three places. Change: the comments say what was measured; the set is made at once; one look-up. No behaviour changes. Conclusion: corrected.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -128,10 +128,7 @@
 	if !e.Closed() || r.Schedule.Times > 0 {
 		return false
 	}
-	e.mu.Lock()
-	_, known := e.known[r.ID]
-	e.mu.Unlock()
-	if known {
+	if _, known := e.workspaceOf(r.ID); known {
 		return false
 	}
 	kept, err := e.Ledger.Request(ctx, r.ID)
@@ -190,16 +187,12 @@
 }
 
 func (e *Entry) state(ctx context.Context, c Caller, id job.ID) (job.State, error) {
-	e.mu.Lock()
-	workspace, known := e.known[id]
-	e.mu.Unlock()
+	workspace, known := e.workspaceOf(id)
 	if !known {
 		if err := e.learn(ctx, id); err != nil {
 			return job.Queued, err
 		}
-		e.mu.Lock()
-		workspace = e.known[id]
-		e.mu.Unlock()
+		workspace, _ = e.workspaceOf(id)
 	}
 	if workspace != "" && c.Workspace != "" && workspace != c.Workspace {
 		return job.Queued, ErrNoJob
@@ -227,6 +220,14 @@
 	return nil
 }
 
+// workspaceOf is whose a job is that is remembered as being in the store; false for any other.
+func (e *Entry) workspaceOf(id job.ID) (string, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	workspace, known := e.known[id]
+	return workspace, known
+}
+
 func (e *Entry) remember(id job.ID, workspace string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/node/fitness.go
+++ b/internal/node/fitness.go
@@ -23,7 +23,8 @@
 	// among the third of the boxes that the store turned away in 4 of 13 tries, and 3.5 to 3.7 s went by without a scheduler.
 	deputies = 5
 	// standbyPoll is how often the others look, and standbyWait how much longer the lease must stand unchanged for them. They are there
-	// for the loss of all deputies, which are of all halls; at 1.5 s their looks were a tenth of all calls to the store at 45 boxes.
+	// for the loss of all deputies, which are of all halls; with 1.5 s the looks of all were 17% of all calls to
+	// the store at 45 boxes (3,507 of 20,249 on a day of 83 s).
 	standbyPoll = 3 * time.Second
 	standbyWait = time.Second
 )
--- a/internal/placement/layout.go
+++ b/internal/placement/layout.go
@@ -225,8 +225,8 @@
 const nearPatience = 0.25
 
 // laySingles lays as many tasks as fit, near their data where they have any. Tasks with one attempt left come first, and among
-// unproven workers only on proven ones: on a day with 9% of 350 workers failing all for 6 s jobs of 60 single tasks with two attempts each lost
-// both of one task within 0.3 s, and were 8 of 10 jobs that were never done.
+// unproven workers only on proven ones: on a day with 9% of 350 workers failing all for 6 s jobs of 15 to 177 single tasks with two attempts each
+// lost both of one task 0.2 to 4.4 s after they came: 6 of the 8 jobs that failed for good on that day.
 func (b *board) laySingles(d *Demand) map[int]string {
 	among := b.everyone
 	if d.Step.DataRack != "" && b.view.Now.Sub(d.Since) < time.Duration(nearPatience*float64(d.Goal.Sub(d.Since))) {
--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -94,19 +94,20 @@
 		d.Placed = map[string]int{}
 	}
 	tasks := j.Tasks(g)
-	var lasts []int
 	for i := range tasks {
 		switch {
 		case tasks[i].State == job.Waiting:
 			d.Waiting = append(d.Waiting, i)
 			if j.isLastAttempt(g, &tasks[i]) {
-				lasts = append(lasts, i)
+				if d.LastAttempts == nil {
+					d.LastAttempts = map[int]bool{}
+				}
+				d.LastAttempts[i] = true
 			}
 		case tasks[i].State == job.Placed && d.Placed != nil:
 			d.Placed[tasks[i].Worker]++
 		}
 	}
-	d.LastAttempts = setOf(lasts)
 	allowed := h.allowed(r)
 	from := time.UnixMilli(r.Due(g.Occurrence))
 	d.Goal, d.LastGoal = from.Add(allowed), from.Add(lateFactor*allowed)
@@ -119,18 +120,6 @@
 	return d
 }
 
-// setOf is a set of numbers, nil for none.
-func setOf(list []int) map[int]bool {
-	if len(list) == 0 {
-		return nil
-	}
-	set := make(map[int]bool, len(list))
-	for _, n := range list {
-		set[n] = true
-	}
-	return set
-}
-
 // allowed is the time from an occurrence's due time within which it earns all it can.
 func (h *shard) allowed(r *job.Request) time.Duration {
 	return time.Duration(r.Terms.Stretch*float64(h.learned.whole(r))) + r.Terms.Objective
