Let tasks of one job answer together for a worker's crash; take back what a start that never ran was charged

Besides, starts that were refused just after their worker was found gone were charged as if they had run. Change: the runs to blame are found by job, not by task; what was counted for a run whose start is refused later is taken back. The emulator's workers write heartbeats in their later lives too. The runs on a worker are looked through for suspects only while there are any.

--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -141,19 +141,33 @@
 	f.put(f.records[id].worker, false)
 }
 
-// Heartbeat writes every worker's record anew at an interval, one worker after the other, until the fleet's context ends.
+// Heartbeat has every worker write its record anew at an interval, one worker after the other, until the fleet's context ends.
 // Nothing in the records changes.
 func (f *Fleet) Heartbeat(every time.Duration) {
-	f.mu.Lock()
-	ids := slices.Sorted(maps.Keys(f.records))
-	f.mu.Unlock()
 	go func() {
-		for n := 0; interval.Sleep(f.ctx, every/time.Duration(len(ids))); n++ {
-			f.Record(ids[n%len(ids)])
+		for f.ctx.Err() == nil {
+			f.mu.Lock()
+			ids := slices.Sorted(maps.Keys(f.records))
+			f.mu.Unlock()
+			if len(ids) == 0 {
+				interval.Sleep(f.ctx, every)
+			}
+			for _, id := range ids {
+				if interval.Sleep(f.ctx, every/time.Duration(len(ids))) && f.isRecorded(id) {
+					f.Record(id)
+				}
+			}
 		}
 	}()
 }
 
+// isRecorded reports whether a worker has a record.
+func (f *Fleet) isRecorded(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.records[id].gone
+}
+
 // RecordReads is how many answers those who follow the records got.
 func (f *Fleet) RecordReads() int {
 	f.mu.Lock()
--- a/internal/loss/loss.go
+++ b/internal/loss/loss.go
@@ -94,6 +94,7 @@
 	refuted  bool         // It runs on: it was cut off.
 	suspect  bool         // A task that ran there may be to blame for it.
 	accused  []bool       // By run: its task may be to blame.
+	spared   []bool       // By run: it surely never began.
 	counted  []job.Losses // By run: what is counted now.
 	resolves time.Time    // When it counts as proven.
 }
@@ -105,7 +106,8 @@
 		e.proven = e.proven || w.Proven
 		return nil
 	}
-	e := &event{Worker: w, at: now, proven: w.Proven, resolves: now.Add(Resolved), accused: accused(w.Runs), counted: make([]job.Losses, len(w.Runs))}
+	e := &event{Worker: w, at: now, proven: w.Proven, resolves: now.Add(Resolved), accused: accused(w.Runs)}
+	e.spared, e.counted = make([]bool, len(w.Runs)), make([]job.Losses, len(w.Runs))
 	for i := range w.Runs {
 		e.suspect = e.suspect || w.Runs[i].atOnce() || w.Runs[i].Before.All > 0
 	}
@@ -123,6 +125,18 @@
 	return j.review(now)
 }
 
+// NeverRan takes in that a run that was lost with a worker surely never began there: its start was refused after all.
+func (j *Judge) NeverRan(id string, t job.Task, now time.Time) []Charge {
+	e := j.find(id)
+	if e == nil {
+		return nil
+	}
+	for i := range e.Runs {
+		e.spared[i] = e.spared[i] || e.Runs[i].Task == t
+	}
+	return j.review(now)
+}
+
 // Replaced takes in that another life has come at an address, so that the one before has ended.
 func (j *Judge) Replaced(address, id string) {
 	for _, e := range j.events {
@@ -225,7 +239,7 @@
 func (j *Judge) weight(e *event, i int) job.Losses {
 	r := &e.Runs[i]
 	switch {
-	case e.refuted:
+	case e.refuted, e.spared[i]:
 		return job.Losses{}
 	case !e.accused[i], r.Seen > CountedWithin, j.lostWithGroup(e, r):
 		return job.Losses{All: 1}
@@ -295,29 +309,43 @@
 	return others >= othersLost && float64(lost) >= groupShare*float64(size)
 }
 
-// accused marks the runs on a lost worker whose tasks may be to blame. Of those that had just begun they are those with most counted against them
-// before, and of the others too; but others answer beside those that had just begun only where more is counted against them. So a sound task that
-// shares workers with one that crashes them is charged at its first crash at most, and not for the next ones.
+// accused marks the runs on a lost worker whose tasks may be to blame. Of those that had just begun they are those of the job with most counted
+// against it before, and of the others too; but others answer beside those that had just begun only where more is counted against them. So a sound job
+// that shares workers with one that crashes them is charged at its first crash at most, and not for the next ones. Tasks of one job don't
+// excuse each other: it fails with any of them, and one went unnoticed for six starts beside two others that were charged for its crashes.
 func accused(runs []Run) []bool {
-	begun, others := mostCharged(runs, true), mostCharged(runs, false)
+	before := beforeOf(runs)
+	begun, others := mostCharged(runs, before, true), mostCharged(runs, before, false)
 	list := make([]bool, len(runs))
 	for i := range runs {
 		r := &runs[i]
+		counted := before[r.Task.Job]
 		switch {
 		case r.atOnce():
-			list[i] = !worse(begun.Before, r.Before)
-		case begun == nil || worse(others.Before, begun.Before):
-			list[i] = !worse(others.Before, r.Before)
+			list[i] = !worse(before[begun.Task.Job], counted)
+		case begun == nil || worse(before[others.Task.Job], before[begun.Task.Job]):
+			list[i] = !worse(before[others.Task.Job], counted)
 		}
 	}
 	return list
 }
 
-// mostCharged is a run with most counted against its task, of those that had just begun or of the others; nil for none.
-func mostCharged(runs []Run, atOnce bool) *Run {
+// beforeOf is the most that was counted against one task of each job.
+func beforeOf(runs []Run) map[job.ID]job.Losses {
+	before := map[job.ID]job.Losses{}
+	for i := range runs {
+		if r := &runs[i]; worse(r.Before, before[r.Task.Job]) {
+			before[r.Task.Job] = r.Before
+		}
+	}
+	return before
+}
+
+// mostCharged is a run of the job with most counted against it, of those that had just begun or of the others; nil for none.
+func mostCharged(runs []Run, before map[job.ID]job.Losses, atOnce bool) *Run {
 	var most *Run
 	for i := range runs {
-		if r := &runs[i]; r.atOnce() == atOnce && (most == nil || worse(r.Before, most.Before)) {
+		if r := &runs[i]; r.atOnce() == atOnce && (most == nil || worse(before[r.Task.Job], before[most.Task.Job])) {
 			most = r
 		}
 	}
--- a/internal/loss/script_test.go
+++ b/internal/loss/script_test.go
@@ -21,6 +21,7 @@
 //
 //	lose WORKER at T [heard T] [hall H] [rack R] [silent] [runs TASK:SEEN ...]   SEEN is a time, or "adopted"; heard is 100ms before by default
 //	return WORKER at T                            it runs on
+//	never WORKER TASK at T                        it never ran there
 //	replace WORKER                                another life has come at its address
 //	counts TASK ALL COUNTED AT_ONCE
 //	verdict TASK free|held|guilty at T
@@ -65,6 +66,10 @@
 		at, err := c.time(words[3])
 		c.take(c.judge.Returned(words[1], at))
 		return err
+	case "never":
+		at, err := c.time(words[4])
+		c.take(c.judge.NeverRan(words[1], taskNamed(words[2]), at))
+		return err
 	case "replace":
 		c.judge.Replaced(words[1], words[1]+"-next")
 		return nil
--- a/internal/scheduler/loss.go
+++ b/internal/scheduler/loss.go
@@ -104,11 +104,13 @@
 
 // seen is for how long after a run was ordered, or was found by a successor, its worker was heard of.
 func (w *workerState) seen(r *run) time.Duration {
-	since := r.ordered
-	if r.adopted {
-		since = r.placed
+	switch {
+	case r.adopted:
+		return max(w.clockAt.Sub(r.placed), 0)
+	case r.ordered.IsZero():
+		return 0
 	}
-	return max(w.clockAt.Sub(since), 0)
+	return max(w.clockAt.Sub(r.ordered), 0)
 }
 
 // heardOf is when a worker surely lived last.
@@ -180,16 +182,18 @@
 	}
 }
 
-// judgeLosses judges all tasks under which workers were lost: what was not proven may be by now.
-func (h *shard) judgeLosses() {
+// judgeLosses judges all tasks under which workers were lost, as what was not proven may be by now, and reports whether there are any.
+func (h *shard) judgeLosses() (some bool) {
 	for _, j := range h.jobs {
 		if len(j.Progress.Losses) == 0 || j.Progress.State.Final() {
 			continue
 		}
+		some = true
 		for i := range j.Progress.Losses {
 			h.judge(j, j.TaskAt(i))
 		}
 	}
+	return some
 }
 
 // isHeld reports whether a task is not to start, because workers have fallen silent under it and may have crashed.
@@ -197,20 +201,25 @@
 	return len(j.Progress.Losses) > 0 && loss.Weigh(j.LossesOf(t), h.losses.Open(t, time.Now())) != loss.Free
 }
 
-// begun is the job of a run on a worker that may be about to crash it, and the job of one that began there a moment ago; empty for none.
-func (w *workerState) begun(now time.Time) (suspect, begun job.ID) {
+// suspect is the job of a run on a worker that may be about to crash it, empty for none.
+func (w *workerState) suspect() job.ID {
 	for t, r := range w.runs {
-		if now.Sub(r.placed) <= loss.AtOnceWithin {
-			begun = t.Job
-		}
 		if len(r.job.Progress.Losses) == 0 {
 			continue
 		}
 		if lost := r.job.LossesOf(t); lost.AtOnce > 0 || lost.Counted >= loss.AloneAfter {
-			suspect = t.Job
+			return t.Job
 		}
 	}
-	return suspect, begun
+	return ""
+}
+
+// begun is the job that began last on a worker, if that was a moment ago; empty for none.
+func (w *workerState) begun(now time.Time) job.ID {
+	if now.Sub(w.begunAt) > loss.AtOnceWithin {
+		return ""
+	}
+	return w.begunBy
 }
 
 // clear takes in that a run goes on for longer than one does that crashes its worker as soon as it has begun.
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -94,6 +94,9 @@
 	surelyNot := try == 1 && (refused && refusal != fleet.Outdated || notSent(err))
 	if surelyNot {
 		r.ordered = time.Time{} // What becomes of the worker is not its doing.
+		if r.lost != nil {
+			h.charge(h.losses.NeverRan(w.ID, r.task, time.Now()))
+		}
 	}
 	h.noteFailure(w, err, "start")
 	switch {
--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -15,7 +15,7 @@
 func (h *shard) takeView(now time.Time) *placement.View {
 	v := &h.view
 	v.Now, v.Policy = now, h.Bounds.Policy
-	h.judgeLosses()
+	suspects := h.judgeLosses()
 	h.markCovered()
 	h.takeRoster()
 	v.Workers, v.Holdings, v.Demands = v.Workers[:0], v.Holdings[:0], v.Demands[:0]
@@ -25,7 +25,10 @@
 		shown := w.view(now)
 		shown.Closed = !halls.open(w.Hall, now)
 		shown.Usable = shown.Usable && !shown.Closed
-		shown.Suspect, shown.Begun = w.begun(now)
+		shown.Begun = w.begun(now)
+		if suspects { // Looking through all runs for them takes half as long again as the rest of the view.
+			shown.Suspect = w.suspect()
+		}
 		shown.Unproven = outbreak && !w.proven(h.outbreak.began, now)
 		v.Workers = append(v.Workers, shown)
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -89,6 +89,8 @@
 	doubt        doubt
 	slow         slowness
 	gone         bool
+	begunBy      job.ID    // The job that began there last.
+	begunAt      time.Time // When that was.
 	beatAt       time.Time // When it surely lived last, by its record.
 	silentSince  time.Time // When its leases were found to be over.
 }
@@ -241,6 +243,7 @@
 func (h *shard) addRun(w *workerState, r *run) {
 	w.runs[r.task] = r
 	w.used = w.used.Add(r.each)
+	w.begunBy, w.begunAt = r.task.Job, r.placed
 	r.worker = w
 	h.holdings.add(r)
 	w.signal()
