Count what was lost together as losses come

Cause: for each lost worker all others of the last seconds were counted anew, once for each run: 350 workers with three runs each took 0.5 s, on one core. Change: each loss keeps how many were lost with it, in all, of its hall and of its rack; only losses that may have come together are judged anew. A task's losses are found by its name.

--- a/internal/loss/loss.go
+++ b/internal/loss/loss.go
@@ -6,6 +6,7 @@
 package loss
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pulleyring/pulleyring/internal/job"
@@ -84,6 +85,14 @@
 // Judge keeps the workers that were lost lately. The zero value is ready.
 type Judge struct {
 	events []*event
+	byID   map[string]*event      // The last loss of each worker.
+	byTask map[job.Task][]lostRun // The runs of each task that were lost.
+}
+
+// lostRun is a run by its place in a loss.
+type lostRun struct {
+	*event
+	place int
 }
 
 // event is a worker's loss.
@@ -97,6 +106,28 @@
 	spared   []bool       // By run: it surely never began.
 	counted  []job.Losses // By run: what is counted now.
 	resolves time.Time    // When it counts as proven.
+	others   int          // Workers without a suspect task that were lost together with it.
+	hall     groupLoss
+	rack     groupLoss
+}
+
+// groupLoss is what was lost of a group together with one of its workers. It is counted as losses come: counting anew for each of 350 workers that
+// were lost within a second took 0.5 s (BenchmarkHallsLost), on one of the cores of which a box has a fifth.
+type groupLoss struct {
+	lost, others, size int
+}
+
+// lostAsOne reports whether most workers of the group were lost, and enough of them for no task's doing.
+func (g *groupLoss) lostAsOne() bool {
+	return g.others >= othersLost && float64(g.lost) >= groupShare*float64(g.size)
+}
+
+func (g *groupLoss) add(o *event, size, sign int) {
+	g.lost += sign
+	g.size = max(g.size, size)
+	if !o.suspect {
+		g.others += sign
+	}
 }
 
 // Lost takes in a worker's loss and returns what changes for the tasks that ran there, and for those of workers lost before.
@@ -111,22 +142,60 @@
 	for i := range w.Runs {
 		e.suspect = e.suspect || w.Runs[i].atOnce() || w.Runs[i].Before.All > 0
 	}
+	j.add(e)
+	return j.review(e)
+}
+
+// add keeps a loss.
+func (j *Judge) add(e *event) {
+	if j.byID == nil {
+		j.byID, j.byTask = map[string]*event{}, map[job.Task][]lostRun{}
+	}
+	e.hall.add(e, e.Hall.Size, 1)
+	e.rack.add(e, e.Rack.Size, 1)
+	for _, o := range j.events {
+		if e.with(o) {
+			e.join(o, 1)
+			o.join(e, 1)
+		}
+	}
 	j.events = append(j.events, e)
-	return j.review(now)
+	j.byID[e.ID] = e
+	for i := range e.Runs {
+		j.byTask[e.Runs[i].Task] = append(j.byTask[e.Runs[i].Task], lostRun{e, i})
+	}
+}
+
+// join counts another worker that was lost together with one, or with a sign of -1 that it was not after all.
+func (e *event) join(o *event, sign int) {
+	if !o.suspect {
+		e.others += sign
+	}
+	if o.Hall.Name == e.Hall.Name {
+		e.hall.add(o, o.Hall.Size, sign)
+	}
+	if o.Rack.Name == e.Rack.Name {
+		e.rack.add(o, o.Rack.Size, sign)
+	}
 }
 
 // Returned takes in that a worker that was lost runs on: it was cut off, and nothing of that is its tasks' doing.
-func (j *Judge) Returned(id string, now time.Time) []Charge {
+func (j *Judge) Returned(id string) []Charge {
 	e := j.find(id)
 	if e == nil || e.proven {
 		return nil
 	}
+	for _, o := range j.events {
+		if o != e && o.with(e) {
+			o.join(e, -1)
+		}
+	}
 	e.refuted = true
-	return j.review(now)
+	return append(j.recount(e), j.review(e)...)
 }
 
 // NeverRan takes in that a run that was lost with a worker surely never began there: its start was refused after all.
-func (j *Judge) NeverRan(id string, t job.Task, now time.Time) []Charge {
+func (j *Judge) NeverRan(id string, t job.Task) []Charge {
 	e := j.find(id)
 	if e == nil {
 		return nil
@@ -134,7 +203,7 @@
 	for i := range e.Runs {
 		e.spared[i] = e.spared[i] || e.Runs[i].Task == t
 	}
-	return j.review(now)
+	return j.recount(e)
 }
 
 // Replaced takes in that another life has come at an address, so that the one before has ended.
@@ -149,14 +218,9 @@
 // Open is the part of what is counted against a task that is not proven: the workers may yet turn out to run on.
 func (j *Judge) Open(t job.Task, now time.Time) job.Losses {
 	var sum job.Losses
-	for _, e := range j.events {
-		if e.proven || !now.Before(e.resolves) {
-			continue
-		}
-		for i := range e.Runs {
-			if e.Runs[i].Task == t {
-				sum = sum.Add(e.counted[i])
-			}
+	for _, r := range j.byTask[t] {
+		if !r.proven && now.Before(r.resolves) {
+			sum = sum.Add(r.counted[r.place])
 		}
 	}
 	return sum
@@ -183,12 +247,12 @@
 	Guilty                // It is to be given up.
 )
 
-// Weigh returns the verdict for what is counted against a task, of which a part is not proven.
-func Weigh(counted, open job.Losses) Verdict {
+// Weigh returns the verdict for a task by what is counted against it.
+func (j *Judge) Weigh(t job.Task, counted job.Losses, now time.Time) Verdict {
 	switch {
 	case !over(counted):
 		return Free
-	case over(counted.Sub(open)):
+	case over(counted.Sub(j.Open(t, now))):
 		return Guilty
 	}
 	return Held
@@ -200,10 +264,8 @@
 
 // find returns the loss of a worker that has not returned since.
 func (j *Judge) find(id string) *event {
-	for _, e := range j.events {
-		if e.ID == id && !e.refuted {
-			return e
-		}
+	if e := j.byID[id]; e != nil && !e.refuted {
+		return e
 	}
 	return nil
 }
@@ -211,25 +273,45 @@
 // prune drops losses that nothing depends on any more.
 func (j *Judge) prune(now time.Time) {
 	old := 0
-	for old < len(j.events) && now.Sub(j.events[old].at) > Resolved+Together {
-		old++
+	for ; old < len(j.events) && now.Sub(j.events[old].at) > Resolved+Together; old++ {
+		e := j.events[old]
+		if j.byID[e.ID] == e {
+			delete(j.byID, e.ID)
+		}
+		for i := range e.Runs {
+			j.dropRun(e, e.Runs[i].Task)
+		}
 	}
 	j.events = j.events[old:]
 }
 
-// review counts anew what the losses of late say.
-func (j *Judge) review(now time.Time) []Charge {
+func (j *Judge) dropRun(e *event, t job.Task) {
+	left := slices.DeleteFunc(j.byTask[t], func(r lostRun) bool { return r.event == e })
+	if len(left) == 0 {
+		delete(j.byTask, t)
+		return
+	}
+	j.byTask[t] = left
+}
+
+// review counts anew what a loss says, and what those say that came together with it.
+func (j *Judge) review(e *event) []Charge {
 	var charges []Charge
-	for _, e := range j.events {
-		if now.Sub(e.at) > Together && !e.refuted {
-			continue
+	for _, o := range j.events {
+		if o == e || o.overlaps(e) {
+			charges = append(charges, j.recount(o)...)
 		}
-		for i := range e.Runs {
-			wanted := j.weight(e, i)
-			if wanted != e.counted[i] {
-				charges = append(charges, Charge{e.Runs[i].Task, wanted.Sub(e.counted[i])})
-				e.counted[i] = wanted
-			}
+	}
+	return charges
+}
+
+// recount counts anew what a loss says.
+func (j *Judge) recount(e *event) []Charge {
+	var charges []Charge
+	for i := range e.Runs {
+		if wanted := j.weight(e, i); wanted != e.counted[i] {
+			charges = append(charges, Charge{e.Runs[i].Task, wanted.Sub(e.counted[i])})
+			e.counted[i] = wanted
 		}
 	}
 	return charges
@@ -243,7 +325,7 @@
 		return job.Losses{}
 	case !e.accused[i], r.Seen > CountedWithin, j.lostWithGroup(e, r):
 		return job.Losses{All: 1}
-	case j.others(e) < othersLost:
+	case e.others < othersLost:
 		if r.atOnce() {
 			return job.Losses{All: 1, Counted: 1, AtOnce: 1}
 		}
@@ -254,61 +336,27 @@
 	return job.Losses{All: 1}
 }
 
-// others counts the workers without a suspect task that were lost together with one.
-func (j *Judge) others(e *event) int {
-	n := 0
-	for _, o := range j.events {
-		if o != e && !o.suspect && o.with(e) {
-			n++
-		}
-	}
-	return n
-}
+// with reports whether two workers may have been lost at the same time.
+func (e *event) with(o *event) bool { return !e.refuted && !o.refuted && e.overlaps(o) }
 
-// with reports whether two workers may have been lost at the same time: each was, between the time when it was heard of last and the time when it
-// was known to be lost.
-func (e *event) with(o *event) bool {
-	return !e.refuted && !o.refuted && !e.Heard.After(o.at) && !o.Heard.After(e.at)
-}
+// overlaps reports whether the times overlap in which two workers were lost: between the time when one was heard of last and the time when it was
+// known to be lost.
+func (e *event) overlaps(o *event) bool { return !e.Heard.After(o.at) && !o.Heard.After(e.at) }
 
 // lostWithGroup reports whether a worker was lost with its hall or rack. That excuses a task once for each such loss: one that has crashed
 // another worker meanwhile is not excused for that.
 func (j *Judge) lostWithGroup(e *event, r *Run) bool {
-	hall := func(w *Worker) Group { return w.Hall }
-	rack := func(w *Worker) Group { return w.Rack }
-	if !j.groupLost(e, hall) && !j.groupLost(e, rack) {
+	if !e.hall.lostAsOne() && !e.rack.lostAsOne() {
 		return false
 	}
-	for _, o := range j.events {
-		if o == e {
-			return true
-		}
-		for i := range o.Runs {
-			if o.accused[i] && o.Runs[i].Task == r.Task && o.with(e) {
-				return false
-			}
+	for _, o := range j.byTask[r.Task] {
+		if o.accused[o.place] && o.at.Before(e.at) && o.with(e) {
+			return false
 		}
 	}
 	return true
 }
 
-// groupLost reports whether most workers of a group were lost together with one of them, and enough of those for no task's doing.
-func (j *Judge) groupLost(e *event, of func(w *Worker) Group) bool {
-	group := of(&e.Worker)
-	lost, size, others := 0, 0, 0
-	for _, o := range j.events {
-		if of(&o.Worker).Name != group.Name || !o.with(e) {
-			continue
-		}
-		lost++
-		size = max(size, of(&o.Worker).Size)
-		if o != e && !o.suspect {
-			others++
-		}
-	}
-	return others >= othersLost && float64(lost) >= groupShare*float64(size)
-}
-
 // accused marks the runs on a lost worker whose tasks may be to blame. Of those that had just begun they are those of the job with most counted
 // against it before, and of the others too; but others answer beside those that had just begun only where more is counted against them. So a sound job
 // that shares workers with one that crashes them is charged at its first crash at most, and not for the next ones. Tasks of one job don't
--- a/internal/loss/script_test.go
+++ b/internal/loss/script_test.go
@@ -20,8 +20,8 @@
 // TestLosses plays the cases of testdata. A case is a list of lines; times are counted from its begin:
 //
 //	lose WORKER at T [heard T] [hall H] [rack R] [silent] [runs TASK:SEEN ...]   SEEN is a time, or "adopted"; heard is 100ms before by default
-//	return WORKER at T                            it runs on
-//	never WORKER TASK at T                        it never ran there
+//	return WORKER                                 it runs on
+//	never WORKER TASK                             it never ran there
 //	replace WORKER                                another life has come at its address
 //	counts TASK ALL COUNTED AT_ONCE
 //	verdict TASK free|held|guilty at T
@@ -63,13 +63,11 @@
 	case "lose":
 		return c.lose(words[1:])
 	case "return":
-		at, err := c.time(words[3])
-		c.take(c.judge.Returned(words[1], at))
-		return err
+		c.take(c.judge.Returned(words[1]))
+		return nil
 	case "never":
-		at, err := c.time(words[4])
-		c.take(c.judge.NeverRan(words[1], taskNamed(words[2]), at))
-		return err
+		c.take(c.judge.NeverRan(words[1], taskNamed(words[2])))
+		return nil
 	case "replace":
 		c.judge.Replaced(words[1], words[1]+"-next")
 		return nil
@@ -86,7 +84,7 @@
 			return err
 		}
 		task := taskNamed(words[1])
-		got := [...]string{"free", "held", "guilty"}[Weigh(c.tally[task], c.judge.Open(task, at))]
+		got := [...]string{"free", "held", "guilty"}[c.judge.Weigh(task, c.tally[task], at)]
 		if got != words[2] {
 			return fmt.Errorf("%s", got)
 		}
--- a/internal/scheduler/loss.go
+++ b/internal/scheduler/loss.go
@@ -150,7 +150,7 @@
 // judge returns what follows for a task from the workers that were lost under it, and gives its job up where that is to be.
 func (h *shard) judge(j *liveJob, t job.Task) loss.Verdict {
 	counted := j.LossesOf(t)
-	verdict := loss.Weigh(counted, h.losses.Open(t, time.Now()))
+	verdict := h.losses.Weigh(t, counted, time.Now())
 	if verdict == loss.Guilty {
 		h.giveUp(j, t, counted)
 	}
@@ -198,7 +198,7 @@
 
 // isHeld reports whether a task is not to start, because workers have fallen silent under it and may have crashed.
 func (h *shard) isHeld(j *liveJob, t job.Task) bool {
-	return len(j.Progress.Losses) > 0 && loss.Weigh(j.LossesOf(t), h.losses.Open(t, time.Now())) != loss.Free
+	return len(j.Progress.Losses) > 0 && h.losses.Weigh(t, j.LossesOf(t), time.Now()) != loss.Free
 }
 
 // suspect is the job of a run on a worker that may be about to crash it, empty for none.
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -95,7 +95,7 @@
 	if surelyNot {
 		r.ordered = time.Time{} // What becomes of the worker is not its doing.
 		if r.lost != nil {
-			h.charge(h.losses.NeverRan(w.ID, r.task, time.Now()))
+			h.charge(h.losses.NeverRan(w.ID, r.task))
 		}
 	}
 	h.noteFailure(w, err, "start")
@@ -260,7 +260,7 @@
 	}
 	w.heard(report.Clock)
 	w.failures, w.lookedAt = 0, time.Now()
-	h.charge(h.losses.Returned(w.ID, w.lookedAt))
+	h.charge(h.losses.Returned(w.ID))
 	w.told = max(w.told, acknowledged)
 	present := map[job.Task]int{}
 	for i := range report.Running {
--- a/internal/scheduler/why.go
+++ b/internal/scheduler/why.go
@@ -50,7 +50,7 @@
 			continue
 		}
 		open := h.losses.Open(t, time.Now())
-		if loss.Weigh(counted, open) == loss.Held {
+		if h.losses.Weigh(t, counted, time.Now()) == loss.Held {
 			lines = append(lines, fmt.Sprintf("task %d of step %d is held: of %d workers that were lost under it %d may have been cut off; it is known after %s at the latest",
 				t.Index, t.Step, counted.Counted, open.Counted, loss.Resolved))
 		}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -154,7 +154,7 @@
 		h.losses.Replaced(record.Address, record.ID)
 	}
 	if !w.listed {
-		h.charge(h.losses.Returned(record.ID, time.Now()))
+		h.charge(h.losses.Returned(record.ID))
 	}
 	if record.Draining != w.Draining || first || !w.listed {
 		h.Log.Info("scheduler: worker recorded", zap.String("worker", record.ID), zap.String("rack", record.Rack),
@@ -188,7 +188,7 @@
 	}
 	w.lived(time.Now().Add(-heartbeatDelay))
 	if !w.silentSince.IsZero() && w.beatAt.After(w.silentSince) {
-		h.charge(h.losses.Returned(id, time.Now()))
+		h.charge(h.losses.Returned(id))
 	}
 }
 
