Take no worker from a record of another writer

Cause: a record in a state that is not named was taken for a worker that is ready, as were an empty one, one without an address and one with a negative capacity (tried on the code before: no error, not draining); one that could not be read left its worker in use as it was told of before, and was logged at each look. One log line a change, counters by fault, a gauge. Part of the issue on other writers: the boxes' own rows and the operator's are not done.

--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -7,6 +7,7 @@
 	"syscall"
 
 	"github.com/pulleyring/pulleyring/internal/logsink"
+	"github.com/pulleyring/pulleyring/internal/measure"
 	"github.com/pulleyring/pulleyring/internal/node"
 	"github.com/pulleyring/pulleyring/internal/relay"
 	"github.com/pulleyring/pulleyring/internal/scheduler"
@@ -50,10 +51,12 @@
 		Store:          &platform.Store{Address: s.Store, Client: platform.NewClient()},
 		Network:        &relay.HTTP{Client: platform.NewClient()},
 		Configurations: func(st store.Store) node.Configurations { return &platform.Configurations{Store: st} },
-		Directory:      func(st store.Store) scheduler.Directory { return &platform.Directory{Store: st, Log: log} },
-		Orders:         &platform.Workers{Client: platform.NewWorkerClient(platform.IdleConnections(s.Means.Descriptors))},
-		Front:          platform.Front,
-		Readiness:      platform.Readiness,
+		Directory: func(st store.Store, f *measure.Figures) scheduler.Directory {
+			return &platform.Directory{Store: st, Log: log, Figures: f}
+		},
+		Orders:    &platform.Workers{Client: platform.NewWorkerClient(platform.IdleConnections(s.Means.Descriptors))},
+		Front:     platform.Front,
+		Readiness: platform.Readiness,
 	}
 }
 
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -106,7 +106,7 @@
 	n.Figures.Count("leases_claimed")
 	n.log.Info("node: lease claimed", zap.Int64("epoch", tenure.Epoch()), zap.String("from", lease.Holder))
 	s := &scheduler.Scheduler{
-		Ledger: n.ledger, Directory: n.platform.Directory(n.store), Orders: n.platform.Orders, Configuration: n.Configuration, Halls: n.Halls,
+		Ledger: n.ledger, Directory: n.platform.Directory(n.store, &n.Figures), Orders: n.platform.Orders, Configuration: n.Configuration, Halls: n.Halls,
 		Bounds: n.settings.Load().Bounds, Log: n.log, Figures: &n.Figures,
 	}
 	n.scheduler.Store(s)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,10 +38,10 @@
 
 // Platform is what a box needs of the platform.
 type Platform struct {
-	Store          store.Store                             // Over the box's own path.
-	Network        relay.Network                           // Other boxes that pass calls to the store on; nil for none.
-	Configurations func(s store.Store) Configurations      // Read from a store.
-	Directory      func(s store.Store) scheduler.Directory // The same.
+	Store          store.Store                                                 // Over the box's own path.
+	Network        relay.Network                                               // Other boxes that pass calls to the store on; nil for none.
+	Configurations func(s store.Store) Configurations                          // Read from a store.
+	Directory      func(s store.Store, f *measure.Figures) scheduler.Directory // The same.
 	Orders         fleet.Orders
 	Front          func(n *Node) http.Handler // Serves clients.
 	Readiness      func(n *Node) http.Handler // Serves the balancer.
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -13,6 +13,7 @@
 	"github.com/pulleyring/pulleyring/internal/entry"
 	"github.com/pulleyring/pulleyring/internal/fleet"
 	"github.com/pulleyring/pulleyring/internal/job"
+	"github.com/pulleyring/pulleyring/internal/measure"
 	"github.com/pulleyring/pulleyring/internal/placement"
 	"github.com/pulleyring/pulleyring/internal/queue"
 	"github.com/pulleyring/pulleyring/internal/scheduler"
@@ -132,7 +133,7 @@
 	p := Platform{
 		Store: w.store.For(name, gate), Network: w.network.For(name, gate), Orders: view,
 		Configurations: func(s store.Store) Configurations { return &instructions{w.operator, s} },
-		Directory:      func(store.Store) scheduler.Directory { return view },
+		Directory:      func(store.Store, *measure.Figures) scheduler.Directory { return view },
 	}
 	s := &Settings{Box: name, Hall: name[:strings.LastIndex(name, "-")], Relay: name, Halls: w.halls, ConfigurationWithin: testConfiguration, StopAfter: 6 * time.Second, Bounds: scheduler.Bounds{
 		MaxLease: testMaxLease, StopTime: testStopTime, GangWait: testGangWait, Retain: time.Minute, Emptied: testEmptied,
