Leave out members that have ended when a gang is armed again

Cause: a box died after some members of a gang had been told to go and before it could stop them; they ended, and the next box armed all of them anew before it told the rest to go, which a member that has ended refuses: 'could not be armed' every 0.1 s for ever, and the gang was never settled. Change: members that are known to have ended well are not armed again; they answer 'go' as those that run do.

--- a/internal/hall/start.go
+++ b/internal/hall/start.go
@@ -151,7 +151,7 @@
 // known of the seats decides what follows.
 func (k *Keeper) launch(ctx context.Context, j *settlement.Job) {
 	workers := k.workersByName()
-	if !k.stepSeats(ctx, workers, j.Seats, worker.Arm, j.Attempt, 0) {
+	if !k.stepSeats(ctx, workers, k.unfinished(j), worker.Arm, j.Attempt, 0) {
 		k.note(j.Identity.String(), j.Attempt, "could not be armed")
 		signal(k.renewNow)
 		return
@@ -169,6 +169,19 @@
 	}
 }
 
+// unfinished are the seats of an attempt that are not known to have ended well. A member that was told to go alone, as its box died, may have ended
+// before the next box finds the others armed: it can't be armed any more, and a gang that was to be armed whole was never settled.
+func (k *Keeper) unfinished(j *settlement.Job) []settlement.Seat {
+	sights := k.watch.sights(j, k.fresh(), k.Settings.Lease.Run)
+	var list []settlement.Seat
+	for i, seat := range j.Seats {
+		if sights[i].Task.State != worker.Finished {
+			list = append(list, seat)
+		}
+	}
+	return list
+}
+
 // stepSeats carries all seats of an attempt a step on, at once, and reports whether all did. What the workers answer
 // is taken in.
 func (k *Keeper) stepSeats(ctx context.Context, workers map[string]contract.Worker, seats []settlement.Seat, verb worker.Verb, attempt string, lease time.Duration) bool {
