Take the answer of another life for no sign of the old one

Cause: reading; an order that another life at the address refuses carries that life's clock, which was taken for the old one's: a task whose worker had crashed at once counted as one that had run until the other life came, seconds later. Change: such an answer is left out. Figures: TestOtherLifeIsNoSignOfLife fails without the change (the clock was taken in whatever the error).

--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -81,7 +81,7 @@
 func (h *shard) started(w *workerState, r *run, clock int64, err error, try int) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	w.heard(clock)
+	w.answered(clock, err)
 	if err == nil {
 		r.ordering = false
 		r.confirmed = time.Now()
@@ -168,7 +168,7 @@
 			return
 		}
 		h.mu.Lock()
-		w.heard(clock)
+		w.answered(clock, err)
 		refusal, refused := refusalOf(err)
 		if err == nil || refused && refusal == fleet.Outdated {
 			r.stopKnown = time.Now()
