--- /dev/null
+++ b/internal/loss/judge.go
@@ -0,0 +1,258 @@
+package loss
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pulleyring/pulleyring/internal/job"
+)
+
+// Judge keeps the workers that were lost lately. The zero value is ready.
+type Judge struct {
+	events []*event
+	byID   map[string]*event      // The last loss of each worker.
+	byTask map[job.Task][]lostRun // The runs of each task that were lost.
+}
+
+// lostRun is a run by its place in a loss.
+type lostRun struct {
+	*event
+	place int
+}
+
+// event is a worker's loss.
+type event struct {
+	Worker
+	at       time.Time
+	proven   bool
+	refuted  bool         // It runs on: it was cut off.
+	suspect  bool         // A task that ran there may be to blame for it.
+	accused  []bool       // By run: its task may be to blame.
+	spared   []bool       // By run: it surely never began.
+	counted  []job.Losses // By run: what is counted now.
+	resolves time.Time    // When it counts as proven.
+	others   int          // Workers without a suspect task that were lost together with it.
+	hall     groupLoss
+	rack     groupLoss
+}
+
+// groupLoss is what was lost of a group together with one of its workers. It is counted as losses come: counting anew for each of 350 workers that
+// were lost within a second took 0.5 s on one core (BenchmarkHallsLost).
+type groupLoss struct {
+	lost, others, size int
+}
+
+// lostAsOne reports whether most workers of the group were lost, and enough of them for no task's doing.
+func (g *groupLoss) lostAsOne() bool {
+	return g.others >= othersLost && float64(g.lost) >= groupShare*float64(g.size)
+}
+
+func (g *groupLoss) add(o *event, size, sign int) {
+	g.lost += sign
+	g.size = max(g.size, size)
+	if !o.suspect {
+		g.others += sign
+	}
+}
+
+// Lost takes in a worker's loss and returns what changes for the tasks that ran there, and for those of workers lost before.
+func (j *Judge) Lost(w Worker, now time.Time) []Charge {
+	j.prune(now)
+	if e := j.find(w.ID); e != nil {
+		e.proven = e.proven || w.Proven
+		return nil
+	}
+	e := &event{Worker: w, at: now, proven: w.Proven, resolves: now.Add(Resolved), accused: accused(w.Runs)}
+	e.spared, e.counted = make([]bool, len(w.Runs)), make([]job.Losses, len(w.Runs))
+	for i := range w.Runs {
+		e.suspect = e.suspect || w.Runs[i].atOnce() || w.Runs[i].Before.All > 0
+	}
+	j.add(e)
+	return j.review(e)
+}
+
+// add keeps a loss.
+func (j *Judge) add(e *event) {
+	if j.byID == nil {
+		j.byID, j.byTask = map[string]*event{}, map[job.Task][]lostRun{}
+	}
+	e.hall.add(e, e.Hall.Size, 1)
+	e.rack.add(e, e.Rack.Size, 1)
+	for _, o := range j.events {
+		if e.with(o) {
+			e.join(o, 1)
+			o.join(e, 1)
+		}
+	}
+	j.events = append(j.events, e)
+	j.byID[e.ID] = e
+	for i := range e.Runs {
+		j.byTask[e.Runs[i].Task] = append(j.byTask[e.Runs[i].Task], lostRun{e, i})
+	}
+}
+
+// join counts another worker that was lost together with one, or with a sign of -1 that it was not after all.
+func (e *event) join(o *event, sign int) {
+	if !o.suspect {
+		e.others += sign
+	}
+	if o.Hall.Name == e.Hall.Name {
+		e.hall.add(o, o.Hall.Size, sign)
+	}
+	if o.Rack.Name == e.Rack.Name {
+		e.rack.add(o, o.Rack.Size, sign)
+	}
+}
+
+// Returned takes in that a worker that was lost runs on: it was cut off, and nothing of that is its tasks' doing.
+func (j *Judge) Returned(id string) []Charge {
+	e := j.find(id)
+	if e == nil || e.proven {
+		return nil
+	}
+	for _, o := range j.events {
+		if o != e && o.with(e) {
+			o.join(e, -1)
+		}
+	}
+	e.refuted = true
+	return append(j.recount(e), j.review(e)...)
+}
+
+// NeverRan takes in that a run that was lost with a worker surely never began there: its start was refused after all.
+func (j *Judge) NeverRan(id string, t job.Task) []Charge {
+	e := j.find(id)
+	if e == nil {
+		return nil
+	}
+	for i := range e.Runs {
+		e.spared[i] = e.spared[i] || e.Runs[i].Task == t
+	}
+	return j.recount(e)
+}
+
+// Replaced takes in that another life has come at an address, so that the one before has ended.
+func (j *Judge) Replaced(address, id string) {
+	for _, e := range j.events {
+		if e.Address == address && e.ID != id && !e.refuted {
+			e.proven = true
+		}
+	}
+}
+
+// Open is the part of what is counted against a task that is not proven: the workers may yet turn out to run on.
+func (j *Judge) Open(t job.Task, now time.Time) job.Losses {
+	var sum job.Losses
+	for _, r := range j.byTask[t] {
+		if !r.proven && now.Before(r.resolves) {
+			sum = sum.Add(r.counted[r.place])
+		}
+	}
+	return sum
+}
+
+// Together counts the workers of a hall that were lost lately.
+func (j *Judge) Together(hall string, now time.Time) int {
+	n := 0
+	for _, e := range j.events {
+		if e.Hall.Name == hall && !e.refuted && now.Sub(e.at) <= Together {
+			n++
+		}
+	}
+	return n
+}
+
+// find returns the loss of a worker that has not returned since.
+func (j *Judge) find(id string) *event {
+	if e := j.byID[id]; e != nil && !e.refuted {
+		return e
+	}
+	return nil
+}
+
+// prune drops losses that nothing depends on any more.
+func (j *Judge) prune(now time.Time) {
+	old := 0
+	for ; old < len(j.events) && now.Sub(j.events[old].at) > Resolved+Together; old++ {
+		e := j.events[old]
+		if j.byID[e.ID] == e {
+			delete(j.byID, e.ID)
+		}
+		for i := range e.Runs {
+			j.dropRun(e, e.Runs[i].Task)
+		}
+	}
+	j.events = j.events[old:]
+}
+
+func (j *Judge) dropRun(e *event, t job.Task) {
+	left := slices.DeleteFunc(j.byTask[t], func(r lostRun) bool { return r.event == e })
+	if len(left) == 0 {
+		delete(j.byTask, t)
+		return
+	}
+	j.byTask[t] = left
+}
+
+// review counts anew what a loss says, and what those say that came together with it.
+func (j *Judge) review(e *event) []Charge {
+	var charges []Charge
+	for _, o := range j.events {
+		if o == e || o.overlaps(e) {
+			charges = append(charges, j.recount(o)...)
+		}
+	}
+	return charges
+}
+
+// recount counts anew what a loss says.
+func (j *Judge) recount(e *event) []Charge {
+	var charges []Charge
+	for i := range e.Runs {
+		if wanted := j.weight(e, i); wanted != e.counted[i] {
+			charges = append(charges, Charge{e.Runs[i].Task, wanted.Sub(e.counted[i])})
+			e.counted[i] = wanted
+		}
+	}
+	return charges
+}
+
+// weight is what a loss counts against the task of a run that was lost with it.
+func (j *Judge) weight(e *event, i int) job.Losses {
+	r := &e.Runs[i]
+	switch {
+	case e.refuted, e.spared[i]:
+		return job.Losses{}
+	case !e.accused[i], r.Seen > CountedWithin, j.lostWithGroup(e, r):
+		return job.Losses{All: 1}
+	case e.others < othersLost:
+		if r.atOnce() {
+			return job.Losses{All: 1, Counted: 1, AtOnce: 1}
+		}
+		return job.Losses{All: 1, Counted: 1}
+	case r.atOnce():
+		return job.Losses{All: 1, Counted: 1}
+	}
+	return job.Losses{All: 1}
+}
+
+// with reports whether two workers may have been lost at the same time.
+func (e *event) with(o *event) bool { return !e.refuted && !o.refuted && e.overlaps(o) }
+
+// overlaps reports whether the times overlap in which two workers were lost: between the time when one was heard of last and the time when it was
+// known to be lost.
+func (e *event) overlaps(o *event) bool { return !e.Heard.After(o.at) && !o.Heard.After(e.at) }
+
+// lostWithGroup reports whether a worker was lost with its hall or rack. That excuses a task once for each such loss: one that has crashed
+// another worker meanwhile is not excused for that.
+func (j *Judge) lostWithGroup(e *event, r *Run) bool {
+	if !e.hall.lostAsOne() && !e.rack.lostAsOne() {
+		return false
+	}
+	for _, o := range j.byTask[r.Task] {
+		if o.accused[o.place] && o.at.Before(e.at) && o.with(e) {
+			return false
+		}
+	}
+	return true
+}
