Work out a task's place, and read what is counted against a job, in one place each; correct a figure in a comment

Cause: read again. Change: at uses index; Failure and ProgressOf use faultsOf; the comment says six. No behaviour changes.

--- a/internal/job/life.go
+++ b/internal/job/life.go
@@ -30,13 +30,22 @@
 }
 
 func (l *Life) at(t Task) *TaskProgress {
-	if t.Occurrence < 0 || t.Occurrence >= l.Request.Occurrences() || t.Step < 0 || t.Step >= len(l.offsets) {
+	i, ok := l.index(t)
+	if !ok {
 		return nil
 	}
+	return &l.Progress.Tasks[i]
+}
+
+// index is a task's place in the progress; false where the job has no such task.
+func (l *Life) index(t Task) (int, bool) {
+	if t.Occurrence < 0 || t.Occurrence >= l.Request.Occurrences() || t.Step < 0 || t.Step >= len(l.offsets) {
+		return 0, false
+	}
 	if t.Index < 0 || t.Index >= l.Request.Steps[t.Step].Count {
-		return nil
+		return 0, false
 	}
-	return &l.Progress.Tasks[t.Occurrence*l.size+l.offsets[t.Step]+t.Index]
+	return t.Occurrence*l.size + l.offsets[t.Step] + t.Index, true
 }
 
 // Task returns a copy of a task's progress; false where the job has no such task.
--- a/internal/job/losses.go
+++ b/internal/job/losses.go
@@ -68,14 +68,6 @@
 	return ""
 }
 
-// Index is a task's place in the progress; false where the job has no such task.
-func (l *Life) index(t Task) (int, bool) {
-	if l.at(t) == nil {
-		return 0, false
-	}
-	return t.Occurrence*l.size + l.offsets[t.Step] + t.Index, true
-}
-
 // LossesOf is what is counted against a task.
 func (l *Life) LossesOf(t Task) Losses {
 	i, _ := l.index(t)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -308,12 +308,7 @@
 
 // Failure reads why a job has failed, nil where nothing tells.
 func (l *Ledger) Failure(ctx context.Context, id job.ID) (*job.Failure, error) {
-	page, err := l.readOne(ctx, l.key(tableFaults, string(id)))
-	if err != nil || len(page.Rows) == 0 {
-		return nil, err
-	}
-	f := &job.Faults{}
-	err = decodeFaults(page.Rows[0].Value, f)
+	f, err := l.faultsOf(ctx, id)
 	return f.Failure, err
 }
 
@@ -327,11 +322,19 @@
 	if err != nil {
 		return nil, err
 	}
-	faults, err := l.readOne(ctx, l.key(tableFaults, string(id)))
-	if err != nil || len(faults.Rows) == 0 {
-		return p, err
+	p.Faults, err = l.faultsOf(ctx, id)
+	return p, err
+}
+
+// faultsOf reads what is counted against a job, the zero value where nothing is.
+func (l *Ledger) faultsOf(ctx context.Context, id job.ID) (job.Faults, error) {
+	var f job.Faults
+	page, err := l.readOne(ctx, l.key(tableFaults, string(id)))
+	if err != nil || len(page.Rows) == 0 {
+		return f, err
 	}
-	return p, decodeFaults(faults.Rows[0].Value, &p.Faults)
+	err = decodeFaults(page.Rows[0].Value, &f)
+	return f, err
 }
 
 func decodeFaults(raw []byte, f *job.Faults) error {
--- a/internal/placement/layout.go
+++ b/internal/placement/layout.go
@@ -36,7 +36,7 @@
 
 // isSuspected reports whether a demand is not to start on a worker because one of two jobs may be about to crash it, so that less is lost
 // with it, and it is known which one did. A sound job that was lost beside one that crashes workers began anew beside it each time
-// otherwise, and was given up with it; and one that crashes workers went unnoticed beside another one for 11 starts.
+// otherwise, and was given up with it; and one that crashes workers went unnoticed beside another one for six starts.
 func (b *board) isSuspected(d *Demand, k int) bool {
 	other := func(id job.ID) bool { return id != "" && id != d.Job }
 	return other(b.suspects[k]) || d.Suspect && other(b.begun[k]) || b.wantsAlone(d) && (other(b.begun[k]) || b.isShared(d, k))
