Sight: tell what was believed of a worker as its runs are taken for over, whether it comes back, and which ends pass by

Cause: the logs can't tell the three hypotheses of the incident apart: how long a lease had still to run as a run was taken for over, whether the worker was heard of again and with what, and what became of ends that it listed. Change: "run ended", "worker is gone" and "leases of a silent worker are over" have "belief": how long ago the worker's last answer and heartbeat were, how long its lease has surely still to run at most and from which order, listed, draining, hung up, failures in a row. "worker that was given up is back" (counter workers_back), once by a report and once by a record. No decision changes.

--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -30,6 +30,11 @@
 	Finished           // It has ended well.
 )
 
+// String returns the state's name for logs.
+func (s TaskState) String() string {
+	return [...]string{"waiting", "placed", "finished"}[s]
+}
+
 // TaskProgress is what is kept of a task.
 type TaskProgress struct {
 	_        struct{} `cbor:",toarray"`
--- a/internal/scheduler/loss.go
+++ b/internal/scheduler/loss.go
@@ -57,7 +57,7 @@
 	h.Figures.Count("workers_lost_" + cause.name())
 	w.gone = true
 	h.Log.Warn("scheduler: worker is gone", zap.String("worker", w.ID), zap.Stringer("why", cause), zap.Int("runs", len(w.runs)),
-		zap.String("hall", w.Hall), zap.Int("lost_in_hall", h.losses.Together(w.Hall, time.Now())), zap.Duration("known_for", time.Since(w.since)))
+		zap.String("hall", w.Hall), zap.Int("lost_in_hall", h.losses.Together(w.Hall, time.Now())), zap.Duration("known_for", time.Since(w.since)), h.beliefOf(w))
 	h.loseRuns(w, cause)
 	delete(h.workers, w.ID)
 	h.addresses.changed(w.ID)
@@ -67,6 +67,7 @@
 // loseRuns ends everything that ran on a worker and has it judged what that says of its tasks.
 func (h *shard) loseRuns(w *workerState, cause lossCause) {
 	lost := h.lostWorker(w, cause)
+	h.noteGivenUp(w, cause)
 	newest, beside := w.newestOrder(), len(w.runs)-1
 	for _, r := range w.runs {
 		r.lost = &runLoss{
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -240,6 +240,7 @@
 		zap.String("task", r.task.String()), zap.Int("run", r.number), zap.String("worker", w.ID), zap.Stringer("outcome", outcome),
 		zap.Duration("age", time.Since(r.placed)), zap.String("stopped_for", r.stopWhy),
 		zap.Float64("core_seconds", h.loss(r, &r.job.Request.Steps[r.task.Step], time.Now())),
+		h.beliefOf(w),
 	}
 	if r.lost != nil {
 		fields = append(fields, zap.Object("lost", r.lost))
@@ -251,7 +252,11 @@
 func (h *shard) takeReport(w *workerState, report *fleet.Report, sent time.Time, acknowledged int64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.noteReported(w, report)
 	if w.gone {
+		for i := range report.Ended {
+			h.noteUnfollowedOfGone(w, &report.Ended[i])
+		}
 		return false
 	}
 	if w.failures > 0 || w.clock == 0 {
@@ -271,14 +276,9 @@
 	for i := range report.Ended {
 		e := &report.Ended[i]
 		present[e.Task] = max(present[e.Task], e.Run)
-		if e.Number <= w.applied {
-			continue
-		}
-		w.applied = e.Number
-		if r := w.runs[e.Task]; r != nil && r.number == e.Run {
-			h.endRun(w, r, e.Outcome, e.Saved)
-		}
+		h.takeEnd(w, e)
 	}
+	w.forgetEnds()
 	h.settleAbsent(w, present, sent)
 	now := time.Now()
 	h.endStalls(w, now)
@@ -289,6 +289,25 @@
 	return w.applied > w.acknowledged
 }
 
+// takeEnd takes in an end that a worker lists.
+func (h *shard) takeEnd(w *workerState, e *fleet.End) {
+	isNew := w.isNew(e)
+	if e.Number <= w.applied {
+		if isNew {
+			h.noteUnfollowed(w, e, passedOver)
+		}
+		return
+	}
+	w.applied = e.Number
+	r := w.runs[e.Task]
+	if r == nil || r.number != e.Run || r.stray {
+		h.noteUnfollowed(w, e, h.whyUnfollowed(w, e))
+	}
+	if r != nil && r.number == e.Run {
+		h.endRun(w, r, e.Outcome, e.Saved)
+	}
+}
+
 // seen takes in a run that a worker has.
 func (h *shard) seen(w *workerState, x *fleet.Run) {
 	r := w.runs[x.Task]
@@ -316,7 +335,7 @@
 	if p, ok := h.jobTask(x.Task); ok && p.State == job.Finished && p.Run == x.Run {
 		return // A gang's member whose end is about to be listed.
 	}
-	r := &run{task: x.Task, number: x.Run, confirmed: time.Now(), placed: time.Now(), job: h.jobs[x.Task.Job]}
+	r := &run{task: x.Task, number: x.Run, confirmed: time.Now(), placed: time.Now(), job: h.jobs[x.Task.Job], stray: true}
 	if r.job == nil || w.runs[x.Task] != nil {
 		h.Log.Warn("scheduler: unknown run", zap.String("task", x.Task.String()), zap.Int("run", x.Run), zap.String("worker", w.ID))
 		order, target := &fleet.Stop{Task: x.Task, Run: x.Run, Token: h.tenure.Epoch()}, w.Worker
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -97,6 +97,7 @@
 	dirty        map[job.ID]bool      // Jobs whose progress is to be committed.
 	launches     []*run               // Placed runs to be ordered once they are committed.
 	lives        map[string]time.Time // Of workers whose process has ended, by when that was found.
+	givenUp      map[string]*givenUp  // Workers whose runs were taken for over.
 	losses       loss.Judge
 	claims       map[claimKey]claimed
 	noPlan       map[claimKey]time.Time // Until when no room is looked for.
@@ -124,8 +125,9 @@
 	version int64                   // Newest version of the request's rows.
 	since   map[job.Group]time.Time // Since when a group could have started.
 	avoid   map[job.Group]map[string]bool
-	covered bool            // Within its workspace's guarantee, as of the last decision.
-	apart   map[job.ID]bool // Jobs that were lost together with it, apartMost of them at most.
+	covered bool                 // Within its workspace's guarantee, as of the last decision.
+	apart   map[job.ID]bool      // Jobs that were lost together with it, apartMost of them at most.
+	givenUp map[runKey]time.Time // Runs that were taken for over without their worker's word.
 }
 
 // Run schedules the shard until the lease is lost or ctx ends; in the latter case the lease is given back. It returns
@@ -154,7 +156,7 @@
 func newShard(ctx context.Context, s *Scheduler, tenure *ledger.Tenure) *shard {
 	return &shard{
 		Scheduler: s, tenure: tenure, ctx: ctx, wake: make(chan struct{}, 1), storeTrouble: time.Now(),
-		jobs: map[job.ID]*liveJob{}, workers: map[string]*workerState{}, dirty: map[job.ID]bool{}, lives: map[string]time.Time{},
+		jobs: map[job.ID]*liveJob{}, workers: map[string]*workerState{}, dirty: map[job.ID]bool{}, lives: map[string]time.Time{}, givenUp: map[string]*givenUp{},
 		claims: map[claimKey]claimed{}, noPlan: map[claimKey]time.Time{}, waitLogged: map[claimKey]time.Time{},
 		stepTimes: map[claimKey]*stepTimes{}, early: map[job.ID]time.Time{}, away: map[job.ID][]string{}, forgotten: map[job.ID]forgotten{},
 	}
--- /dev/null
+++ b/internal/scheduler/sight.go
@@ -0,0 +1,246 @@
+package scheduler
+
+import (
+	"maps"
+	"time"
+
+	"github.com/pulleyring/pulleyring/internal/fleet"
+	"github.com/pulleyring/pulleyring/internal/job"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// belief is what is held to be true of a worker as something there is taken for over, for logs.
+type belief struct {
+	Answered   time.Duration // Since its last answer; negative where none came.
+	Beat       time.Duration // Since it surely lived last by its record; negative where that is not known.
+	LeaseLeft  time.Duration // Until its lease is surely over; negative once it is.
+	FirstKnown bool          // That counts from when the worker became known, as no order has left since.
+	Listed     bool
+	Unlisted   time.Duration // Since its record is gone, if it is.
+	Draining   bool
+	HungUp     bool
+	Failures   int
+}
+
+// belief is what is held to be true of the worker; its lease is surely over so long after the last order that renews it.
+func (w *workerState) belief(now time.Time, leaseOver time.Duration) *belief {
+	b := &belief{
+		Answered: -1, Beat: -1, LeaseLeft: w.lastOrder.Add(leaseOver).Sub(now), FirstKnown: !w.lastOrder.After(w.since),
+		Listed: w.listed, Draining: w.Draining, HungUp: w.hungUp, Failures: w.failures,
+	}
+	if !w.clockAt.IsZero() {
+		b.Answered = now.Sub(w.clockAt)
+	}
+	if !w.beatAt.IsZero() {
+		b.Beat = now.Sub(w.beatAt)
+	}
+	if !w.listed {
+		b.Unlisted = now.Sub(w.unlisted)
+	}
+	return b
+}
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (b *belief) MarshalLogObject(e zapcore.ObjectEncoder) error {
+	if b.Answered >= 0 {
+		e.AddDuration("answered_ago", b.Answered)
+	}
+	if b.Beat >= 0 {
+		e.AddDuration("beat_ago", b.Beat)
+	}
+	e.AddDuration("lease_left", b.LeaseLeft)
+	e.AddString("lease_from", map[bool]string{true: "first known", false: "last order"}[b.FirstKnown])
+	e.AddBool("listed", b.Listed)
+	if !b.Listed {
+		e.AddDuration("unlisted_for", b.Unlisted)
+	}
+	e.AddBool("draining", b.Draining)
+	e.AddBool("hung_up", b.HungUp)
+	e.AddInt("failures", b.Failures)
+	return nil
+}
+
+// beliefOf is the log field of what is held to be true of a worker.
+func (h *shard) beliefOf(w *workerState) zap.Field {
+	return zap.Object("belief", w.belief(time.Now(), h.leaseSurelyOver()))
+}
+
+// runKey names a run at a worker.
+type runKey struct {
+	task   job.Task
+	number int
+	worker string
+}
+
+// givenUp is a worker whose runs were taken for over without its word.
+type givenUp struct {
+	at       time.Time
+	cause    lossCause
+	runs     int
+	reported bool // A report of it came since.
+	recorded bool // Its record came since.
+}
+
+const (
+	// givenUpKept is how long it is remembered that runs of a worker were given up: far longer than any lease.
+	givenUpKept = 5 * time.Minute
+	// givenUpMost bounds those that are remembered: more workers than a site has.
+	givenUpMost = 4096
+)
+
+// noteGivenUp remembers that everything on a worker was taken for over.
+func (h *shard) noteGivenUp(w *workerState, cause lossCause) {
+	if len(w.runs) == 0 {
+		return
+	}
+	now := time.Now()
+	maps.DeleteFunc(h.givenUp, func(_ string, g *givenUp) bool { return now.Sub(g.at) > givenUpKept })
+	if len(h.givenUp) < givenUpMost {
+		h.givenUp[w.ID] = &givenUp{at: now, cause: cause, runs: len(w.runs)}
+	}
+	for _, r := range w.runs {
+		r.job.noteGivenUp(w, r, now)
+	}
+}
+
+// noteGivenUp remembers that a run was taken for over. Lasting tasks are started again however they end.
+func (j *liveJob) noteGivenUp(w *workerState, r *run, now time.Time) {
+	if j.Request.Steps[r.task.Step].Lasting {
+		return
+	}
+	if j.givenUp == nil {
+		j.givenUp = map[runKey]time.Time{}
+	}
+	j.givenUp[runKey{r.task, r.number, w.ID}] = now
+}
+
+// noteReported takes in that a worker reports of which runs were given up.
+func (h *shard) noteReported(w *workerState, report *fleet.Report) {
+	g := h.givenUp[w.ID]
+	if g == nil || g.reported {
+		return
+	}
+	first := !g.recorded
+	g.reported = true
+	h.logBack(w.ID, g, first, zap.String("by", "report"), zap.Int("running", len(report.Running)), zap.Int("ended", len(report.Ended)),
+		zap.Strings("has", namesOf(report)))
+}
+
+// noteRecorded takes in the record of a worker of which runs were given up; written tells that the worker has just written it, else it may be an old one.
+func (h *shard) noteRecorded(id string, written bool) {
+	g := h.givenUp[id]
+	if g == nil || g.recorded || g.cause == leasesOver && !written {
+		return
+	}
+	if g.cause.proves() && (!written || time.Since(g.at) < heartbeatDelay) {
+		return
+	}
+	first := !g.reported
+	g.recorded = true
+	h.logBack(id, g, first, zap.String("by", "record"))
+}
+
+func (h *shard) logBack(id string, g *givenUp, first bool, fields ...zap.Field) {
+	if first {
+		h.Figures.Count("workers_back")
+	}
+	h.Log.Warn("scheduler: worker that was given up is back", append(fields, zap.String("worker", id), zap.Duration("given_up_ago", time.Since(g.at)),
+		zap.Stringer("why", g.cause), zap.Int("runs_given_up", g.runs))...)
+}
+
+// namesMost bounds the names in a log line.
+const namesMost = 16
+
+// namesOf names the runs that a report lists.
+func namesOf(report *fleet.Report) []string {
+	var names []string
+	for i := range report.Running {
+		names = append(names, report.Running[i].Task.String())
+	}
+	for i := range report.Ended {
+		names = append(names, report.Ended[i].Task.String()+" "+report.Ended[i].Outcome.String())
+	}
+	return names[:min(len(names), namesMost)]
+}
+
+// unfollowed is why an end that a worker lists ends no run that is followed.
+type unfollowed int
+
+const (
+	passedOver unfollowed = iota // Its number is not above the last that was taken in.
+	unknownJob
+	unknownTask
+	runGivenUp // The run was taken for over.
+	runKnown   // It is the task's last run there, and its end is known.
+	otherRun   // The task's last run is another, or is elsewhere.
+)
+
+// String returns the reason for logs.
+func (u unfollowed) String() string {
+	return [...]string{"its number is not above the last", "no such job", "no such task", "the run was given up", "the run's end is known", "another run is the last"}[u]
+}
+
+// name is the reason as a part of a counter's name.
+func (u unfollowed) name() string {
+	return [...]string{"passed_over", "unknown_job", "unknown_task", "given_up", "known", "other_run"}[u]
+}
+
+// whyUnfollowed is why an end that was not passed over ends no run that is followed.
+func (h *shard) whyUnfollowed(w *workerState, e *fleet.End) unfollowed {
+	j := h.jobs[e.Task.Job]
+	if j == nil {
+		return unknownJob
+	}
+	p, ok := j.Task(e.Task)
+	if !ok {
+		return unknownTask
+	}
+	if _, ok := j.givenUp[runKey{e.Task, e.Run, w.ID}]; ok {
+		return runGivenUp
+	}
+	if p.Run == e.Run && p.Worker == w.ID {
+		return runKnown
+	}
+	return otherRun
+}
+
+// noteUnfollowed logs an end that ends no run that is followed.
+func (h *shard) noteUnfollowed(w *workerState, e *fleet.End, why unfollowed) {
+	h.Figures.Count("ends_unfollowed_" + why.name())
+	fields := []zap.Field{
+		zap.String("task", e.Task.String()), zap.Int("run", e.Run), zap.Stringer("outcome", e.Outcome), zap.Int64("number", e.Number),
+		zap.String("worker", w.ID), zap.Stringer("why", why), zap.Int64("last_taken", w.applied), zap.Int64("told", w.told), zap.Bool("gone", w.gone),
+	}
+	if p, ok := h.jobTask(e.Task); ok {
+		fields = append(fields, zap.Stringer("task_state", p.State), zap.Int("task_run", p.Run), zap.String("task_worker", p.Worker))
+	}
+	if g := h.givenUp[w.ID]; g != nil {
+		fields = append(fields, zap.Duration("given_up_ago", time.Since(g.at)), zap.Stringer("given_up_for", g.cause))
+	}
+	h.Log.Info("scheduler: end of a run that is not followed", fields...)
+}
+
+// noteUnfollowedOfGone logs an end in a report that comes after its worker was given up.
+func (h *shard) noteUnfollowedOfGone(w *workerState, e *fleet.End) {
+	if w.isNew(e) {
+		h.noteUnfollowed(w, e, h.whyUnfollowed(w, e))
+	}
+}
+
+// isNew reports whether an end is listed for the first time, and remembers it until the worker is told to forget it.
+func (w *workerState) isNew(e *fleet.End) bool {
+	if e.Number <= w.told || w.listedEnds[e.Number] {
+		return false
+	}
+	if w.listedEnds == nil {
+		w.listedEnds = map[int64]bool{}
+	}
+	w.listedEnds[e.Number] = true
+	return true
+}
+
+// forgetEnds forgets which ends were listed that the worker was told to forget.
+func (w *workerState) forgetEnds() {
+	maps.DeleteFunc(w.listedEnds, func(number int64, _ bool) bool { return number <= w.told })
+}
--- /dev/null
+++ b/internal/scheduler/sight_test.go
@@ -0,0 +1,51 @@
+package scheduler
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pulleyring/pulleyring/internal/fleet"
+	"github.com/pulleyring/pulleyring/internal/job"
+	"github.com/pulleyring/pulleyring/internal/measure"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+)
+
+// TestReturnOfWorkerIsTold has a worker given up while its lease runs, and looked for what is logged and counted as it is heard of again with
+// ends of the run that it had: without these lines it could not be told whether a task that ran twice had been given up too early.
+func TestReturnOfWorkerIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := keptShard()
+		core, seen := observer.New(zap.InfoLevel)
+		h.Log, h.Figures = zap.New(core), &measure.Figures{}
+		h.Bounds.MaxLease = 10 * time.Second
+		h.addJob(&job.Request{ID: "j", Steps: []job.Step{{Count: 1}}, Terms: job.Terms{Attempts: 2}}, nil)
+		now := time.Now()
+		w := &workerState{Worker: fleet.Worker{ID: "w", Draining: true}, runs: map[job.Task]*run{}, wake: make(chan struct{}, 1), since: now, clock: 1, clockAt: now, lastOrder: now.Add(time.Second)}
+		h.workers["w"] = w
+		time.Sleep(2 * time.Second)
+		h.place(&h.takeView(time.Now()).Demands[0], map[int]string{0: "w"}, time.Now())
+		h.loseWorker(w, hasLeft)
+
+		gone := seen.FilterMessage("scheduler: worker is gone").All()[0].ContextMap()["belief"].(map[string]any)
+		quicktest.Check(t, gone["answered_ago"], quicktest.Equals, 2*time.Second)
+		quicktest.Check(t, gone["lease_left"], quicktest.Equals, h.leaseSurelyOver()-time.Second)
+		quicktest.Check(t, gone["lease_from"], quicktest.Equals, "last order")
+
+		task := job.Task{Job: "j"}
+		report := fleet.Report{Clock: 2, Ended: []fleet.End{{Number: 1, Task: task, Run: 1, Outcome: job.Succeeded}}}
+		for range 2 {
+			h.takeReport(w, &report, time.Now(), 0)
+		}
+		back := seen.FilterMessage("scheduler: worker that was given up is back").All()
+		quicktest.Assert(t, back, quicktest.HasLen, 1)
+		quicktest.Check(t, back[0].ContextMap()["by"], quicktest.Equals, "report")
+		quicktest.Check(t, h.Figures.Counted("workers_back"), quicktest.Equals, int64(1))
+		ends := seen.FilterMessage("scheduler: end of a run that is not followed").All()
+		quicktest.Assert(t, ends, quicktest.HasLen, 1)
+		quicktest.Check(t, ends[0].ContextMap()["why"], quicktest.Equals, runGivenUp.String())
+		quicktest.Check(t, h.Figures.Counted("ends_unfollowed_given_up"), quicktest.Equals, int64(1))
+	})
+}
--- a/internal/scheduler/silence.go
+++ b/internal/scheduler/silence.go
@@ -31,7 +31,7 @@
 		return
 	}
 	if time.Now().After(w.lastOrder.Add(h.leaseSurelyOver())) {
-		h.Log.Warn("scheduler: leases of a silent worker are over", zap.String("worker", w.ID), zap.Int("runs", len(w.runs)))
+		h.Log.Warn("scheduler: leases of a silent worker are over", zap.String("worker", w.ID), zap.Int("runs", len(w.runs)), h.beliefOf(w))
 		w.silentSince = time.Now()
 		h.loseRuns(w, leasesOver)
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -45,6 +45,7 @@
 	confirmed time.Time // Known to be there since then; zero while not known.
 	ordered   time.Time // When the first order to start it left; zero before that, and for an adopted run.
 	adopted   bool      // Ordered by a predecessor.
+	stray     bool      // Found on the worker, and not placed there as far as is known.
 	ordering  bool      // A start is on its way.
 	gaveUp    time.Time // The start got no answer and is not sent again.
 	stopping  bool
@@ -73,19 +74,20 @@
 	laggedAt     time.Time     // When a gang's member last showed it to be slow.
 	overdue      float64       // How many times longer than others its runs took at its last report.
 	wake         chan struct{}
-	clock        int64     // Worker's clock at clockAt; 0 before the first answer.
-	clockAt      time.Time // When that answer came.
-	lookedAt     time.Time // When the last look was answered.
-	lastOrder    time.Time // When the last order that renews the lease was sent.
-	applied      int64     // Number of the last end that was taken in.
-	acknowledged int64     // Number of the last end whose effect is committed.
-	told         int64     // Number of the last end that the worker was told to forget.
-	failures     int       // Orders in a row without an answer.
-	hungUp       bool      // It closed a connection as its end does, and has not answered since.
-	leavesAt     time.Time // When the time that it said it had left is over; zero before it said so.
-	soundSince   time.Time // When the newest run began there that has not failed at once.
-	failedAt     time.Time // When a run last failed there as soon as it had begun.
-	unhealthy    time.Time // Takes no new runs until then.
+	clock        int64          // Worker's clock at clockAt; 0 before the first answer.
+	clockAt      time.Time      // When that answer came.
+	lookedAt     time.Time      // When the last look was answered.
+	lastOrder    time.Time      // When the last order that renews the lease was sent.
+	applied      int64          // Number of the last end that was taken in.
+	acknowledged int64          // Number of the last end whose effect is committed.
+	told         int64          // Number of the last end that the worker was told to forget.
+	listedEnds   map[int64]bool // Numbers of the ends that were listed and are not forgotten.
+	failures     int            // Orders in a row without an answer.
+	hungUp       bool           // It closed a connection as its end does, and has not answered since.
+	leavesAt     time.Time      // When the time that it said it had left is over; zero before it said so.
+	soundSince   time.Time      // When the newest run began there that has not failed at once.
+	failedAt     time.Time      // When a run last failed there as soon as it had begun.
+	unhealthy    time.Time      // Takes no new runs until then.
 	doubt        doubt
 	slow         slowness
 	gone         bool
@@ -151,6 +153,9 @@
 }
 
 func (h *shard) addWorker(record *fleet.Worker) {
+	if h.workers[record.ID] == nil {
+		h.noteRecorded(record.ID, false)
+	}
 	if _, over := h.lives[record.ID]; over {
 		return // The record of a life that has ended stays for some seconds.
 	}
@@ -191,6 +196,7 @@
 
 // noteHeartbeat takes in that a worker has written its record anew: it lives, and what it was taken to have lost it was only cut off from.
 func (h *shard) noteHeartbeat(id string) {
+	h.noteRecorded(id, true)
 	w := h.workers[id]
 	if w == nil {
 		return
