--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -131,6 +131,7 @@
 
 // commit writes a batch and then sets off what had to wait for it.
 func (h *shard) commit(ctx context.Context, f *flight) error {
+	began := time.Now()
 	timed, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	err := h.tenure.Commit(timed, &f.batch)
@@ -139,11 +140,11 @@
 	if err != nil {
 		h.restore(f)
 		if !errors.Is(err, ledger.ErrReplaced) {
-			h.storeTrouble = time.Now()
 			h.Log.Warn("scheduler: unable to commit", logsink.Error(err), zap.Int("rows", len(f.batch.Progress)))
 		}
 		return err
 	}
+	h.held = began
 	for w, n := range f.applied {
 		w.acknowledged = max(w.acknowledged, n)
 		w.signal()
--- a/internal/scheduler/held_test.go
+++ b/internal/scheduler/held_test.go
@@ -68,7 +68,7 @@
 	case "leave":
 		if len(h.workers) > 0 {
 			id := rapid.SampledFrom(slices.Sorted(maps.Keys(h.workers))).Draw(r, "leaving")
-			h.loseWorker(h.workers[id], hasLeft)
+			h.loseWorker(h.workers[id], leasesOver)
 		}
 	}
 }
--- /dev/null
+++ b/internal/scheduler/lease.go
@@ -0,0 +1,78 @@
+package scheduler
+
+import "time"
+
+const (
+	// leaseLength is how long leases are renewed for, where the site allows as much. What runs on a worker that falls silent is
+	// started elsewhere once its lease is surely over, so that all of it waits for each second more; with less, work ends while the boxes take over from each
+	// other: up to 4 s lie between the last renewal of one and the first of the next.
+	leaseLength = 6 * time.Second
+	// leavingLength is the same on a worker that leaves, or whose record is gone: it falls silent soon, and its runs end with it in any case.
+	leavingLength = 2500 * time.Millisecond
+	// renewedFor is how long after its last commit a tenure renews leases: one that was replaced and can't hear of it must end some time, as its
+	// successor can't reach every worker that it can. In an outage of the store what runs lives on for that long and a lease more.
+	renewedFor = 10 * time.Second
+	// killSlack is how much later than a stop may take a worker has ended what its lease allowed: for processes on a busy machine.
+	killSlack = 300 * time.Millisecond
+)
+
+// leases is what is known of the leases on a worker.
+type leases struct {
+	own  bool      // It has taken an order with this tenure's token: no predecessor renews any there.
+	over time.Time // By then all that runs there has surely ended, unless leases are renewed.
+}
+
+// extend takes in that leases may run until a moment.
+func (l *leases) extend(until time.Time) {
+	if until.After(l.over) {
+		l.over = until
+	}
+}
+
+// slowed is how long a worker's clock takes at most to show that a time has passed.
+func slowed(d time.Duration) time.Duration { return time.Duration(float64(d) * (1 + clockDrift)) }
+
+// milliseconds is a number of them on a worker's clock.
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// endsWithin is how long after its lease's end by its own clock a worker has surely ended all that ran.
+func (b *Bounds) endsWithin() time.Duration { return b.StopTime + killSlack }
+
+// longestLease is by when all leases are over that were renewed until a moment, whoever did.
+func (b *Bounds) longestLease(renewed time.Time) time.Time {
+	return renewed.Add(slowed(b.MaxLease) + b.endsWithin())
+}
+
+// lease is for how long leases on a worker are renewed.
+func (b *Bounds) lease(leaving bool) time.Duration {
+	if leaving {
+		return min(leavingLength, b.MaxLease)
+	}
+	return min(leaseLength, b.MaxLease)
+}
+
+// leaves reports whether a worker leaves: it said so, or its record is gone.
+func (w *workerState) leaves() bool { return w.Draining || !w.listed }
+
+// renew returns until when, by a worker's clock, an order may renew its leases, and takes in that they may run until then. It is 0 where
+// the tenure's last commit is so long ago that they are not renewed.
+func (h *shard) renew(w *workerState) int64 {
+	now := time.Now()
+	renewed := now
+	if last := h.held.Add(renewedFor); renewed.After(last) {
+		renewed = last
+	}
+	until := renewed.Add(h.Bounds.lease(w.leaves()))
+	if !until.After(now) {
+		return 0
+	}
+	w.leases.extend(w.clockAt.Add(slowed(until.Sub(w.clockAt)) + h.Bounds.endsWithin()))
+	return w.clock + until.Sub(w.clockAt).Milliseconds()
+}
+
+// tookOrder takes in that a worker has carried out an order of this tenure: it refuses those of predecessors from now on.
+func (h *shard) tookOrder(w *workerState) {
+	if !w.leases.own {
+		w.leases = leases{own: true, over: h.Bounds.longestLease(time.Now())}
+	}
+}
--- a/internal/scheduler/loss.go
+++ b/internal/scheduler/loss.go
@@ -13,24 +13,22 @@
 type lossCause int
 
 const (
-	processEnded lossCause = iota // It closed a connection as a process does that ends, and nobody listens at its address.
-	otherLife                     // Another life answers at its address.
-	recordGone                    // Its record is gone, and it does not answer or nothing ran there.
-	hasLeft                       // It said that it would leave, and its record is gone.
-	leasesOver                    // It is silent, and its leases are over.
+	otherLife  lossCause = iota // Another life answers at its address.
+	recordGone                  // Its record is gone, and nothing ran there.
+	leasesOver                  // It is silent, and its leases are over.
 )
 
 // String returns the cause for logs.
 func (c lossCause) String() string {
-	return [...]string{"its process has ended", "another life answers at its address", "its record is gone", "it has left", "its leases are over"}[c]
+	return [...]string{"another life answers at its address", "its record is gone", "its leases are over"}[c]
 }
 
 // proves reports whether the worker's process has surely ended; otherwise it may be cut off and run on.
-func (c lossCause) proves() bool { return c == processEnded || c == otherLife }
+func (c lossCause) proves() bool { return c == otherLife }
 
 // name is the cause as a part of a counter's name.
 func (c lossCause) name() string {
-	return [...]string{"process_ended", "other_life", "record_gone", "has_left", "leases_over"}[c]
+	return [...]string{"other_life", "record_gone", "leases_over"}[c]
 }
 
 // runLoss is what is known of a run that was lost with its worker.
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -65,14 +65,13 @@
 		h.withdraw(w, r, try)
 		return nil, fleet.Worker{}
 	}
-	w.lastOrder = time.Now()
 	if r.ordered.IsZero() {
-		r.ordered = w.lastOrder
+		r.ordered = time.Now()
 	}
 	return &fleet.Start{
 		Order:   job.Order{Task: r.task, Run: r.number, Worker: w.ID, Saved: r.saved},
 		Payload: r.job.Request.Payload,
-		Lease:   w.now() + h.Bounds.MaxLease.Milliseconds(),
+		Lease:   h.renew(w),
 		Token:   h.tenure.Epoch(),
 	}, w.Worker
 }
@@ -83,6 +82,7 @@
 	defer h.mu.Unlock()
 	w.answered(clock, err)
 	if err == nil {
+		h.tookOrder(w)
 		r.ordering = false
 		r.confirmed = time.Now()
 		w.signal()
@@ -264,6 +264,7 @@
 		h.signal()
 	}
 	w.heard(report.Clock)
+	h.tookOrder(w)
 	w.failures, w.lookedAt = 0, time.Now()
 	h.charge(h.losses.Returned(w.ID))
 	w.told = max(w.told, acknowledged)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -88,36 +88,36 @@
 	ctx    context.Context // Ends with the tenure.
 	wake   chan struct{}
 
-	mu           sync.Mutex
-	jobs         map[job.ID]*liveJob
-	workers      map[string]*workerState
-	roster       []*workerState // The workers by their names; nil once one came or went.
-	holdings     holdings
-	view         placement.View       // Of the last decision; its lists are used again.
-	dirty        map[job.ID]bool      // Jobs whose progress is to be committed.
-	launches     []*run               // Placed runs to be ordered once they are committed.
-	lives        map[string]time.Time // Of workers whose process has ended, by when that was found.
-	givenUp      map[string]*givenUp  // Workers whose runs were taken for over.
-	losses       loss.Judge
-	claims       map[claimKey]claimed
-	noPlan       map[claimKey]time.Time // Until when no room is looked for.
-	waitLogged   map[claimKey]time.Time // When it was last logged why a group waits.
-	changed      bool                   // Something happened that a decision may depend on.
-	replaced     bool                   // Another box holds the lease.
-	lastPass     time.Time
-	storeTrouble time.Time // When the store last failed a call.
-	learned      estimates
-	outbreak     outbreak
-	addresses    addresses
-	halls        seenHalls
-	answers      answerTimes
-	stepTimes    map[claimKey]*stepTimes
-	pending      map[string]int       // As last committed.
-	early        map[job.ID]time.Time // Cancellations that came without a request, by when they were seen.
-	away         map[job.ID][]string  // Parts of the store, besides the first one, with rows of a job.
-	forgotten    map[job.ID]forgotten // Jobs that were dropped lately.
-	dropped      []ledger.Forgotten   // Jobs whose requests are deleted and whose progress is to be.
-	ordering     sync.WaitGroup
+	mu         sync.Mutex
+	jobs       map[job.ID]*liveJob
+	workers    map[string]*workerState
+	roster     []*workerState // The workers by their names; nil once one came or went.
+	holdings   holdings
+	view       placement.View       // Of the last decision; its lists are used again.
+	dirty      map[job.ID]bool      // Jobs whose progress is to be committed.
+	launches   []*run               // Placed runs to be ordered once they are committed.
+	lives      map[string]time.Time // Of workers that another life has followed, by when that was found.
+	givenUp    map[string]*givenUp  // Workers whose runs were taken for over.
+	losses     loss.Judge
+	claims     map[claimKey]claimed
+	noPlan     map[claimKey]time.Time // Until when no room is looked for.
+	waitLogged map[claimKey]time.Time // When it was last logged why a group waits.
+	changed    bool                   // Something happened that a decision may depend on.
+	replaced   bool                   // Another box holds the lease.
+	lastPass   time.Time
+	held       time.Time // When the last commit that succeeded was begun: the lease was surely held then.
+	learned    estimates
+	outbreak   outbreak
+	addresses  addresses
+	halls      seenHalls
+	answers    answerTimes
+	stepTimes  map[claimKey]*stepTimes
+	pending    map[string]int       // As last committed.
+	early      map[job.ID]time.Time // Cancellations that came without a request, by when they were seen.
+	away       map[job.ID][]string  // Parts of the store, besides the first one, with rows of a job.
+	forgotten  map[job.ID]forgotten // Jobs that were dropped lately.
+	dropped    []ledger.Forgotten   // Jobs whose requests are deleted and whose progress is to be.
+	ordering   sync.WaitGroup
 }
 
 type liveJob struct {
@@ -135,6 +135,7 @@
 func (s *Scheduler) Run(ctx context.Context, tenure *ledger.Tenure) error {
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	h := newShard(inner, s, tenure)
+	h.held = tenure.Claimed
 	defer h.ordering.Wait()
 	defer cancel()
 	version, listing, err := h.takeOver(ctx)
@@ -155,7 +156,7 @@
 // newShard returns the empty state of a tenure.
 func newShard(ctx context.Context, s *Scheduler, tenure *ledger.Tenure) *shard {
 	return &shard{
-		Scheduler: s, tenure: tenure, ctx: ctx, wake: make(chan struct{}, 1), storeTrouble: time.Now(),
+		Scheduler: s, tenure: tenure, ctx: ctx, wake: make(chan struct{}, 1),
 		jobs: map[job.ID]*liveJob{}, workers: map[string]*workerState{}, dirty: map[job.ID]bool{}, lives: map[string]time.Time{}, givenUp: map[string]*givenUp{},
 		claims: map[claimKey]claimed{}, noPlan: map[claimKey]time.Time{}, waitLogged: map[claimKey]time.Time{},
 		stepTimes: map[claimKey]*stepTimes{}, early: map[job.ID]time.Time{}, away: map[job.ID][]string{}, forgotten: map[job.ID]forgotten{},
@@ -265,9 +266,6 @@
 
 // noteStore takes in that the store failed a call.
 func (h *shard) noteStore(err error, call string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.storeTrouble = time.Now()
 	h.Log.Warn("scheduler: the store failed a call", zap.String("call", call), logsink.Error(err))
 }
 
--- a/internal/scheduler/sight.go
+++ b/internal/scheduler/sight.go
@@ -12,21 +12,21 @@
 
 // belief is what is held to be true of a worker as something there is taken for over, for logs.
 type belief struct {
-	Answered   time.Duration // Since its last answer; negative where none came.
-	Beat       time.Duration // Since it surely lived last by its record; negative where that is not known.
-	LeaseLeft  time.Duration // Until its lease is surely over; negative once it is.
-	FirstKnown bool          // That counts from when the worker became known, as no order has left since.
-	Listed     bool
-	Unlisted   time.Duration // Since its record is gone, if it is.
-	Draining   bool
-	HungUp     bool
-	Failures   int
-}
-
-// belief is what is held to be true of the worker; its lease is surely over so long after the last order that renews it.
-func (w *workerState) belief(now time.Time, leaseOver time.Duration) *belief {
+	Answered  time.Duration // Since its last answer; negative where none came.
+	Beat      time.Duration // Since it surely lived last by its record; negative where that is not known.
+	LeaseLeft time.Duration // Until its lease is surely over; negative once it is.
+	Own       bool          // The worker has taken an order of this tenure, so that no predecessor renews it.
+	Listed    bool
+	Unlisted  time.Duration // Since its record is gone, if it is.
+	Draining  bool
+	HungUp    bool
+	Failures  int
+}
+
+// belief is what is held to be true of the worker.
+func (w *workerState) belief(now time.Time) *belief {
 	b := &belief{
-		Answered: -1, Beat: -1, LeaseLeft: w.lastOrder.Add(leaseOver).Sub(now), FirstKnown: !w.lastOrder.After(w.since),
+		Answered: -1, Beat: -1, LeaseLeft: w.leases.over.Sub(now), Own: w.leases.own,
 		Listed: w.listed, Draining: w.Draining, HungUp: w.hungUp, Failures: w.failures,
 	}
 	if !w.clockAt.IsZero() {
@@ -50,7 +50,7 @@
 		e.AddDuration("beat_ago", b.Beat)
 	}
 	e.AddDuration("lease_left", b.LeaseLeft)
-	e.AddString("lease_from", map[bool]string{true: "first known", false: "last order"}[b.FirstKnown])
+	e.AddBool("lease_own", b.Own)
 	e.AddBool("listed", b.Listed)
 	if !b.Listed {
 		e.AddDuration("unlisted_for", b.Unlisted)
@@ -63,7 +63,7 @@
 
 // beliefOf is the log field of what is held to be true of a worker.
 func (h *shard) beliefOf(w *workerState) zap.Field {
-	return zap.Object("belief", w.belief(time.Now(), h.leaseSurelyOver()))
+	return zap.Object("belief", w.belief(time.Now()))
 }
 
 // runKey names a run at a worker.
--- a/internal/scheduler/sight_test.go
+++ b/internal/scheduler/sight_test.go
@@ -23,16 +23,17 @@
 		h.Bounds.MaxLease = 10 * time.Second
 		h.addJob(&job.Request{ID: "j", Steps: []job.Step{{Count: 1}}, Terms: job.Terms{Attempts: 2}}, nil)
 		now := time.Now()
-		w := &workerState{Worker: fleet.Worker{ID: "w", Draining: true}, runs: map[job.Task]*run{}, wake: make(chan struct{}, 1), since: now, clock: 1, clockAt: now, lastOrder: now.Add(time.Second)}
+		w := &workerState{Worker: fleet.Worker{ID: "w", Draining: true}, runs: map[job.Task]*run{}, wake: make(chan struct{}, 1), since: now, clock: 1, clockAt: now}
+		w.leases = leases{own: true, over: now.Add(time.Minute)}
 		h.workers["w"] = w
 		time.Sleep(2 * time.Second)
 		h.place(&h.takeView(time.Now()).Demands[0], map[int]string{0: "w"}, time.Now())
-		h.loseWorker(w, hasLeft)
+		h.loseWorker(w, leasesOver)
 
 		gone := seen.FilterMessage("scheduler: worker is gone").All()[0].ContextMap()["belief"].(map[string]any)
 		quicktest.Check(t, gone["answered_ago"], quicktest.Equals, 2*time.Second)
-		quicktest.Check(t, gone["lease_left"], quicktest.Equals, h.leaseSurelyOver()-time.Second)
-		quicktest.Check(t, gone["lease_from"], quicktest.Equals, "last order")
+		quicktest.Check(t, gone["lease_left"], quicktest.Equals, 58*time.Second)
+		quicktest.Check(t, gone["lease_own"], quicktest.Equals, true)
 
 		task := job.Task{Job: "j"}
 		report := fleet.Report{Clock: 2, Ended: []fleet.End{{Number: 1, Task: task, Run: 1, Outcome: job.Succeeded}}}
--- a/internal/scheduler/silence_test.go
+++ b/internal/scheduler/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
@@ -9,39 +10,88 @@
 	"github.com/pulleyring/pulleyring/internal/job"
 )
 
-// TestEndOfAProcess: only a look that was under way when its connection was closed, and a refused connection after it with no
-// answer between, show that a worker's process has ended; a worker that lives closes idle connections too.
-func TestEndOfAProcess(t *testing.T) {
-	look := func(after time.Duration) func(h *shard, w *workerState) {
-		return func(h *shard, w *workerState) { h.lookFailed(w, fleet.ErrHungUp, time.Now().Add(-after)) }
-	}
+// silentShard is a shard with a worker that has a run under a lease of this tenure.
+func silentShard() (*shard, *workerState) {
+	h := keptShard()
+	h.Bounds = Bounds{MaxLease: 10 * time.Second, StopTime: time.Second}
+	h.held = time.Now()
+	w := &workerState{Worker: fleet.Worker{ID: "w", Capacity: job.Resources{Accelerators: 8}}, listed: true, runs: map[job.Task]*run{}, wake: make(chan struct{}, 1)}
+	w.leases.own = true
+	w.heard(1)
+	h.workers["w"] = w
+	h.addJob(&job.Request{ID: "j", Steps: []job.Step{{Count: 1, Each: job.Resources{Accelerators: 1}}}, Terms: job.Terms{Attempts: 9}}, nil)
+	d := h.demand(h.jobs["j"], job.Group{}, time.Now())
+	h.place(&d, map[int]string{0: "w"}, time.Now())
+	h.renew(w)
+	return h, w
+}
+
+// TestSignsThatNothingPromises: a worker was taken for ended, with all that ran there, once it had closed a connection and then refused one, or had no
+// record and did not answer, or had said that it leaves and had no record. Each of these shows of workers that live, behind a
+// proxy that is closed, with a record that lapsed, or serving on after it went; what ran there was started again elsewhere while it ran on.
+// Nothing but another life's answer ends a run before its lease is surely over.
+func TestSignsThatNothingPromises(t *testing.T) {
+	look := func(h *shard, w *workerState) { h.lookFailed(w, fleet.ErrHungUp) }
 	start := func(h *shard, w *workerState) { h.noteFailure(w, fleet.ErrHungUp, "start") }
+	refused := func(h *shard, w *workerState) { h.noteFailure(w, fleet.ErrNotListening, "look") }
+	silent := func(h *shard, w *workerState) { h.lookFailed(w, fleet.ErrNoAnswer) }
+	unlisted := func(h *shard, w *workerState) { h.unlist(w.ID) }
 	due := func(_ *shard, w *workerState) { w.Draining, w.leavesAt = true, time.Now().Add(-time.Millisecond) }
-	refused := func(h *shard, w *workerState) { h.noteFailure(w, fleet.ErrNotListening, "start") }
-	looked := func(_ *shard, w *workerState) { w.lookedAt = time.Now().Add(-100 * time.Millisecond) }
-	answer := func(_ *shard, w *workerState) { w.heard(1) }
+	other := func(h *shard, w *workerState) { h.noteFailure(w, fleet.OtherLife, "look") }
 	for _, c := range []struct {
 		name  string
 		steps []func(h *shard, w *workerState)
-		gone  bool
+		ended bool // At once.
 	}{
-		{"hangs up on a look and refuses", []func(*shard, *workerState){look(time.Second), refused}, true},
-		{"refuses, and hangs up later", []func(*shard, *workerState){refused, look(time.Second)}, false},
-		{"refuses again after that", []func(*shard, *workerState){refused, look(time.Second), refused}, true},
-		{"answers in between", []func(*shard, *workerState){look(time.Second), answer, refused}, false},
-		{"closes a connection that was idle", []func(*shard, *workerState){start, refused}, false},
-		{"closes it as a look is sent after another one", []func(*shard, *workerState){looked, look(5 * time.Millisecond), refused}, true},
-		{"is due to leave and closes a connection", []func(*shard, *workerState){due, start, refused}, true},
-		{"is due to leave and refuses", []func(*shard, *workerState){due, refused}, false},
-		{"closes it as a look is sent", []func(*shard, *workerState){look(5 * time.Millisecond), refused}, false},
+		{"hangs up on a look and refuses", []func(*shard, *workerState){look, refused}, false},
+		{"refuses, and hangs up later", []func(*shard, *workerState){refused, look}, false},
+		{"refuses again after that", []func(*shard, *workerState){refused, look, refused, refused}, false},
+		{"hangs up on a start and refuses", []func(*shard, *workerState){start, refused}, false},
+		{"is due to leave, hangs up and refuses", []func(*shard, *workerState){due, start, refused}, false},
+		{"has no record and does not answer", []func(*shard, *workerState){unlisted, silent, silent, silent}, false},
+		{"has no record, hangs up and refuses", []func(*shard, *workerState){unlisted, look, refused}, false},
+		{"leaves, has no record and does not answer", []func(*shard, *workerState){due, unlisted, silent, silent}, false},
+		{"leaves, has no record, hangs up and refuses", []func(*shard, *workerState){due, unlisted, look, refused}, false},
+		{"another life answers", []func(*shard, *workerState){other}, true},
+		{"hangs up, and another life answers", []func(*shard, *workerState){look, refused, other}, true},
 	} {
-		h := keptShard()
-		w := &workerState{runs: map[job.Task]*run{}, wake: make(chan struct{}, 1)}
-		w.ID = "w"
-		h.workers["w"] = w
-		for _, step := range c.steps {
-			step(h, w)
-		}
-		quicktest.Check(t, w.gone, quicktest.Equals, c.gone, quicktest.Commentf(c.name))
+		synctest.Test(t, func(t *testing.T) {
+			h, w := silentShard()
+			for _, step := range c.steps {
+				step(h, w)
+			}
+			h.judgeSilence(w)
+			quicktest.Check(t, len(w.runs) == 0, quicktest.Equals, c.ended, quicktest.Commentf(c.name))
+			time.Sleep(h.Bounds.lease(false)) // By our clock; the worker's may be slower.
+			h.judgeSilence(w)
+			quicktest.Check(t, len(w.runs) == 0, quicktest.Equals, c.ended, quicktest.Commentf("%s, a lease later", c.name))
+			time.Sleep(slowed(h.Bounds.lease(false)) + h.Bounds.endsWithin())
+			h.judgeSilence(w)
+			quicktest.Check(t, w.runs, quicktest.HasLen, 0, quicktest.Commentf("%s, when its lease is over", c.name))
+		})
 	}
 }
+
+// TestLeasesOfAPredecessor: a box that was replaced and has not heard of it renewed the leases of a worker that its successor could not reach, and the
+// successor counted them from its own begin. A tenure renews leases for a bounded time after its last commit, and a successor reckons with that time until
+// the worker has taken an order of its own.
+func TestLeasesOfAPredecessor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		before, w := silentShard()
+		before.held = time.Now()
+		replacedAt := time.Now() // The successor's claim took effect right after the last commit.
+		after := keptShard()
+		after.Bounds = before.Bounds
+		seen := &workerState{}
+		seen.leases.extend(after.Bounds.longestLease(replacedAt.Add(renewedFor)))
+		for renewed := true; renewed; time.Sleep(100 * time.Millisecond) {
+			w.heard(time.Since(replacedAt).Milliseconds() + 1)
+			until := before.renew(w)
+			renewed = until > 0
+			quicktest.Assert(t, replacedAt.Add(slowed(milliseconds(until))).Before(seen.leases.over), quicktest.IsTrue)
+		}
+		quicktest.Check(t, time.Since(replacedAt) > renewedFor, quicktest.IsTrue) // Work outlives an outage of the store that long.
+		after.tookOrder(seen)
+		quicktest.Check(t, seen.leases.over, quicktest.Equals, after.Bounds.longestLease(time.Now()))
+	})
+}
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -53,9 +53,16 @@
 			return nil
 		default:
 		}
-		if err := h.tenure.Commit(ctx, &ledger.Batch{}); errors.Is(err, ledger.ErrReplaced) {
+		began := time.Now()
+		err := h.tenure.Commit(ctx, &ledger.Batch{})
+		if errors.Is(err, ledger.ErrReplaced) {
 			return err
 		}
+		if err == nil {
+			h.mu.Lock()
+			h.held = began
+			h.mu.Unlock()
+		}
 	}
 }
 
--- a/internal/scheduler/talk.go
+++ b/internal/scheduler/talk.go
@@ -34,7 +34,7 @@
 			h.noteAnswer(err, time.Since(sent))
 		}
 		if err != nil {
-			h.lookFailed(w, err, sent)
+			h.lookFailed(w, err)
 			interval.SleepOrWoken(h.ctx, pause, nil)
 			pause = min(2*pause, lookRetryMost)
 			continue
@@ -65,15 +65,22 @@
 	look = &fleet.Look{Token: h.tenure.Epoch(), Acknowledged: w.acknowledged}
 	// A silent worker's leases are not renewed: they must be surely over some time.
 	if w.clock != 0 && len(w.runs) > 0 && w.failures == 0 {
-		look.Lease = w.now() + h.Bounds.MaxLease.Milliseconds()
-		w.lastOrder = time.Now()
+		look.Lease = h.renew(w)
 		if !w.unsettled() {
-			look.Wait = lookWait
+			look.Wait = w.lookWait()
 		}
 	}
 	return look, w.Worker, false, false
 }
 
+// lookWait is how long a look waits for an end.
+func (w *workerState) lookWait() time.Duration {
+	if w.leaves() {
+		return leavingWait
+	}
+	return lookWait
+}
+
 // unsettled reports whether a run is to be looked for soon: one that was adopted, or whose start or stop is not settled.
 func (w *workerState) unsettled() bool {
 	for _, r := range w.runs {
@@ -99,12 +106,9 @@
 }
 
 // lookFailed takes in a look without an answer.
-func (h *shard) lookFailed(w *workerState, err error, sent time.Time) {
+func (h *shard) lookFailed(w *workerState, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if time.Since(sent) >= hangUpAfter || sent.Sub(w.lookedAt) < connectionFresh {
-		w.hungUp = w.hungUp || errors.Is(err, fleet.ErrHungUp)
-	}
 	h.noteFailure(w, err, "look")
 }
 
@@ -119,13 +123,7 @@
 func (h *shard) noteFailure(w *workerState, err error, order string) {
 	refusal, refused := refusalOf(err)
 	if !refused {
-		if w.dueToLeave(time.Now()) {
-			w.hungUp = w.hungUp || errors.Is(err, fleet.ErrHungUp)
-		}
-		if w.hasEnded(err) {
-			h.endLife(w)
-			return
-		}
+		w.hungUp = w.hungUp || errors.Is(err, fleet.ErrHungUp)
 		h.Figures.Count("orders_unanswered")
 		w.failures++
 		if w.failures == 1 {
@@ -136,7 +134,7 @@
 	}
 	switch refusal {
 	case fleet.OtherLife:
-		h.loseWorker(w, otherLife)
+		h.endLife(w)
 	case fleet.Fenced:
 		h.endTenure(w)
 	case fleet.Unhealthy, fleet.NoRoom:
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -12,6 +12,8 @@
 const (
 	// lookWait is how long a look waits for an end; each look costs as much as a health check.
 	lookWait = 1500 * time.Millisecond
+	// leavingWait is the same at a worker that leaves: its leases are short.
+	leavingWait = 700 * time.Millisecond
 	// answerTimeout bounds the answer to an order beyond its own wait: a worker answers within a few ms, so that this is
 	// for lost packets, which come again after 200 ms and more.
 	answerTimeout = 700 * time.Millisecond
@@ -74,16 +76,16 @@
 	laggedAt     time.Time     // When a gang's member last showed it to be slow.
 	overdue      float64       // How many times longer than others its runs took at its last report.
 	wake         chan struct{}
-	clock        int64          // Worker's clock at clockAt; 0 before the first answer.
-	clockAt      time.Time      // When that answer came.
-	lookedAt     time.Time      // When the last look was answered.
-	lastOrder    time.Time      // When the last order that renews the lease was sent.
+	clock        int64     // Worker's clock at clockAt; 0 before the first answer.
+	clockAt      time.Time // When that answer came.
+	lookedAt     time.Time // When the last look was answered.
+	leases       leases
 	applied      int64          // Number of the last end that was taken in.
 	acknowledged int64          // Number of the last end whose effect is committed.
 	told         int64          // Number of the last end that the worker was told to forget.
 	listedEnds   map[int64]bool // Numbers of the ends that were listed and are not forgotten.
 	failures     int            // Orders in a row without an answer.
-	hungUp       bool           // It closed a connection as its end does, and has not answered since.
+	hungUp       bool           // It closed a connection and has not answered since; for logs.
 	leavesAt     time.Time      // When the time that it said it had left is over; zero before it said so.
 	soundSince   time.Time      // When the newest run began there that has not failed at once.
 	failedAt     time.Time      // When a run last failed there as soon as it had begun.
@@ -226,7 +228,8 @@
 // newWorker adds a life of a worker. Its record may be gone, as a predecessor placed runs there; where it is reached is told by the
 // predecessor then.
 func (h *shard) newWorker(id string) *workerState {
-	w := &workerState{runs: map[job.Task]*run{}, wake: make(chan struct{}, 1), lastOrder: time.Now(), unlisted: time.Now(), since: time.Now(), failures: 1}
+	w := &workerState{runs: map[job.Task]*run{}, wake: make(chan struct{}, 1), unlisted: time.Now(), since: time.Now(), failures: 1}
+	w.leases.extend(h.Bounds.longestLease(time.Now().Add(renewedFor)))
 	w.ID, w.Address = id, h.addresses.before[id]
 	h.workers[id] = w
 	h.roster = nil
