Tell an observer what happens on emulated workers, and end lapsed runs before an order is taken

Cause: a worker that is to run as a process of its own has to print what happens there; and one that stood still for longer than its lease took an order that renewed the lease before it looked whether that was over, and then ran on. Change: Fleet.Observe is told of begins, ends, acknowledgements and leases; a worker ends what has lapsed before it takes an order, and takes no start whose lease is over; Store.Parts lists the parts of a table.

--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -19,6 +19,8 @@
 	GangWait time.Duration
 	// EmptyWithin is how long after a hall was emptied work may still start there.
 	EmptyWithin time.Duration
+	// Observe is told of every event; it must neither wait nor call the fleet. Set it before the first worker is added.
+	Observe func(e Event)
 
 	mu      sync.Mutex
 	ctx     context.Context
--- a/internal/emulator/judge.go
+++ b/internal/emulator/judge.go
@@ -39,6 +39,7 @@
 func (f *Fleet) acknowledged(w *worker, upTo int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.tell(Event{Kind: Acknowledged, Number: upTo})
 	for t, d := range f.judge.done {
 		if d.worker == w.record.ID && d.number <= upTo && !d.lapsed && time.Now().Before(f.judge.leases[d.worker]) {
 			d.acked = true
@@ -55,6 +56,7 @@
 		f.judge.lapse(w.record.ID)
 	}
 	f.judge.leases[w.record.ID] = until
+	f.tell(Event{Kind: Leased, Until: until})
 }
 
 // lapse notes that a worker's lease was over. For the ends that nobody had taken note of by then this holds for good (the users'
@@ -159,6 +161,7 @@
 func (f *Fleet) started(w *worker, a *activity) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.tell(Event{Kind: Began, Task: a.task, Run: a.number})
 	c := &f.judge.counts
 	c.Starts++
 	if at := f.judge.running[a.task]; at != "" {
@@ -221,6 +224,7 @@
 func (f *Fleet) ended(w *worker, a *activity, outcome job.Outcome) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.tell(Event{Kind: Ended, At: w.endedAt(outcome), Task: a.task, Run: a.number, Outcome: outcome, Number: w.count})
 	if f.judge.running[a.task] == w.record.ID {
 		delete(f.judge.running, a.task)
 	}
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -140,6 +141,19 @@
 	return n
 }
 
+// Parts lists the parts of a table after one, in order.
+func (s *Store) Parts(table, after string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	parts := map[string]bool{}
+	for key := range s.rows {
+		if key.Table == table && key.Part > after {
+			parts[key.Part] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(parts))
+}
+
 // Reads counts the reads of a table that were answered.
 func (s *Store) Reads(table string) int {
 	s.mu.Lock()
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -107,11 +107,7 @@
 func (w *worker) turn() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.dead && len(w.runs) > 0 && time.Now().After(w.lease) {
-		for _, a := range w.sorted() {
-			w.end(a, job.Lapsed)
-		}
-	}
+	w.lapse()
 	for _, a := range w.sorted() {
 		if w.dead {
 			break
@@ -180,6 +176,7 @@
 	if w.dead || w.cut {
 		return fleet.ErrNoAnswer
 	}
+	w.lapse()
 	if token < w.token {
 		w.fleet.noteFenced()
 		return fleet.Fenced
@@ -222,6 +219,9 @@
 	if !w.record.Capacity.Fits(used) {
 		return fleet.NoRoom
 	}
+	if !time.Now().Before(w.lease) {
+		return fleet.TooLate
+	}
 	w.runs[o.Task] = a
 	select {
 	case w.begun <- struct{}{}:
