Play scenarios with real processes over loopback, and bring the incident about with them

Cause: tasks ran twice on real machines, and nothing of the project ran boxes and workers as processes with real connections between them.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -51,6 +51,7 @@
 		{"timeline", "timeline -box URL -key FILE [-job JOB]", "print the events of all boxes in order", runTimeline},
 		{"load", "load -box URL -key FILE -workspace NAME [options]", "send small requests and measure them, against calling the executors directly", runLoad},
 		{"trial", "trial [-sites NAMES] [-bursts NAMES] [-seeds FIRST-LAST]", "compare the decider with its baselines on bursts", runTrial},
+		{"rig", "rig play [-keep DIR] FILE", "play a scenario with real processes over loopback, and judge it", runRig},
 		{"options", "options", "print every option of the settings and the site configuration", runOptions},
 	}
 }
--- /dev/null
+++ b/internal/rig/rig_test.go
@@ -0,0 +1,69 @@
+package rig_test
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/frankban/quicktest"
+	"github.com/pulleyring/pulleyring/internal/cli"
+	"github.com/pulleyring/pulleyring/internal/rig"
+)
+
+// envProgram is set for the processes of a play: they are the program, not its tests.
+const envProgram = "PULLEYRING_RIG_TEST"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(envProgram) != "" {
+		os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// TestRig plays scenarios with real boxes, workers and proxies. On real machines tasks ran twice, with the first run still at work on a
+// worker that lived. Its connection had been closed and a new one refused; the scheduler took that for the end of its process and started
+// everything that ran there elsewhere at once, seconds before the worker's lease was over. But a proxy that is closed looks the same, and
+// the worker behind it works on until its lease ends: "worker is gone ... why: its process has ended, runs: 6", 0.1 s after the proxy had
+// closed and 10 s before the lease was over, and six tasks ran on two workers for four seconds.
+func TestRig(t *testing.T) {
+	for _, name := range []string{"proxy_closed"} {
+		t.Run(name, func(t *testing.T) { play(t, name) })
+	}
+}
+
+func play(t *testing.T, name string) {
+	raw, err := os.ReadFile(filepath.Join("scenarios", name+".txt"))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	scenario, err := rig.Parse(string(raw))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	program, err := os.Executable()
+	quicktest.Assert(t, err, quicktest.IsNil)
+	var out bytes.Buffer
+	dir := t.TempDir()
+	verdict, err := rig.Play(context.Background(), scenario, rig.Options{Program: program, Env: []string{envProgram + "=1"}, Dir: dir, Out: &out})
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, verdict.Starts >= 1, quicktest.IsTrue)
+	if !verdict.Good() {
+		t.Errorf("%s\n%s\n%s", verdict, strings.Join(append(verdict.Twice, verdict.Budget...), "\n"), warnings(t, dir))
+	}
+}
+
+// warnings is what the boxes of a play warned of.
+func warnings(t *testing.T, dir string) string {
+	logs, err := filepath.Glob(filepath.Join(dir, "box-?.log"))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	var found []string
+	for _, file := range logs {
+		raw, err := os.ReadFile(file)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		for _, line := range strings.Split(string(raw), "\n") {
+			if strings.Contains(line, `"level":"warn"`) {
+				found = append(found, line)
+			}
+		}
+	}
+	return strings.Join(found, "\n")
+}
