--- a/internal/emulator/crash.go
+++ b/internal/emulator/crash.go
@@ -63,7 +63,9 @@
 // die ends a life, and its process where it is over.
 func (w *worker) die(over bool) {
 	w.dead, w.over = true, over
-	w.fleet.leased(w, time.Time{})
+	if left := over && w.fleet.isDraining(w.record.ID); !left && !w.leaseKept {
+		w.fleet.leased(w, time.Time{})
+	}
 	for _, a := range w.sorted() {
 		delete(w.runs, a.task)
 		w.fleet.ended(w, a, job.Lapsed)
@@ -112,6 +114,7 @@
 	if !elsewhere {
 		w.mu.Lock()
 		w.replaced = true
+		f.leased(w, time.Time{}) // It answers for the old life that everything there is over.
 		w.notify()
 		w.mu.Unlock()
 	}
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -34,6 +34,7 @@
 	crashes map[job.Task]time.Duration
 	crash   Crash
 	lives   int // Lives that came back after a crash.
+	lasts   map[job.ID]LastMoments
 }
 
 // record is a worker's entry as of a version.
@@ -71,7 +72,7 @@
 	return &Fleet{
 		MaxLease: maxLease, GangWait: gangWait, ctx: ctx, workers: map[string]*worker{}, records: map[string]record{},
 		changed: make(chan struct{}), gangs: map[gangRun]*gang{}, jobs: map[job.ID]*job.Request{},
-		work: map[job.ID]time.Duration{}, judge: newJudge(), crashes: map[job.Task]time.Duration{},
+		work: map[job.ID]time.Duration{}, judge: newJudge(), crashes: map[job.Task]time.Duration{}, lasts: map[job.ID]LastMoments{},
 	}
 }
 
@@ -113,6 +114,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	do(w)
+	w.disturbed = time.Now()
 	return nil
 }
 
@@ -185,8 +187,12 @@
 	f.put(w, false)
 }
 
-// Cut makes a worker run on without answering, or answer again.
-func (f *Fleet) Cut(id string, cut bool) error { return f.change(id, func(w *worker) { w.cut = cut }) }
+// isDraining reports whether a worker's last record says that it leaves.
+func (f *Fleet) isDraining(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.records[id].worker.Draining
+}
 
 // Fail makes everything that starts on a worker fail, or ends that.
 func (f *Fleet) Fail(id string, fail bool) error {
--- a/internal/emulator/gate.go
+++ b/internal/emulator/gate.go
@@ -12,6 +12,8 @@
 
 // Gate stands between one box and everything it calls. Its zero value lets calls through.
 type Gate struct {
+	Box string // Its name, for conditions that hold for one box only.
+
 	mu     sync.Mutex
 	frozen time.Time // Calls wait until then.
 	killed bool      // Calls never happen and never return.
--- a/internal/emulator/judge.go
+++ b/internal/emulator/judge.go
@@ -11,8 +11,7 @@
 // judge notes what the workers were ordered and finds what must never happen.
 type judge struct {
 	running map[job.Task]string // Where a task runs now.
-	done    map[job.Task]doneEnd
-	leases  map[string]time.Time // By worker: when its lease is over; zero for one that crashed.
+	ends
 	emptied map[string]time.Time // By hall: since when nothing more may start there.
 	crashed map[job.Task]int     // Workers that crashed under a task.
 	// restarted counts the starts of a task after that were too many.
@@ -20,61 +19,13 @@
 	counts    Verdict
 }
 
-// doneEnd is a run that ended well. Whoever ordered it may start the task again only if nobody could know of the end: it
-// was not acknowledged, and the worker has crashed or its lease is over.
-type doneEnd struct {
-	worker string
-	number int64
-	acked  bool
-	lapsed bool // The worker's lease was over before anybody took note of it.
-}
-
-// counts reports whether the task must not start again.
-func (j *judge) doneCounts(t job.Task) bool {
-	d, ok := j.done[t]
-	return ok && (d.acked || !d.lapsed && time.Now().Before(j.leases[d.worker]))
-}
-
-// acknowledged notes that a worker's ends up to a number were taken note of while its lease ran.
-func (f *Fleet) acknowledged(w *worker, upTo int64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for t, d := range f.judge.done {
-		if d.worker == w.record.ID && d.number <= upTo && !d.lapsed && time.Now().Before(f.judge.leases[d.worker]) {
-			d.acked = true
-			f.judge.done[t] = d
-		}
-	}
-}
-
-// leased notes until when a worker's lease runs.
-func (f *Fleet) leased(w *worker, until time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if before := f.judge.leases[w.record.ID]; !before.IsZero() && time.Now().After(before) {
-		f.judge.lapse(w.record.ID)
-	}
-	f.judge.leases[w.record.ID] = until
-}
-
-// lapse notes that a worker's lease was over. For the ends that nobody had taken note of by then this holds for good (the users'
-// rules), also once the lease runs again: a box that stood still for longer than a lease can't know of them.
-func (j *judge) lapse(worker string) {
-	for t, d := range j.done {
-		if d.worker == worker && !d.acked {
-			d.lapsed = true
-			j.done[t] = d
-		}
-	}
-}
-
 // Verdict counts broken promises and what ran.
 type Verdict struct {
 	Twice    []string       // Two runs of a task at a time, or one after it was done.
 	Unasked  []string       // Starts of what nobody handed in, or with another payload.
 	TooEarly []string       // Starts before an earlier step was done.
 	Emptied  []string       // Starts in a hall that was emptied more than EmptyWithin before.
-	Budget   []string       // Starts of a task after too many workers had crashed under it.
+	Budget   []string       // Starts of a task after too many workers had crashed under it, or after its attempts had failed.
 	InHall   map[string]int // Starts by hall.
 	Starts   int
 	Fenced   int // Orders of a replaced box.
@@ -84,7 +35,7 @@
 
 func newJudge() judge {
 	return judge{
-		running: map[job.Task]string{}, done: map[job.Task]doneEnd{}, leases: map[string]time.Time{}, emptied: map[string]time.Time{},
+		running: map[job.Task]string{}, ends: newEnds(), emptied: map[string]time.Time{},
 		crashed: map[job.Task]int{}, restarted: map[job.Task]int{},
 		counts: Verdict{Ends: map[job.Outcome]int{}, InHall: map[string]int{}},
 	}
@@ -164,12 +115,13 @@
 	if at := f.judge.running[a.task]; at != "" {
 		c.Twice = append(c.Twice, fmt.Sprintf("%s on %s and %s", a.task, at, w.record.ID))
 	}
-	if f.judge.doneCounts(a.task) {
+	if f.judge.counted(f.judge.done[a.task]) > 0 {
 		c.Twice = append(c.Twice, fmt.Sprintf("%s on %s after it was done", a.task, w.record.ID))
 	}
 	f.judgeOrder(a)
 	f.judgeHall(w, a)
 	f.judgeBudget(w, a)
+	f.judgeAttempts(w, a)
 	f.judge.running[a.task] = w.record.ID
 	if a.gang == 0 {
 		return
@@ -189,7 +141,7 @@
 	}
 	for _, s := range r.Steps[a.task.Step].After {
 		for i := range r.Steps[s].Count {
-			if _, ok := f.judge.done[job.Task{Job: r.ID, Occurrence: a.task.Occurrence, Step: s, Index: i}]; !ok {
+			if len(f.judge.done[job.Task{Job: r.ID, Occurrence: a.task.Occurrence, Step: s, Index: i}]) == 0 {
 				f.judge.counts.TooEarly = append(f.judge.counts.TooEarly, a.task.String())
 				return
 			}
@@ -225,9 +177,7 @@
 		delete(f.judge.running, a.task)
 	}
 	f.judge.counts.Ends[outcome]++
-	if outcome == job.Succeeded {
-		f.noteDone(w, a)
-	}
+	f.noteEnd(w, a, outcome)
 	if a.gang == 0 {
 		return
 	}
@@ -239,19 +189,6 @@
 	g.done = g.done || outcome == job.Succeeded
 }
 
-// noteDone notes that a task is done; of a gang one such end stands for all members.
-func (f *Fleet) noteDone(w *worker, a *activity) {
-	t := a.task
-	end := doneEnd{worker: w.record.ID, number: w.count}
-	f.judge.done[t] = end
-	for i := range a.gang {
-		t.Index = i
-		if _, ok := f.judge.done[t]; !ok {
-			f.judge.done[t] = end
-		}
-	}
-}
-
 // gangState tells a member where its gang stands.
 func (f *Fleet) gangState(a *activity) gangState {
 	if a.gang == 0 {
--- a/internal/emulator/view.go
+++ b/internal/emulator/view.go
@@ -43,10 +43,18 @@
 		return 0, err
 	}
 	w.mu.Lock()
-	if over := w.outcomeWhenOver(); over != nil {
+	if over := w.outcomeFor(v.gate.Box); over != nil {
 		w.mu.Unlock()
+		if over == fleet.ErrNoAnswer {
+			<-ctx.Done()
+		}
 		return 0, over
 	}
+	if w.parting {
+		changed := w.changed
+		w.mu.Unlock()
+		return 0, untilHangUp(ctx, changed)
+	}
 	if w.late > 0 {
 		w.late--
 		w.mu.Unlock()
@@ -97,47 +105,49 @@
 		<-ctx.Done()
 		return fleet.Report{}, fleet.ErrNoAnswer
 	}
-	over, stop := interval.After(o.Wait)
+	waited, stop := interval.After(o.Wait)
 	defer stop()
 	for first := true; ; first = false {
 		w.mu.Lock()
-		report, err := w.report(o)
-		changed, ended, replaced := w.changed, w.over, w.replaced
-		w.mu.Unlock()
-		if replaced {
-			return report, fleet.OtherLife
+		changed, over, parting := w.changed, w.outcomeFor(v.gate.Box), w.parting
+		var report fleet.Report
+		err := over
+		if over == nil && !parting {
+			report, err = w.report(o)
 		}
-		if ended {
+		w.mu.Unlock()
+		if over == fleet.ErrNotListening {
 			return report, lookAtEnded(first)
 		}
 		if err == fleet.ErrNoAnswer {
 			<-ctx.Done()
 			return report, err
 		}
-		if err != nil || len(report.Ended) > 0 || o.Wait == 0 || !first {
-			if !v.gate.pass(ctx) {
-				return fleet.Report{}, fleet.ErrNoAnswer
-			}
-			return report, err
+		if over != nil {
+			return report, over
+		}
+		if !parting && (err != nil || len(report.Ended) > 0 || o.Wait == 0 || !first) {
+			return v.answer(ctx, w, report, err)
 		}
 		select {
 		case <-ctx.Done():
 			return fleet.Report{}, fleet.ErrNoAnswer
-		case <-over:
+		case <-waited:
 		case <-changed:
 		}
 	}
 }
 
-// outcomeWhenOver is what an order to a life that is over comes to; nil for one that may be alive.
-func (w *worker) outcomeWhenOver() error {
-	switch {
-	case w.replaced:
-		return fleet.OtherLife
-	case w.over:
-		return fleet.ErrNotListening
+// answer carries a worker's answer to a look back to the box, after newer ones where it is held back.
+func (v *View) answer(ctx context.Context, w *worker, report fleet.Report, err error) (fleet.Report, error) {
+	if d := w.heldBack(); d > 0 && !interval.Sleep(ctx, d) {
+		return fleet.Report{}, fleet.ErrNoAnswer
+	}
+	if !v.gate.pass(ctx) {
+		return fleet.Report{}, fleet.ErrNoAnswer
 	}
-	return nil
+	w.tell(report.Ended)
+	return report, err
 }
 
 // lookAtEnded is how a look ends whose worker's process has ended: before it was sent, or while it waited.
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -32,14 +32,15 @@
 	// replaced says that another life answers at its address.
 	replaced bool
 	cut      bool // Answers nobody and runs on.
-	fails    bool // Everything there fails, also what began before.
-	spoils   bool // Everything that starts there fails; what began before goes on.
-	stuck    bool // Nothing makes progress.
-	slower   int  // How many times longer all work there takes; 0 and 1 for a sound worker.
-	late     int  // So many orders get no answer and are carried out late.
-	refuse   bool // Takes no starts.
-	belated  bool // It carries out an order late just now.
-	mute     int  // So many orders are carried out at once and get no answer.
+	signs
+	fails   bool // Everything there fails, also what began before.
+	spoils  bool // Everything that starts there fails; what began before goes on.
+	stuck   bool // Nothing makes progress.
+	slower  int  // How many times longer all work there takes; 0 and 1 for a sound worker.
+	late    int  // So many orders get no answer and are carried out late.
+	refuse  bool // Takes no starts.
+	belated bool // It carries out an order late just now.
+	mute    int  // So many orders are carried out at once and get no answer.
 }
 
 // activity is a run on a worker.
@@ -173,6 +174,9 @@
 	w.ended = append(w.ended, fleet.End{Number: w.count, Task: a.task, Run: a.number, Outcome: outcome, Saved: a.saved})
 	w.fleet.ended(w, a, outcome)
 	w.notify()
+	if outcome == job.Succeeded {
+		w.beginLastMoments(a.task.Job)
+	}
 }
 
 // admit takes a call in: it fences, and tells whether the worker answers.
--- a/internal/node/commands_test.go
+++ b/internal/node/commands_test.go
@@ -158,6 +158,7 @@
 		r.Steps = append(r.Steps, next)
 	}
 	w.fleet.Expect(r, work)
+	w.fleet.Allow(r.ID, w.attempts(words[1]))
 	return r, nil
 }
 
@@ -248,7 +249,7 @@
 	if len(words) < 2 {
 		return fmt.Errorf("unknown command")
 	}
-	id := words[1]
+	id := w.workerNamed(words[1])
 	switch words[0] {
 	case "crash":
 		return w.fleet.Crash(id)
@@ -260,8 +261,8 @@
 	case "record":
 		w.fleet.Record(id)
 		return nil
-	case "cut", "heal":
-		return w.fleet.Cut(id, words[0] == "cut")
+	case "cut", "heal", "shut", "open", "hold_back":
+		return w.signCommand(words, id)
 	case "fail", "well":
 		return w.fleet.Fail(id, words[0] == "fail")
 	case "spoil", "unspoil":
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -35,6 +35,13 @@
 //	sleep DURATION
 //	kill|start|stop|freeze BOX [D]     of a box
 //	crash|end|cut|heal|fail|well|spoil|unspoil|stick|unstick|refuse|take|forget|record WORKER
+//	name NAME ID                       NAME is the worker that runs a job's first task from now on
+//	cut WORKER [BOX]                   one box only, or all, gets no answer; until "heal WORKER"
+//	shut|open WORKER [BOX]             what stands in front of it is closed, for one box only or for all: connections end with a hang-up, new
+//	                                   ones find nobody listening, and the worker runs on
+//	hold_back WORKER D                 the next answer to a look comes so much later, after newer ones
+//	ends_with ID [lost] [crash]        a few ms after the next end of a task of a job as done its worker's process ends: it leaves, or
+//	                                   crashes; what it answers in that time gets through, or is lost
 //	crashing [dark] [gone|back D [elsewhere]] [recorded D]   how workers crash under tasks that crash them, and with their hall
 //	crash_hall HALL                    all its workers crash so
 //	strike hall|cut|leave|fail ID      wait until a job's first task runs; 30 ms later its hall crashes, or its worker is cut off, leaves, or fails
@@ -130,6 +137,7 @@
 }
 
 func (w *world) command(words []string) error {
+	w.noteImpairment(words)
 	switch words[0] {
 	case "site", "empty", "reopen", "rejected":
 		return w.operatorCommand(words)
@@ -153,6 +161,11 @@
 		return w.tellCommand(words)
 	case "strike":
 		return w.strike(words[1], job.ID(words[2]))
+	case "name":
+		return w.nameWorker(words[1], job.ID(words[2]))
+	case "ends_with":
+		w.endWith(job.ID(words[1]), words[2:])
+		return nil
 	case "crash_hall":
 		w.fleet.CrashHall(words[1])
 		return nil
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -48,7 +48,8 @@
 	order    []string
 	group    sync.WaitGroup
 	accepted map[job.ID]*job.Request
-	poisoned map[job.ID]bool // Jobs with a task that crashes its workers.
+	poisoned map[job.ID]bool   // Jobs with a task that crashes its workers.
+	names    map[string]string // Workers that the script has named.
 }
 
 // testBox is a box with the means to end it.
@@ -122,13 +123,13 @@
 	return &world{
 		ctx: ctx, store: emulator.NewStore(seed), fleet: workers, log: log,
 		operator: &operator{current: config}, boxes: map[string]*testBox{},
-		accepted: map[job.ID]*job.Request{}, poisoned: map[job.ID]bool{},
+		accepted: map[job.ID]*job.Request{}, poisoned: map[job.ID]bool{}, names: map[string]string{},
 	}
 }
 
 // startBox starts a box; a box of that name that was killed is started anew.
 func (w *world) startBox(name string) {
-	gate := &emulator.Gate{}
+	gate := &emulator.Gate{Box: name}
 	view := w.fleet.For(gate)
 	p := Platform{
 		Store: w.store.For(name, gate), Network: w.network.For(name, gate), Orders: view,
