Hold what follows from ends of runs that are not followed any more; the tests fail

Cause: an end that a worker lists changes something only if its run is followed; it is acknowledged in any case. Found by reading, from the record's "nobody placed it here".

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -100,7 +100,8 @@
 type Report struct {
 	Clock   int64 // Worker's clock in milliseconds.
 	Running []Run
-	Ended   []End
+	Ended   []End // By rising numbers.
+	More    bool  // There may be ends after those listed: the answer was full.
 }
 
 // Orders gives orders to workers. Errors are a Refusal or one of those above; the clock is the worker's, 0 where not told.
--- /dev/null
+++ b/internal/scheduler/ends_test.go
@@ -0,0 +1,231 @@
+package scheduler
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/fleet"
+	"github.com/pulleyring/pulleyring/internal/job"
+)
+
+// TestListedEndsCount plays the cases of testdata/ends.txt. A box placed a task, took its worker for gone and placed the task elsewhere. The worker
+// lived: it listed the first run as done, or as failed, and the box had it forget that end though it had changed nothing, as only ends of
+// runs that were followed did. So a task that was done ran to its end once more, and failed runs were no attempts. On a worker that was back the box
+// logged "stopping a run ... nobody placed it here" for a run that it had placed there itself.
+func TestListedEndsCount(t *testing.T) {
+	f, err := os.Open("testdata/ends.txt")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer f.Close()
+	cases := map[string][][]string{}
+	var names []string
+	lines := bufio.NewScanner(f)
+	for lines.Scan() {
+		words := strings.Fields(lines.Text())
+		if len(words) == 0 || words[0] == "#" {
+			continue
+		}
+		if words[0] == "case" {
+			names = append(names, strings.Join(words[1:], " "))
+			continue
+		}
+		name := names[len(names)-1]
+		cases[name] = append(cases[name], words)
+	}
+	for _, name := range names {
+		t.Run(name, func(t *testing.T) {
+			c := &reportCase{h: keptShard(), workers: map[string]*workerState{}}
+			for _, words := range cases[name] {
+				if err := c.step(words); err != nil {
+					t.Fatalf("%s: %v", strings.Join(words, " "), err)
+				}
+			}
+		})
+	}
+}
+
+// reportCase is a shard as a case has brought it about; it never sends anything, as no worker has an address.
+type reportCase struct {
+	h       *shard
+	workers map[string]*workerState // Their last lives, also those that were given up.
+}
+
+func (c *reportCase) step(words []string) error {
+	switch words[0] {
+	case "job":
+		return c.handIn(words[1:])
+	case "workers":
+		for _, id := range words[1:] {
+			c.add(id)
+		}
+		return nil
+	case "place":
+		return c.place(words[1:])
+	case "silent":
+		c.h.loseRuns(c.workers[words[1]], leasesOver)
+		return nil
+	case "gone":
+		c.h.loseWorker(c.workers[words[1]], recordGone)
+		return nil
+	case "returns":
+		c.add(words[1])
+		return nil
+	case "report":
+		return c.report(words[1:])
+	case "commit":
+		return c.commit()
+	}
+	return c.expect(words)
+}
+
+func (c *reportCase) add(id string) {
+	w := &workerState{Worker: fleet.Worker{ID: id}, runs: map[job.Task]*run{}, wake: make(chan struct{}, 1)}
+	c.workers[id], c.h.workers[id] = w, w
+	c.h.roster = nil
+}
+
+func (c *reportCase) handIn(words []string) error {
+	r := &job.Request{ID: "j", Steps: []job.Step{{Count: 1}}, Terms: job.Terms{Attempts: 1}}
+	for i := 0; i < len(words); i++ {
+		if words[i] == "gang" {
+			r.Steps[0].Gang = true
+			continue
+		}
+		n, err := strconv.Atoi(words[i+1])
+		if err != nil {
+			return errors.Wrap(err, "scheduler: not a number")
+		}
+		switch words[i] {
+		case "tasks":
+			r.Steps[0].Count = n
+		case "attempts":
+			r.Terms.Attempts = n
+		default:
+			return errors.Errorf("scheduler: unknown word %q", words[i])
+		}
+		i++
+	}
+	c.h.addJob(r, nil)
+	return nil
+}
+
+func (c *reportCase) place(names []string) error {
+	demands := c.h.takeView(time.Now()).Demands
+	if len(demands) != 1 || len(demands[0].Waiting) != len(names) {
+		return errors.Errorf("scheduler: %+v waits", demands)
+	}
+	workers := map[int]string{}
+	for n, i := range demands[0].Waiting {
+		workers[i] = names[n]
+	}
+	c.h.place(&demands[0], workers, time.Now())
+	return nil
+}
+
+func (c *reportCase) report(words []string) error {
+	clock, err := strconv.ParseInt(words[1], 10, 64)
+	if err != nil {
+		return errors.Wrap(err, "scheduler: no clock")
+	}
+	report, told := fleet.Report{Clock: clock}, int64(0)
+	part := ""
+	for _, word := range words[2:] {
+		if word == "more" {
+			report.More = true
+			continue
+		}
+		if word == "told" || word == "runs" || word == "ended" {
+			part = word
+			continue
+		}
+		switch part {
+		case "told":
+			told, err = strconv.ParseInt(word, 10, 64)
+		case "runs":
+			x := fleet.Run{Task: job.Task{Job: "j"}, Done: -1}
+			_, err = fmt.Sscanf(word, "%d/%d", &x.Task.Index, &x.Run)
+			report.Running = append(report.Running, x)
+		case "ended":
+			err = addEnd(&report, word)
+		}
+		if err != nil {
+			return errors.Wrapf(err, "scheduler: %q", word)
+		}
+	}
+	c.h.takeReport(c.workers[words[0]], &report, time.Now(), told)
+	return nil
+}
+
+// addEnd adds an end to a report; a word that is none belongs to the outcome before.
+func addEnd(report *fleet.Report, word string) error {
+	e, how := fleet.End{Task: job.Task{Job: "j"}}, ""
+	if word == "broken" {
+		report.Ended[len(report.Ended)-1].Outcome = job.GangBroken
+		return nil
+	}
+	if _, err := fmt.Sscanf(word, "%d:%d/%d:%s", &e.Number, &e.Task.Index, &e.Run, &how); err != nil {
+		return errors.Wrap(err, "scheduler: no end")
+	}
+	e.Outcome = map[string]job.Outcome{"succeeded": job.Succeeded, "failed": job.FailedRun, "stopped": job.Stopped, "gang": job.GangBroken}[how]
+	report.Ended = append(report.Ended, e)
+	return nil
+}
+
+// commit has everything committed, and checks that no end would be acknowledged before what it changed is.
+func (c *reportCase) commit() error {
+	dirty := c.h.dirty["j"]
+	f := c.h.prepare(true)
+	if dirty && f.batch.Progress["j"] == nil {
+		return errors.New("scheduler: the progress is left out")
+	}
+	for w, n := range f.applied {
+		w.acknowledged = n
+	}
+	return nil
+}
+
+func (c *reportCase) expect(words []string) error {
+	j := c.h.jobs["j"]
+	got, want := "", strings.Join(words[2:], " ")
+	index, _ := strconv.Atoi(words[1]) // No number but for a task's.
+	task := j.Tasks(job.Group{})[index]
+	switch words[0] {
+	case "state":
+		got, want = j.Progress.State.String(), words[1]
+	case "task":
+		got = task.State.String()
+	case "failures":
+		got = strconv.Itoa(task.Failures)
+	case "follows":
+		got = followed(c.workers[words[1]])
+	case "acknowledges":
+		got = strconv.FormatInt(c.workers[words[1]].acknowledged, 10)
+	default:
+		return errors.Errorf("scheduler: unknown step %q", words[0])
+	}
+	if got != want {
+		return errors.Errorf("scheduler: it is %q", got)
+	}
+	return nil
+}
+
+// followed lists what is followed on a worker.
+func followed(w *workerState) string {
+	var list []string
+	for t, r := range w.runs {
+		name := fmt.Sprintf("%d/%d", t.Index, r.number)
+		if r.stopping {
+			name += "/stopping"
+		}
+		list = append(list, name)
+	}
+	slices.Sort(list)
+	return strings.Join(list, " ")
+}
