--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -50,6 +50,7 @@
 
 	processes map[string]*process
 	order     []*process
+	store     *process
 	fronts    []string
 	fixed     map[string]string // What a target that was looked up stands for.
 	group     sync.WaitGroup
@@ -142,6 +143,7 @@
 	if err != nil {
 		return err
 	}
+	p.store = st
 	for i := range p.Workers {
 		if err := p.beginWorker(ctx, fmt.Sprintf("w%d", i+1), st.address); err != nil {
 			return err
@@ -199,6 +201,9 @@
 		}
 	}
 	b := standin.Box{Name: name, Front: loopback(ports[0]), Ready: loopback(ports[1]), Relay: ports[2], Store: proxy.address, MaxLease: p.Lease}
+	if p.Alone {
+		b.Relay = 0
+	}
 	file := filepath.Join(p.Dir, name+".conf")
 	if err := os.WriteFile(file, b.Settings(), 0o600); err != nil {
 		return "", errors.Wrap(err, "rig: unable to write settings")
@@ -223,6 +228,9 @@
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.lines = append(p.lines, l)
+		if l.Event == eventLeft {
+			_ = p.store.tell(l.Worker) // The platform knows; a store that has ended needs not.
+		}
 	})
 	if err != nil {
 		return nil, err
--- a/internal/rig/role.go
+++ b/internal/rig/role.go
@@ -96,9 +96,9 @@
 	}
 	switch args[0] {
 	case "store":
-		return runStore(ctx, *heartbeat, w.out)
+		return runStore(ctx, *heartbeat, lines, w.out)
 	case "worker":
-		w.heartbeat, w.face.Record.Capacity = *heartbeat, times(slot, *slots)
+		w.heartbeat, w.leaves, w.face.Record.Capacity = *heartbeat, -1, times(slot, *slots)
 		return w.run(ctx, lines)
 	case "proxy":
 		return runProxy(ctx, *to, lines, w.out)
@@ -136,14 +136,21 @@
 	return nil
 }
 
-func runStore(ctx context.Context, heartbeat time.Duration, out *printer) error {
+func runStore(ctx context.Context, heartbeat time.Duration, lines <-chan string, out *printer) error {
 	s := standin.NewStore(heartbeat)
 	s.Configure(standin.Manifest())
 	if err := serve(s.Handler(), out); err != nil {
 		return err
 	}
-	s.Run(ctx)
-	return nil
+	go s.Run(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case id := <-lines:
+			s.Drop(id)
+		}
+	}
 }
 
 // workerRole is the process of a worker.
@@ -158,7 +165,7 @@
 	mu       sync.Mutex
 	silent   bool // It writes no record.
 	sequence int64
-	leaves   time.Duration // How long after its last run has ended its process does; 0 for never.
+	leaves   time.Duration // How long after its last run has ended its process does; negative for never, 0 for before anybody is told.
 	running  int
 }
 
@@ -206,7 +213,10 @@
 		w.running++
 	case emulator.Ended:
 		w.running--
-		if w.leaves > 0 && w.running == 0 {
+		if w.running == 0 && w.leaves == 0 {
+			w.leave()
+		}
+		if w.running == 0 && w.leaves > 0 {
 			time.AfterFunc(w.leaves, w.leave)
 		}
 	}
@@ -235,6 +245,8 @@
 	case "unrecord": // Its record goes at once.
 		w.hush(true)
 		return standin.Unrecord(ctx, w.client, w.store, id)
+	case "leave":
+		w.leave()
 	case "leave_after_end":
 		d, err := time.ParseDuration(argument)
 		w.mu.Lock()
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -11,7 +11,8 @@
 // Scenario is what is played.
 type Scenario struct {
 	Boxes, Workers int
-	Slots          int // Tasks that fit on a worker.
+	Slots          int  // Tasks that fit on a worker.
+	Alone          bool // Boxes don't call the store through each other.
 	Heartbeat      time.Duration
 	Lease          time.Duration
 	Until          time.Duration // When it ends at the latest.
@@ -64,6 +65,8 @@
 		s.Heartbeat, err = time.ParseDuration(fields[1])
 	case "lease":
 		s.Lease, err = time.ParseDuration(fields[1])
+	case "alone":
+		s.Alone, err = strconv.ParseBool(fields[1])
 	case "until":
 		s.Until, err = time.ParseDuration(fields[1])
 	case "at":
