--- /dev/null
+++ b/internal/node/signs_test.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/emulator"
+	"github.com/pulleyring/pulleyring/internal/job"
+)
+
+// signCommand makes a worker look gone that lives, to all boxes or to one, or ends that.
+func (w *world) signCommand(words []string, id string) error {
+	if words[0] == "hold_back" {
+		d, err := time.ParseDuration(words[2])
+		if err != nil {
+			return err
+		}
+		return w.fleet.HoldBack(id, d)
+	}
+	if words[0] == "heal" || len(words) == 2 && words[0] == "cut" {
+		return w.fleet.Cut(id, words[0] == "cut")
+	}
+	for _, box := range w.boxesNamed(words[2:]) {
+		change, on := w.fleet.Shut, words[0] == "shut"
+		if words[0] == "cut" {
+			change, on = w.fleet.CutFrom, true
+		}
+		if err := change(id, box, on); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// boxesNamed is the boxes that a condition holds for: one, the holder, all but the holder, or with no word all, which is the empty name.
+func (w *world) boxesNamed(words []string) []string {
+	switch {
+	case len(words) == 0:
+		return []string{""}
+	case words[0] != "others":
+		return []string{w.named(words[0])}
+	}
+	holder := w.holder()
+	return slices.DeleteFunc(slices.Clone(w.order), func(name string) bool { return name == holder })
+}
+
+// nameWorker gives a name to the worker that runs a task of a job, once it runs: the first one, or the one of an index.
+func (w *world) nameWorker(name string, words []string) error {
+	task := job.Task{Job: job.ID(words[0])}
+	if len(words) > 1 {
+		var err error
+		if task.Index, err = strconv.Atoi(words[1]); err != nil {
+			return err
+		}
+	}
+	for end := time.Now().Add(strikeWithin); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if worker, _ := w.fleet.WhereRuns(task); worker != "" {
+			w.names[name] = worker
+			return nil
+		}
+	}
+	return errors.New("it does not run")
+}
+
+// workerNamed is the worker of a name, which is its own where no script gave it.
+func (w *world) workerNamed(name string) string {
+	if id, ok := w.names[name]; ok {
+		return id
+	}
+	return name
+}
+
+// endWith ends the process of the worker on which a job's next run is done.
+func (w *world) endWith(id job.ID, words []string) {
+	w.fleet.EndWith(id, emulator.LastMoments{Lost: slices.Contains(words, "lost"), Crash: slices.Contains(words, "crash")})
+}
+
+// attempts is how many failed runs of a task end a job of a queue.
+func (w *world) attempts(queueName string) int {
+	for i := range w.operator.current.Queues {
+		if q := &w.operator.current.Queues[i]; q.Name == queueName {
+			return q.Attempts
+		}
+	}
+	return 0
+}
+
+// weakFor is for how long a box counts as weak, which nothing ends.
+const weakFor = 24 * time.Hour
+
+// noteImpairment tells the judge what is wrong with boxes, their links and the store.
+func (w *world) noteImpairment(words []string) {
+	switch words[0] {
+	case "store":
+		w.fleet.Ail(words[1] != "up" && words[1] != "compact")
+	case "part":
+		w.fleet.Ail(true)
+	case "weak":
+		w.fleet.Impair(time.Now().Add(weakFor))
+	case "freeze":
+		d, err := time.ParseDuration(words[2])
+		if err != nil {
+			return // The command fails.
+		}
+		w.fleet.Impair(time.Now().Add(d))
+	case "kill", "stop", "start", "lose", "boxes":
+		w.fleet.Impair(time.Now())
+	}
+}
