Let an end that a worker lists count, whoever placed the run and whatever run of the task is followed by then

Cause: takeReport ended only runs that are followed, skipped ends by the order in which reports came, left out reports that were under way as their worker was given up, and had all ends acknowledged. Change: Life.End takes the end of any run that can have been placed. A done finishes the task, a gang as a whole, and a later run is stopped ("the task is done"); a failed is an attempt, once for each run (a gang's once for all members), and leaves a later run alone unless the attempts are reached. internal/job/failures.go keeps which runs are known to have failed: of this tenure all; of earlier ones the progress tells only how many were counted, so one more counts only once more of them are known than were counted. takeReport takes in ends also of a report that another one has overtaken (by the worker's clock) or that comes after its worker was given up, and nothing else of such a report. A failed run of a job that was cancelled does not make it failed any more. The emulator lists 500 ends at a time. "end of a run that is not followed" has "counts"; its reason "passed over" can't come any more. What remains: a failed run that a predecessor gave up is not counted again by its successor where another one of that task had been counted before and that end is not listed any more: it can't be told from that one. Starts that went out before a done was heard of are stopped, not undone.

--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -65,6 +65,9 @@
 	return math.Floor(100*float64(a.done)/float64(a.work)) / 100
 }
 
+// endsMost is how many ends a report lists at most, as real workers do.
+const endsMost = 500
+
 // lateBy is how late a delayed order is carried out.
 const lateBy = 2 * time.Second
 
@@ -252,7 +255,7 @@
 		w.extend(o.Lease)
 	}
 	w.ended = slices.DeleteFunc(w.ended, func(e fleet.End) bool { return e.Number <= o.Acknowledged })
-	r := fleet.Report{Clock: w.clock(), Ended: slices.Clone(w.ended)}
+	r := fleet.Report{Clock: w.clock(), Ended: slices.Clone(w.ended[:min(len(w.ended), endsMost)]), More: len(w.ended) >= endsMost}
 	for _, a := range w.sorted() {
 		r.Running = append(r.Running, fleet.Run{Task: a.task, Run: a.number, Saved: a.saved, Done: a.share()})
 	}
--- a/internal/job/life.go
+++ b/internal/job/life.go
@@ -6,6 +6,7 @@
 	Progress Progress
 	offsets  []int // Index of each step's first task within an occurrence.
 	size     int   // Tasks of an occurrence.
+	failures failures
 }
 
 // NewLife returns the life of a job; progress is nil for a job that nothing has happened to.
@@ -17,6 +18,7 @@
 	}
 	if p != nil && len(p.Tasks) == l.size*r.Occurrences() {
 		l.Progress = *p
+		l.takeFailures()
 		return l
 	}
 	l.Progress.Tasks = make([]TaskProgress, l.size*r.Occurrences())
@@ -187,12 +189,15 @@
 	return true
 }
 
-// End notes how a run ended and reports whether that changed anything; the end of an older run does not.
+// End notes how a run ended, whether it is the one that is followed or not, and reports whether that changed anything.
 func (l *Life) End(t Task, run int, outcome Outcome, saved string, nowMS int64) bool {
 	p := l.at(t)
-	if p == nil || p.Run != run || p.State != Placed {
+	if p == nil || run < 1 || run > p.Run {
 		return false
 	}
+	if p.Run != run || p.State != Placed {
+		return l.endPast(t, run, outcome, nowMS)
+	}
 	l.Save(t, run, saved)
 	g := Group{t.Occurrence, t.Step}
 	gang := l.Request.Steps[t.Step].Gang
@@ -203,7 +208,7 @@
 		p.State = Finished
 	case outcome == FailedRun:
 		p.State = Waiting
-		l.countFailure(t, p, run)
+		l.countFailure(t, run)
 	default:
 		p.State = Waiting
 	}
@@ -211,31 +216,42 @@
 	return true
 }
 
-// finishGang marks every member: a gang ends well as a whole, and one such end stands for all.
-func (l *Life) finishGang(g Group) {
-	tasks := l.Tasks(g)
-	for i := range tasks {
-		tasks[i].State = Finished
+// endPast notes the end of a run that is not followed any more, as it was taken for over: the work is done, or an attempt was made, all the
+// same. A later run stays followed until its own end.
+func (l *Life) endPast(t Task, run int, outcome Outcome, nowMS int64) bool {
+	g := Group{t.Occurrence, t.Step}
+	if l.Progress.State.Final() || l.Request.Steps[t.Step].Lasting || l.at(t).State == Finished {
+		return false
+	}
+	changed := false
+	switch outcome {
+	case Succeeded:
+		l.finishPast(g, t.Index, run)
+		changed = true
+	case FailedRun:
+		changed = l.countFailure(t, run)
 	}
+	l.settle(nowMS)
+	return changed
 }
 
-// countFailure counts a failed run, of a gang once for all members of the run.
-func (l *Life) countFailure(t Task, p *TaskProgress, run int) {
-	g := Group{t.Occurrence, t.Step}
-	if l.Request.Steps[g.Step].Lasting {
-		return
+// finishPast marks a task, or all of a gang, as done by a run that is not followed. Its number is kept as that of the last run, so that a later
+// run that is found on a worker is known not to be the one that did the work.
+func (l *Life) finishPast(g Group, index, run int) {
+	tasks := l.Tasks(g)
+	if !l.Request.Steps[g.Step].Gang {
+		tasks = tasks[index : index+1]
 	}
-	if l.Request.Steps[g.Step].Gang {
-		counted := &l.Progress.GangRuns[g.Occurrence*len(l.Request.Steps)+g.Step]
-		if *counted == run {
-			return
-		}
-		*counted = run
-		p = &l.Tasks(g)[0]
+	for i := range tasks {
+		tasks[i].State, tasks[i].Run = Finished, run
 	}
-	p.Failures++
-	if p.Failures >= max(l.Request.Terms.Attempts, 1) {
-		l.fail(t, FailedTooOften, p.Failures)
+}
+
+// finishGang marks every member: a gang ends well as a whole, and one such end stands for all.
+func (l *Life) finishGang(g Group) {
+	tasks := l.Tasks(g)
+	for i := range tasks {
+		tasks[i].State = Finished
 	}
 }
 
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -221,10 +221,7 @@
 	}
 	h.learn(w, r, outcome)
 	if outcome == job.FailedRun || outcome == job.NeverRan {
-		if j.avoid[g] == nil {
-			j.avoid[g] = map[string]bool{}
-		}
-		j.avoid[g][w.ID] = outcome == job.FailedRun
+		j.noteFailedAt(g, w.ID, outcome == job.FailedRun)
 	}
 	if outcome != job.NeverRan { // Else it has waited all along, and guaranteed work must begin within its time.
 		delete(j.since, g)
@@ -253,33 +250,26 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.noteReported(w, report)
-	if w.gone {
-		for i := range report.Ended {
-			h.noteUnfollowedOfGone(w, &report.Ended[i])
-		}
-		return false
+	w.told = max(w.told, acknowledged)
+	if w.gone || report.Clock < w.reported {
+		h.takeEnds(w, report) // The rest is outdated: the report was under way as the worker was given up, or a newer one has overtaken it.
+		return !w.gone && w.applied > w.acknowledged
 	}
 	if w.failures > 0 || w.clock == 0 {
 		h.changed = true
 		h.signal()
 	}
 	w.heard(report.Clock)
+	w.reported = report.Clock
 	w.failures, w.lookedAt = 0, time.Now()
 	h.charge(h.losses.Returned(w.ID))
-	w.told = max(w.told, acknowledged)
-	present := map[job.Task]int{}
 	for i := range report.Running {
-		x := &report.Running[i]
-		present[x.Task] = x.Run
-		h.seen(w, x)
+		h.seen(w, &report.Running[i])
 	}
-	for i := range report.Ended {
-		e := &report.Ended[i]
-		present[e.Task] = max(present[e.Task], e.Run)
-		h.takeEnd(w, e)
+	h.takeEnds(w, report)
+	if !report.More {
+		h.settleAbsent(w, present(report), sent)
 	}
-	w.forgetEnds()
-	h.settleAbsent(w, present, sent)
 	now := time.Now()
 	h.endStalls(w, now)
 	h.endLagging(w, now)
@@ -289,23 +279,17 @@
 	return w.applied > w.acknowledged
 }
 
-// takeEnd takes in an end that a worker lists.
-func (h *shard) takeEnd(w *workerState, e *fleet.End) {
-	isNew := w.isNew(e)
-	if e.Number <= w.applied {
-		if isNew {
-			h.noteUnfollowed(w, e, passedOver)
-		}
-		return
-	}
-	w.applied = e.Number
-	r := w.runs[e.Task]
-	if r == nil || r.number != e.Run || r.stray {
-		h.noteUnfollowed(w, e, h.whyUnfollowed(w, e))
+// present is the newest run of each task that a report lists, as running or ended.
+func present(report *fleet.Report) map[job.Task]int {
+	runs := map[job.Task]int{}
+	for i := range report.Running {
+		runs[report.Running[i].Task] = report.Running[i].Run
 	}
-	if r != nil && r.number == e.Run {
-		h.endRun(w, r, e.Outcome, e.Saved)
+	for i := range report.Ended {
+		e := &report.Ended[i]
+		runs[e.Task] = max(runs[e.Task], e.Run)
 	}
+	return runs
 }
 
 // seen takes in a run that a worker has.
--- a/internal/scheduler/sight.go
+++ b/internal/scheduler/sight.go
@@ -85,7 +85,7 @@
 const (
 	// givenUpKept is how long it is remembered that runs of a worker were given up: far longer than any lease.
 	givenUpKept = 5 * time.Minute
-	// givenUpMost bounds those that are remembered: more workers than a site has.
+	// givenUpMost bounds those that are remembered, and the runs of a job: more workers than a site has.
 	givenUpMost = 4096
 )
 
@@ -106,7 +106,7 @@
 
 // noteGivenUp remembers that a run was taken for over. Lasting tasks are started again however they end.
 func (j *liveJob) noteGivenUp(w *workerState, r *run, now time.Time) {
-	if j.Request.Steps[r.task.Step].Lasting {
+	if j.Request.Steps[r.task.Step].Lasting || len(j.givenUp) >= givenUpMost {
 		return
 	}
 	if j.givenUp == nil {
@@ -168,8 +168,7 @@
 type unfollowed int
 
 const (
-	passedOver unfollowed = iota // Its number is not above the last that was taken in.
-	unknownJob
+	unknownJob unfollowed = iota
 	unknownTask
 	runGivenUp // The run was taken for over.
 	runKnown   // It is the task's last run there, and its end is known.
@@ -178,69 +177,60 @@
 
 // String returns the reason for logs.
 func (u unfollowed) String() string {
-	return [...]string{"its number is not above the last", "no such job", "no such task", "the run was given up", "the run's end is known", "another run is the last"}[u]
+	return [...]string{"no such job", "no such task", "the run was given up", "the run's end is known", "another run is the last"}[u]
 }
 
 // name is the reason as a part of a counter's name.
 func (u unfollowed) name() string {
-	return [...]string{"passed_over", "unknown_job", "unknown_task", "given_up", "known", "other_run"}[u]
+	return [...]string{"unknown_job", "unknown_task", "given_up", "known", "other_run"}[u]
 }
 
-// whyUnfollowed is why an end that was not passed over ends no run that is followed.
-func (h *shard) whyUnfollowed(w *workerState, e *fleet.End) unfollowed {
+// unfollowedEnd is an end that ends no run that is followed, for logs.
+type unfollowedEnd struct {
+	*fleet.End
+	Worker *workerState
+	Why    unfollowed
+	Stood  job.TaskProgress // Where the task stood.
+	Back   *givenUp         // How the worker was given up before, nil if it was not.
+	Counts bool             // It changed something.
+}
+
+func (h *shard) unfollowedEnd(w *workerState, e *fleet.End) *unfollowedEnd {
+	u := &unfollowedEnd{End: e, Worker: w, Back: h.givenUp[w.ID]}
 	j := h.jobs[e.Task.Job]
 	if j == nil {
-		return unknownJob
-	}
-	p, ok := j.Task(e.Task)
-	if !ok {
-		return unknownTask
-	}
-	if _, ok := j.givenUp[runKey{e.Task, e.Run, w.ID}]; ok {
-		return runGivenUp
-	}
-	if p.Run == e.Run && p.Worker == w.ID {
-		return runKnown
+		return u
+	}
+	known := false
+	u.Stood, known = j.Task(e.Task)
+	_, lost := j.givenUp[runKey{e.Task, e.Run, w.ID}]
+	switch {
+	case !known:
+		u.Why = unknownTask
+	case lost:
+		u.Why = runGivenUp
+	case u.Stood.Run == e.Run && u.Stood.Worker == w.ID:
+		u.Why = runKnown
+	default:
+		u.Why = otherRun
+	}
+	return u
+}
+
+// noteUnfollowed logs an end that ended no run that is followed.
+func (h *shard) noteUnfollowed(u *unfollowedEnd) {
+	h.Figures.Count("ends_unfollowed_" + u.Why.name())
+	if u.Counts {
+		h.Figures.Count("ends_unfollowed_counted")
 	}
-	return otherRun
-}
-
-// noteUnfollowed logs an end that ends no run that is followed.
-func (h *shard) noteUnfollowed(w *workerState, e *fleet.End, why unfollowed) {
-	h.Figures.Count("ends_unfollowed_" + why.name())
 	fields := []zap.Field{
-		zap.String("task", e.Task.String()), zap.Int("run", e.Run), zap.Stringer("outcome", e.Outcome), zap.Int64("number", e.Number),
-		zap.String("worker", w.ID), zap.Stringer("why", why), zap.Int64("last_taken", w.applied), zap.Int64("told", w.told), zap.Bool("gone", w.gone),
+		zap.String("task", u.Task.String()), zap.Int("run", u.Run), zap.Stringer("outcome", u.Outcome), zap.Bool("counts", u.Counts),
+		zap.Int64("number", u.Number), zap.String("worker", u.Worker.ID), zap.Stringer("why", u.Why), zap.Int64("last_taken", u.Worker.applied),
+		zap.Int64("told", u.Worker.told), zap.Bool("gone", u.Worker.gone),
+		zap.Stringer("task_state", u.Stood.State), zap.Int("task_run", u.Stood.Run), zap.String("task_worker", u.Stood.Worker),
 	}
-	if p, ok := h.jobTask(e.Task); ok {
-		fields = append(fields, zap.Stringer("task_state", p.State), zap.Int("task_run", p.Run), zap.String("task_worker", p.Worker))
-	}
-	if g := h.givenUp[w.ID]; g != nil {
-		fields = append(fields, zap.Duration("given_up_ago", time.Since(g.at)), zap.Stringer("given_up_for", g.cause))
+	if u.Back != nil {
+		fields = append(fields, zap.Duration("given_up_ago", time.Since(u.Back.at)), zap.Stringer("given_up_for", u.Back.cause))
 	}
 	h.Log.Info("scheduler: end of a run that is not followed", fields...)
 }
-
-// noteUnfollowedOfGone logs an end in a report that comes after its worker was given up.
-func (h *shard) noteUnfollowedOfGone(w *workerState, e *fleet.End) {
-	if w.isNew(e) {
-		h.noteUnfollowed(w, e, h.whyUnfollowed(w, e))
-	}
-}
-
-// isNew reports whether an end is listed for the first time, and remembers it until the worker is told to forget it.
-func (w *workerState) isNew(e *fleet.End) bool {
-	if e.Number <= w.told || w.listedEnds[e.Number] {
-		return false
-	}
-	if w.listedEnds == nil {
-		w.listedEnds = map[int64]bool{}
-	}
-	w.listedEnds[e.Number] = true
-	return true
-}
-
-// forgetEnds forgets which ends were listed that the worker was told to forget.
-func (w *workerState) forgetEnds() {
-	maps.DeleteFunc(w.listedEnds, func(number int64, _ bool) bool { return number <= w.told })
-}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -74,20 +74,20 @@
 	laggedAt     time.Time     // When a gang's member last showed it to be slow.
 	overdue      float64       // How many times longer than others its runs took at its last report.
 	wake         chan struct{}
-	clock        int64          // Worker's clock at clockAt; 0 before the first answer.
-	clockAt      time.Time      // When that answer came.
-	lookedAt     time.Time      // When the last look was answered.
-	lastOrder    time.Time      // When the last order that renews the lease was sent.
-	applied      int64          // Number of the last end that was taken in.
-	acknowledged int64          // Number of the last end whose effect is committed.
-	told         int64          // Number of the last end that the worker was told to forget.
-	listedEnds   map[int64]bool // Numbers of the ends that were listed and are not forgotten.
-	failures     int            // Orders in a row without an answer.
-	hungUp       bool           // It closed a connection as its end does, and has not answered since.
-	leavesAt     time.Time      // When the time that it said it had left is over; zero before it said so.
-	soundSince   time.Time      // When the newest run began there that has not failed at once.
-	failedAt     time.Time      // When a run last failed there as soon as it had begun.
-	unhealthy    time.Time      // Takes no new runs until then.
+	clock        int64     // Worker's clock at clockAt; 0 before the first answer.
+	clockAt      time.Time // When that answer came.
+	reported     int64     // Its clock in the newest report.
+	lookedAt     time.Time // When the last look was answered.
+	lastOrder    time.Time // When the last order that renews the lease was sent.
+	applied      int64     // Number up to which all ends are taken in.
+	acknowledged int64     // Number of the last end whose effect is committed.
+	told         int64     // Number of the last end that the worker was told to forget.
+	failures     int       // Orders in a row without an answer.
+	hungUp       bool      // It closed a connection as its end does, and has not answered since.
+	leavesAt     time.Time // When the time that it said it had left is over; zero before it said so.
+	soundSince   time.Time // When the newest run began there that has not failed at once.
+	failedAt     time.Time // When a run last failed there as soon as it had begun.
+	unhealthy    time.Time // Takes no new runs until then.
 	doubt        doubt
 	slow         slowness
 	gone         bool
