--- a/internal/ledger/faults_test.go
+++ b/internal/ledger/faults_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/frankban/quicktest"
 	"github.com/pulleyring/pulleyring/internal/emulator"
@@ -33,7 +34,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx := context.Background()
 		l := &ledger.Ledger{Store: emulator.NewStore(1).For("box-1", &emulator.Gate{}), Shard: "main"}
-		tenure, err := l.Claim(ctx, "box-1/a", ledger.Lease{})
+		tenure, err := l.Claim(ctx, "box-1/a", ledger.Lease{}, time.Now())
 		quicktest.Assert(t, err, quicktest.IsNil)
 		p := &job.Progress{State: job.Failed, Tasks: make([]job.TaskProgress, 3), GangRuns: []int{0}}
 		p.Losses = map[int]job.Losses{2: {All: 4, Counted: 3, AtOnce: 3}}
@@ -61,7 +62,7 @@
 		ctx := context.Background()
 		rows := &counting{Store: emulator.NewStore(1).For("box-1", &emulator.Gate{})}
 		l := &ledger.Ledger{Store: rows, Shard: "main"}
-		tenure, err := l.Claim(ctx, "box-1/a", ledger.Lease{})
+		tenure, err := l.Claim(ctx, "box-1/a", ledger.Lease{}, time.Now())
 		quicktest.Assert(t, err, quicktest.IsNil)
 		b := &ledger.Batch{Progress: map[job.ID]*job.Progress{}, Summary: &ledger.Summary{}, Addresses: map[int]ledger.Addresses{}, Release: true}
 		for n := 0; n < ledger.MaxBatchRows; {
--- a/internal/ledger/lease.go
+++ b/internal/ledger/lease.go
@@ -47,15 +47,16 @@
 
 // Tenure is the time in which a box holds a shard's lease. Only one goroutine may commit.
 type Tenure struct {
-	Claimed time.Time // When the claim was sent: nobody held the lease after this tenure's predecessor before.
+	Claimed time.Time // When the claim was sent: the lease was held at some time after that.
+	Quiet   time.Time // No predecessor committed anything after that.
 
 	ledger *Ledger
 	lease  Lease
 }
 
-// Claim takes the lease from its holder as it was seen. The error is ErrReplaced where another box was faster.
-func (l *Ledger) Claim(ctx context.Context, holder string, seen Lease) (*Tenure, error) {
-	t := &Tenure{Claimed: time.Now(), ledger: l, lease: Lease{Holder: holder, Epoch: seen.Epoch + 1, Version: seen.Version}}
+// Claim takes the lease from its holder as it was seen, and unchanged since a time. The error is ErrReplaced where another box was faster.
+func (l *Ledger) Claim(ctx context.Context, holder string, seen Lease, since time.Time) (*Tenure, error) {
+	t := &Tenure{Claimed: time.Now(), Quiet: since, ledger: l, lease: Lease{Holder: holder, Epoch: seen.Epoch + 1, Version: seen.Version}}
 	raw, err := cbor.Marshal(t.lease)
 	if err != nil {
 		return nil, errors.Wrap(err, "ledger: unable to encode a lease")
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -56,7 +56,7 @@
 			pause = standbyPoll
 		}
 		if time.Since(since) >= patience {
-			n.hold(ctx, lease)
+			n.hold(ctx, lease, since)
 			since = time.Time{}
 			continue
 		}
@@ -94,8 +94,8 @@
 }
 
 // hold claims the lease and schedules until it is lost.
-func (n *Node) hold(ctx context.Context, lease ledger.Lease) {
-	tenure, err := n.ledger.Claim(ctx, n.holder, lease)
+func (n *Node) hold(ctx context.Context, lease ledger.Lease, since time.Time) {
+	tenure, err := n.ledger.Claim(ctx, n.holder, lease, since)
 	if err != nil {
 		if !errors.Is(err, ledger.ErrReplaced) {
 			n.log.Warn("node: unable to claim the lease", logsink.Error(err))
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -11,7 +11,7 @@
 	leavingLength = 2500 * time.Millisecond
 	// renewedFor is how long after its last commit a tenure renews leases: one that was replaced and can't hear of it must end some time, as its
 	// successor can't reach every worker that it can. In an outage of the store what runs lives on for that long and a lease more.
-	renewedFor = 10 * time.Second
+	renewedFor = 8 * time.Second
 	// killSlack is how much later than a stop may take a worker has ended what its lease allowed: for processes on a busy machine.
 	killSlack = 300 * time.Millisecond
 )
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -105,7 +105,8 @@
 	changed    bool                   // Something happened that a decision may depend on.
 	replaced   bool                   // Another box holds the lease.
 	lastPass   time.Time
-	held       time.Time // When the last commit that succeeded was begun: the lease was surely held then.
+	held       time.Time // When the last commit that succeeded was begun: the lease was surely held at some time after.
+	quiet      time.Time // No predecessor committed anything after that.
 	learned    estimates
 	outbreak   outbreak
 	addresses  addresses
@@ -135,7 +136,7 @@
 func (s *Scheduler) Run(ctx context.Context, tenure *ledger.Tenure) error {
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	h := newShard(inner, s, tenure)
-	h.held = tenure.Claimed
+	h.held, h.quiet = tenure.Claimed, tenure.Quiet
 	defer h.ordering.Wait()
 	defer cancel()
 	version, listing, err := h.takeOver(ctx)
--- a/internal/scheduler/silence.go
+++ b/internal/scheduler/silence.go
@@ -19,7 +19,7 @@
 		}
 		return
 	}
-	if w.failures == 0 || !time.Now().After(w.leases.over) {
+	if w.failures == 0 || time.Now().Before(w.leases.over) {
 		return
 	}
 	if !w.listed {
--- a/internal/scheduler/talk.go
+++ b/internal/scheduler/talk.go
@@ -15,17 +15,17 @@
 func (h *shard) talk(w *workerState) {
 	pause := lookRetry
 	for h.ctx.Err() == nil {
-		look, target, idle, gone := h.nextLook(w)
-		if gone {
+		next := h.nextLook(w)
+		if next.gone {
 			return
 		}
-		if idle {
+		if next.idle {
 			interval.SleepOrWoken(h.ctx, idlePause, w.wake)
 			continue
 		}
-		sent := time.Now()
-		ctx, cancel := context.WithTimeout(h.ctx, look.Wait+answerTimeout)
-		report, err := h.Orders.Look(ctx, &target, look)
+		look, sent := &next.look, time.Now()
+		ctx, cancel := context.WithTimeout(h.ctx, next.within)
+		report, err := h.Orders.Look(ctx, &next.target, look)
 		cancel()
 		if h.ctx.Err() != nil {
 			return
@@ -35,7 +35,7 @@
 		}
 		if err != nil {
 			h.lookFailed(w, err)
-			interval.SleepOrWoken(h.ctx, pause, nil)
+			interval.SleepOrWoken(h.ctx, h.untilOver(w, pause), nil)
 			pause = min(2*pause, lookRetryMost)
 			continue
 		}
@@ -48,21 +48,30 @@
 	}
 }
 
+// nextLook is what to do next about a worker.
+type nextLook struct {
+	look   fleet.Look
+	target fleet.Worker
+	within time.Duration // Its answer is waited for so long.
+	idle   bool          // There is nothing to look for.
+	gone   bool          // The worker is gone.
+}
+
 // nextLook says what to look for: nothing while the worker has no runs and nothing to forget.
-func (h *shard) nextLook(w *workerState) (look *fleet.Look, target fleet.Worker, idle, gone bool) {
+func (h *shard) nextLook(w *workerState) nextLook {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.judgeSilence(w)
 	if w.gone {
-		return nil, target, false, true
+		return nextLook{gone: true}
 	}
 	if w.Address == "" {
-		return nil, target, true, false
+		return nextLook{idle: true}
 	}
 	if len(w.runs) == 0 && w.clock != 0 && w.told >= w.acknowledged && w.failures == 0 {
-		return nil, target, true, false
+		return nextLook{idle: true}
 	}
-	look = &fleet.Look{Token: h.tenure.Epoch(), Acknowledged: w.acknowledged}
+	look := fleet.Look{Token: h.tenure.Epoch(), Acknowledged: w.acknowledged}
 	// A silent worker's leases are not renewed: they must be surely over some time.
 	if w.clock != 0 && len(w.runs) > 0 && w.failures == 0 {
 		look.Lease = h.renew(w)
@@ -70,7 +79,24 @@
 			look.Wait = w.lookWait()
 		}
 	}
-	return look, w.Worker, false, false
+	return nextLook{look: look, target: w.Worker, within: w.untilOver(look.Wait + answerTimeout)}
+}
+
+// leastWait is how long an answer or a pause is waited for at least.
+const leastWait = 20 * time.Millisecond
+
+// untilOver is a time to wait, cut where the leases of a silent worker are over before: what ran there was taken up again up to 1.5 s later otherwise.
+func (w *workerState) untilOver(wait time.Duration) time.Duration {
+	if w.failures == 0 || len(w.runs) == 0 {
+		return wait
+	}
+	return min(wait, max(time.Until(w.leases.over), leastWait))
+}
+
+func (h *shard) untilOver(w *workerState, wait time.Duration) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return w.untilOver(wait)
 }
 
 // lookWait is how long a look waits for an end.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -229,7 +229,7 @@
 // predecessor then.
 func (h *shard) newWorker(id string) *workerState {
 	w := &workerState{runs: map[job.Task]*run{}, wake: make(chan struct{}, 1), unlisted: time.Now(), since: time.Now(), failures: 1}
-	w.leases.extend(h.Bounds.longestLease(time.Now().Add(renewedFor)))
+	w.leases.extend(h.Bounds.longestLease(h.quiet.Add(renewedFor)))
 	w.ID, w.Address = id, h.addresses.before[id]
 	h.workers[id] = w
 	h.roster = nil
