Leave nothing to run on a worker in its last moments

Cause: a run that ends in the last 1 to 3 ms of a leaving worker's process ends with nobody to hear of it, and counts as known all the same while nothing else is wrong; its task, started again whenever, runs twice. Besides, what is left there is lost with the worker and waits for its leases now. Change: what runs on a worker that leaves is stopped as late as its stop surely takes effect before the worker may be gone, if it does not end before by what it told of its progress, and whatever is left 150 ms before all the same. That time is counted from when the record can have been written at the earliest (feedAge), not from when it was read. At a take-over the age of a record is not known, and nothing is left at once.

--- a/internal/scheduler/follow_test.go
+++ b/internal/scheduler/follow_test.go
@@ -36,7 +36,7 @@
 		d := &fullDirectory{full: 3, done: done}
 		h := keptShard()
 		h.Directory, h.ctx = d, ctx
-		h.followWorkers(0)
+		h.followWorkers(0, feedAge{})
 		h.ordering.Wait()
 		for i := 1; i < len(d.asked); i++ {
 			pause := time.Duration(0)
@@ -48,3 +48,27 @@
 		quicktest.Assert(t, len(d.asked), quicktest.Equals, d.full+2)
 	})
 }
+
+// TestAgeOfNews: a worker that leaves tells how much time it has left, counted from when it wrote that. Counted from when a box read it, the last runs there
+// ended in the last ms of its process, with nobody to hear of it.
+func TestAgeOfNews(t *testing.T) {
+	const ms = time.Millisecond
+	begin := time.Now()
+	at := func(d time.Duration) time.Time { return begin.Add(d) }
+	age := feedAge{at(0)}
+	for _, c := range []struct {
+		name        string
+		began, came time.Duration
+		more        bool
+		want        time.Duration
+	}{
+		{"answered at once: written since the last read began", 300 * ms, 305 * ms, false, 0},
+		{"answered when there was something", 600 * ms, 1600 * ms, false, 1500 * ms},
+		{"at once after that", 1900 * ms, 1905 * ms, false, 1500 * ms},
+		{"full", 2200 * ms, 2205 * ms, true, 1900 * ms},
+		{"what a full answer left out", 2205 * ms, 2210 * ms, false, 1900 * ms},
+		{"after all was read", 2510 * ms, 2515 * ms, false, 2205 * ms},
+	} {
+		quicktest.Check(t, age.took(at(c.began), at(c.came), c.more), quicktest.Equals, at(c.want), quicktest.Commentf(c.name))
+	}
+}
--- a/internal/scheduler/leaving.go
+++ b/internal/scheduler/leaving.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pulleyring/pulleyring/internal/fleet"
+	"github.com/pulleyring/pulleyring/internal/interval"
 	"go.uber.org/zap"
 )
 
@@ -16,6 +17,10 @@
 	beginsWithin = 500 * time.Millisecond
 	// leavingSlack is how much longer than its worker stays a run must need to be given up, as a share of that need.
 	leavingSlack = 0.05
+	// stopMargin is how much earlier than its stop takes at most a run on a worker that leaves is stopped: for the order and the look that brings the end.
+	stopMargin = 200 * time.Millisecond
+	// lastMoments is how long before a worker may be gone nothing is left to run there.
+	lastMoments = 150 * time.Millisecond
 )
 
 // departure is a run on a worker that leaves.
@@ -73,6 +78,45 @@
 	}
 }
 
+// clearLeaving stops what is left on a worker before it may be gone: a run that ended in the last moments of its process ends with nobody to hear of
+// it, and what is lost with the worker waits until its leases are over. First those that don't end in time, as late as their stops surely
+// take effect; then whatever is left all the same.
+func (h *shard) clearLeaving(w *workerState, leaves time.Time) {
+	h.stopLeft(w, leaves.Add(-h.Bounds.StopTime-stopMargin), func(r *run) bool { return !r.endsBefore(leaves.Add(-lastMoments)) })
+	h.stopLeft(w, leaves.Add(-lastMoments), func(*run) bool { return true })
+}
+
+// stopLeft stops, at a time, those of a worker's runs that are to be stopped, each with its gang.
+func (h *shard) stopLeft(w *workerState, at time.Time, isLeft func(*run) bool) {
+	if !interval.Sleep(h.ctx, max(time.Until(at), 0)) {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, r := range w.runs {
+		if r.held.stopping || !isLeft(r) {
+			continue
+		}
+		h.Figures.Count("runs_cleared")
+		for _, m := range r.held.runs {
+			h.stop(m.worker, m, "a worker is about to leave")
+		}
+	}
+}
+
+// endsBefore reports whether a run should end before a time, by what its worker told of its progress.
+func (r *run) endsBefore(at time.Time) bool {
+	p := &r.progress
+	if ends, known := p.end(); !known.IsZero() {
+		return ends.Before(at)
+	}
+	if r.saved != "" || r.confirmed.IsZero() || p.share <= 0 {
+		return false
+	}
+	whole := seconds(p.at.Sub(r.confirmed).Seconds() / p.share) // At most: the share is told rounded down.
+	return r.confirmed.Add(whole).Before(at)
+}
+
 // departureOf is how a run on a leaving worker stands; one whose progress is not known, or that went on from a saved state, has not
 // worked.
 func (h *shard) departureOf(w *workerState, r *run, now time.Time) departure {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -32,7 +32,8 @@
 	Workers []fleet.Worker
 	Gone    []string
 	Version int64
-	More    bool // More has changed since: the answer was full.
+	More    bool      // More has changed since: the answer was full.
+	AsOf    time.Time // Changes in it were made after that; zero where that is not known. The scheduler sets it.
 }
 
 // Bounds are the site's times that bear on orders.
@@ -139,6 +140,7 @@
 	h.held, h.quiet = tenure.Claimed, tenure.Quiet
 	defer h.ordering.Wait()
 	defer cancel()
+	began := time.Now()
 	version, listing, err := h.takeOver(ctx)
 	if ctx.Err() != nil {
 		return h.giveBack()
@@ -149,7 +151,7 @@
 	s.live.Store(h)
 	defer s.live.Store(nil)
 	h.ordering.Go(func() { h.followJobs(version) })
-	h.ordering.Go(func() { h.followWorkers(listing) })
+	h.ordering.Go(func() { h.followWorkers(listing, feedAge{began}) })
 	h.ordering.Go(h.forgetLoop)
 	return h.commitLoop(ctx)
 }
@@ -269,26 +271,3 @@
 func (h *shard) noteStore(err error, call string) {
 	h.Log.Warn("scheduler: the store failed a call", zap.String("call", call), logsink.Error(err))
 }
-
-// followWorkers takes in the workers' records as they change.
-func (h *shard) followWorkers(version int64) {
-	for h.ctx.Err() == nil {
-		listing, err := h.Directory.WatchWorkers(h.ctx, version, workersQuiet)
-		whole := err != nil || len(listing.Workers)+len(listing.Gone) == 0
-		if whole {
-			listing, err = h.Directory.Workers(h.ctx)
-		}
-		if err != nil {
-			h.noteStore(err, "follow workers")
-			interval.Sleep(h.ctx, retryPause)
-			continue
-		}
-		version = listing.Version
-		h.mu.Lock()
-		h.takeListing(listing, whole)
-		h.mu.Unlock()
-		if !listing.More {
-			interval.Sleep(h.ctx, workersPause)
-		}
-	}
-}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -137,7 +137,7 @@
 	listed := map[string]bool{}
 	for i := range l.Workers {
 		listed[l.Workers[i].ID] = true
-		h.addWorker(&l.Workers[i])
+		h.addWorker(&l.Workers[i], l.AsOf)
 		if !whole {
 			h.noteHeartbeat(l.Workers[i].ID)
 		}
@@ -154,7 +154,8 @@
 	}
 }
 
-func (h *shard) addWorker(record *fleet.Worker) {
+// addWorker takes in a worker's record, which was written after a time if it is new.
+func (h *shard) addWorker(record *fleet.Worker, asOf time.Time) {
 	if h.workers[record.ID] == nil {
 		h.noteRecorded(record.ID, false)
 	}
@@ -181,6 +182,7 @@
 	leaves := record.Draining && w.leavesAt.IsZero()
 	if leaves {
 		w.leavesAt = time.Now().Add(record.Leaves)
+		h.ordering.Go(func() { h.clearLeaving(w, asOf.Add(record.Leaves)) })
 	}
 	if w.Address != record.Address {
 		h.addresses.changed(record.ID)
