Start no task while a run of it that was given up goes on

Cause: a run that is found to go on after it was given up is stopped, which takes up to the longest stop; its task could be placed meanwhile, elsewhere or on the same worker, where the new run took the old one's place in the books and its room stayed taken. Change: a task of which such a run is known is held until that has ended. A run whose task the job doesn't have is no run of it (its step was looked up unchecked).

--- a/internal/scheduler/loss.go
+++ b/internal/scheduler/loss.go
@@ -216,8 +216,22 @@
 	return some
 }
 
-// isHeld reports whether a task is not to start, because workers have fallen silent under it and may have crashed.
+// stray counts the runs of a task that are found to go on though they are not followed.
+func (j *liveJob) stray(t job.Task, change int) {
+	if j.strays == nil {
+		j.strays = map[job.Task]int{}
+	}
+	if j.strays[t] += change; j.strays[t] <= 0 {
+		delete(j.strays, t)
+	}
+}
+
+// isHeld reports whether a task is not to start, because a run of it goes on that is being stopped, or because workers have fallen silent under it and may
+// have crashed.
 func (h *shard) isHeld(j *liveJob, t job.Task) bool {
+	if j.strays[t] > 0 {
+		return true
+	}
 	return len(j.Progress.Losses) > 0 && h.losses.Weigh(t, j.LossesOf(t), time.Now()) != loss.Free
 }
 
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -317,11 +317,12 @@
 
 // stray stops a run that nobody placed, or that was given up.
 func (h *shard) stray(w *workerState, x *fleet.Run) {
-	if p, ok := h.jobTask(x.Task); ok && p.State == job.Finished && p.Run == x.Run {
+	p, ok := h.jobTask(x.Task)
+	if ok && p.State == job.Finished && p.Run == x.Run {
 		return // A gang's member whose end is about to be listed.
 	}
 	r := &run{task: x.Task, number: x.Run, confirmed: time.Now(), placed: time.Now(), job: h.jobs[x.Task.Job], stray: true}
-	if r.job == nil || w.runs[x.Task] != nil {
+	if !ok || w.runs[x.Task] != nil {
 		h.Log.Warn("scheduler: unknown run", zap.String("task", x.Task.String()), zap.Int("run", x.Run), zap.String("worker", w.ID))
 		order, target := &fleet.Stop{Task: x.Task, Run: x.Run, Token: h.tenure.Epoch()}, w.Worker
 		h.ordering.Go(func() {
@@ -335,6 +336,7 @@
 	}
 	r.each = r.job.Request.Steps[x.Task.Step].Each
 	h.addRun(w, r)
+	r.job.stray(r.task, 1)
 	h.stop(w, r, "nobody placed it here")
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -130,6 +130,7 @@
 	covered bool                 // Within its workspace's guarantee, as of the last decision.
 	apart   map[job.ID]bool      // Jobs that were lost together with it, apartMost of them at most.
 	givenUp map[runKey]time.Time // Runs that were taken for over without their worker's word.
+	strays  map[job.Task]int     // Runs that are not followed and were found to go on, by task.
 }
 
 // Run schedules the shard until the lease is lost or ctx ends; in the latter case the lease is given back. It returns
--- a/internal/scheduler/silence_test.go
+++ b/internal/scheduler/silence_test.go
@@ -95,3 +95,22 @@
 		quicktest.Check(t, seen.leases.over, quicktest.Equals, after.Bounds.longestLease(time.Now()))
 	})
 }
+
+// TestNothingStartsBesideAStrayRun: a run that was given up is found to go on after all, and is being stopped. Its task could be started elsewhere meanwhile, or on the
+// same worker, where the new run took the place of the old one, whose room stayed taken.
+func TestNothingStartsBesideAStrayRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, w := silentShard()
+		w.Address = "" // The stop is not sent: there are no orders here.
+		h.loseRuns(w, leasesOver)
+		waiting := func() int { return len(h.demand(h.jobs["j"], job.Group{}, time.Now()).Waiting) }
+		quicktest.Check(t, waiting(), quicktest.Equals, 1)
+		task := job.Task{Job: "j"}
+		h.takeReport(w, &fleet.Report{Clock: 2, Running: []fleet.Run{{Task: task, Run: 1, Done: 0.5}}}, time.Now(), 0)
+		quicktest.Check(t, waiting(), quicktest.Equals, 0)
+		quicktest.Check(t, w.used, quicktest.Equals, job.Resources{Accelerators: 1})
+		h.takeReport(w, &fleet.Report{Clock: 3, Ended: []fleet.End{{Number: 1, Task: task, Run: 1, Outcome: job.Stopped}}}, time.Now(), 0)
+		quicktest.Check(t, waiting(), quicktest.Equals, 1)
+		quicktest.Check(t, w.used, quicktest.Equals, job.Resources{})
+	})
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -274,6 +274,9 @@
 		return
 	}
 	delete(w.runs, r.task)
+	if r.stray {
+		r.job.stray(r.task, -1)
+	}
 	w.used = w.used.Sub(r.each)
 	if r.stopping {
 		w.freeing = w.freeing.Sub(r.each)
