Take another life's answer for proof only where the worker has answered itself

Cause: a record may come from another writer, or tell another address than the one at which its worker has answered; there any other worker answers that it is another life, and what ran on the first one was taken for over. Change: at an address other than that of its first order in this tenure another life's answer counts as no answer. Figures: a case of TestSignsThatNothingPromises, fails before, passes now.

--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -74,5 +74,6 @@
 func (h *shard) tookOrder(w *workerState) {
 	if !w.leases.own {
 		w.leases = leases{own: true, over: h.Bounds.longestLease(time.Now())}
+		w.home = w.Address
 	}
 }
--- a/internal/scheduler/silence_test.go
+++ b/internal/scheduler/silence_test.go
@@ -37,6 +37,7 @@
 	silent := func(h *shard, w *workerState) { h.lookFailed(w, fleet.ErrNoAnswer) }
 	unlisted := func(h *shard, w *workerState) { h.unlist(w.ID) }
 	due := func(_ *shard, w *workerState) { w.Draining, w.leavesAt = true, time.Now().Add(-time.Millisecond) }
+	moved := func(_ *shard, w *workerState) { w.home, w.Address = "10.0.0.1:80", "10.0.0.2:80" }
 	other := func(h *shard, w *workerState) { h.noteFailure(w, fleet.OtherLife, "look") }
 	for _, c := range []struct {
 		name  string
@@ -53,6 +54,7 @@
 		{"leaves, has no record and does not answer", []func(*shard, *workerState){due, unlisted, silent, silent}, false},
 		{"leaves, has no record, hangs up and refuses", []func(*shard, *workerState){due, unlisted, look, refused}, false},
 		{"another life answers", []func(*shard, *workerState){other}, true},
+		{"another life answers where its record has it now", []func(*shard, *workerState){moved, other}, false},
 		{"hangs up, and another life answers", []func(*shard, *workerState){look, refused, other}, true},
 	} {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/scheduler/talk.go
+++ b/internal/scheduler/talk.go
@@ -148,7 +148,7 @@
 // noteFailure takes in that a worker refused an order or did not answer it.
 func (h *shard) noteFailure(w *workerState, err error, order string) {
 	refusal, refused := refusalOf(err)
-	if !refused {
+	if !refused || refusal == fleet.OtherLife && !w.isHome() {
 		w.hungUp = w.hungUp || errors.Is(err, fleet.ErrHungUp)
 		h.Figures.Count("orders_unanswered")
 		w.failures++
@@ -170,6 +170,10 @@
 	h.signal()
 }
 
+// isHome reports whether the worker's address is the one at which it has answered. At another one, which a record told since, another life's answer says nothing
+// of it.
+func (w *workerState) isHome() bool { return w.home == "" || w.home == w.Address }
+
 // endTenure ends the tenure because a worker has seen a later holder's token.
 func (h *shard) endTenure(w *workerState) {
 	if !h.replaced {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -81,6 +81,7 @@
 	reported     int64     // Its clock in the newest report.
 	lookedAt     time.Time // When the last look was answered.
 	leases       leases
+	home         string    // Where it took its first order of this tenure.
 	applied      int64     // Number up to which all ends are taken in.
 	acknowledged int64     // Number of the last end whose effect is committed.
 	told         int64     // Number of the last end that the worker was told to forget.
