--- /dev/null
+++ b/internal/node/random_lives_test.go
@@ -0,0 +1,181 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestRandomLives plays drawn scripts of workers that live and look gone, or that end their process with their work, among jobs, take-overs and
+// outages of the store: no task runs twice, none is started beyond its attempts, and every accepted job ends.
+func TestRandomLives(t *testing.T) { checkDrawn(t, drawLives) }
+
+// leastLeft is how many workers of a drawn site stay, so that there is room for every job that is drawn.
+const leastLeft = 5
+
+// lives is a script of workers that look gone, as it is drawn.
+type lives struct {
+	*script
+	named int
+	lost  int // Workers that end, or take nothing any more.
+}
+
+func drawLives(r *rapid.T, shard int) []string {
+	s := &lives{script: &script{T: r, lines: []string{
+		fmt.Sprintf("boxes %d", drawnBoxes), fmt.Sprintf("workers %d rack 4", drawnWorkers), "heartbeats 1500ms",
+		"crashing back 2500ms recorded 4500ms",
+	}, killed: map[string]bool{}, gone: map[string]bool{}}}
+	for range shard {
+		_ = rapid.Uint64().Draw(r, "skipped")
+	}
+	s.work()
+	for range rapid.IntRange(2, 12).Draw(r, "steps") {
+		switch rapid.IntRange(0, 9).Draw(r, "what") {
+		case 0, 1:
+			s.work()
+		case 2:
+			s.boxFault()
+		case 3:
+			s.add("store %s", rapid.SampledFrom([]string{"busy", "silent", "up", "up", "slow 300ms", "lose 0.4", "cut holder", "refuse holder"}).Draw(r, "store"))
+		case 4:
+			s.pause(4000)
+		case 5:
+			s.add("part %s", rapid.SampledFrom([]string{"box-1", "box-2", "holder"}).Draw(r, "part"))
+		default:
+			s.looksGone()
+		}
+	}
+	s.add("store up")
+	s.add("sound")
+	return s.lines
+}
+
+// work draws a job whose tasks run long enough for something to happen to their workers.
+func (s *lives) work() {
+	s.job(500)
+	s.pause(1500)
+}
+
+func (s *lives) pause(most int) {
+	s.add("sleep %dms", rapid.IntRange(1, most).Draw(s.T, "ms"))
+}
+
+// meet names a worker on which a drawn task runs.
+func (s *lives) meet() string {
+	s.named++
+	name := fmt.Sprintf("x%d", s.named)
+	s.add("meet %s j%d %d %s", name, rapid.IntRange(1, s.jobs).Draw(s.T, "job"), rapid.IntRange(0, 3).Draw(s.T, "index"), s.worker())
+	return name
+}
+
+// looksGone draws what happens to one worker, or to two at a time.
+func (s *lives) looksGone() {
+	x := s.meet()
+	if rapid.IntRange(0, 3).Draw(s.T, "pair") == 0 {
+		y := s.meet()
+		s.begin(y)
+		s.one(x)
+		s.end(y)
+		return
+	}
+	s.one(x)
+}
+
+// one draws what happens to a worker.
+func (s *lives) one(x string) {
+	switch rapid.SampledFrom([]string{"away", "away", "away", "away", "leave", "unsaid", "with work", "with work", "held back", "fail", "replaced"}).Draw(s.T, "kind") {
+	case "leave":
+		if s.loses() {
+			s.add("drain %s %dms", x, rapid.SampledFrom([]int{500, 1800, 4000}).Draw(s.T, "leaves"))
+			s.pause(3000)
+			s.servesOn(x)
+		}
+	case "unsaid":
+		if s.loses() {
+			s.servesOn(x)
+		}
+	case "with work":
+		if s.loses() {
+			s.endsWith(x)
+		}
+	case "held back":
+		s.add("hold_back %s %dms", x, rapid.IntRange(1, 2500).Draw(s.T, "ms"))
+	case "fail":
+		s.add("%s %s", rapid.SampledFrom([]string{"fail", "spoil"}).Draw(s.T, "fault"), x)
+		s.begin(x)
+		s.pause(5000)
+		s.end(x)
+		s.add("well %s", x)
+		s.add("unspoil %s", x)
+	case "replaced":
+		s.add("%s %s others", rapid.SampledFrom([]string{"cut", "shut"}).Draw(s.T, "from"), x)
+		s.add("part holder")
+		s.add("store %s holder", rapid.SampledFrom([]string{"cut", "refuse"}).Draw(s.T, "how"))
+		s.pause(9000)
+		s.add("store up")
+		s.end(x)
+	default:
+		s.begin(x)
+		s.pause(9000)
+		s.end(x)
+	}
+}
+
+// loses reports whether one more worker may go.
+func (s *lives) loses() bool {
+	s.lost++
+	return s.lost <= drawnWorkers-leastLeft
+}
+
+// begin draws how a worker comes to look gone, or is hard to reach.
+func (s *lives) begin(x string) {
+	from := rapid.SampledFrom([]string{"", "", " holder", " others"}).Draw(s.T, "from")
+	switch rapid.SampledFrom([]string{"cut", "shut", "shut", "shut, cut", "mute", "late", "record"}).Draw(s.T, "sign") {
+	case "cut":
+		s.add("cut %s%s", x, from)
+	case "shut":
+		s.add("shut %s%s", x, from)
+	case "shut, cut":
+		s.add("shut %s", x)
+		s.pause(300)
+		s.add("cut %s", x)
+	case "mute":
+		s.add("mute %s %d", x, rapid.IntRange(1, 4).Draw(s.T, "orders"))
+	case "late":
+		s.add("late %s %d", x, rapid.IntRange(1, 4).Draw(s.T, "orders"))
+	}
+	if rapid.Bool().Draw(s.T, "forget") {
+		s.pause(1000)
+		s.add("forget %s", x)
+	}
+	if rapid.IntRange(0, 3).Draw(s.T, "take-over") == 0 {
+		s.boxFault()
+	}
+}
+
+// end ends what begin began.
+func (s *lives) end(x string) {
+	s.add("open %s", x)
+	s.add("heal %s", x)
+	s.add("record %s", x)
+}
+
+// servesOn has a worker lose its record, serve on with some answers lost, and end.
+func (s *lives) servesOn(x string) {
+	s.add("forget %s", x)
+	s.add("mute %s %d", x, rapid.IntRange(0, 3).Draw(s.T, "orders"))
+	s.pause(7000)
+	if rapid.Bool().Draw(s.T, "ends") {
+		s.add("end %s", x)
+	}
+}
+
+// endsWith has a worker's process end with a drawn job.
+func (s *lives) endsWith(x string) {
+	if rapid.Bool().Draw(s.T, "said") {
+		s.add("drain %s 4s", x)
+	}
+	words := rapid.SampledFrom([]string{"", " lost", " lost", " crash", " lost crash"}).Draw(s.T, "way")
+	s.add("ends_with j%d%s", rapid.IntRange(1, s.jobs).Draw(s.T, "job"), words)
+}
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -36,9 +36,11 @@
 //	kill|start|stop|freeze BOX [D]     of a box
 //	crash|end|cut|heal|fail|well|spoil|unspoil|stick|unstick|refuse|take|forget|record WORKER
 //	name NAME ID [INDEX]               NAME is the worker that runs a job's first task now, or the one of an index
+//	meet NAME ID INDEX WORKER          the same, and WORKER where it does not run
 //	cut WORKER [BOX]                   one box only, all but the holder ("others"), or all get no answer; until "heal WORKER"
 //	shut|open WORKER [BOX]             what stands in front of it is closed, for one box only or for all: connections end with a hang-up, new
 //	                                   ones find nobody listening, and the worker runs on
+//	sound                              all of this is over, for all workers
 //	hold_back WORKER D                 the next answer to a look comes so much later, after newer ones
 //	ends_with ID [lost] [crash]        a few ms after the next end of a task of a job as done its worker's process ends: it leaves, or
 //	                                   crashes; what it answers in that time gets through, or is lost
@@ -182,8 +184,10 @@
 		return w.tellCommand(words)
 	case "strike":
 		return w.strike(words[1], job.ID(words[2]))
-	case "name":
-		return w.nameWorker(words[1], words[2:])
+	case "name", "meet":
+		return w.nameWorker(words)
+	case "sound":
+		return w.sound()
 	case "ends_with":
 		w.endWith(job.ID(words[1]), words[2:])
 		return nil
--- a/internal/node/signs_test.go
+++ b/internal/node/signs_test.go
@@ -46,22 +46,27 @@
 	return slices.DeleteFunc(slices.Clone(w.order), func(name string) bool { return name == holder })
 }
 
-// nameWorker gives a name to the worker that runs a task of a job, once it runs: the first one, or the one of an index.
-func (w *world) nameWorker(name string, words []string) error {
-	task := job.Task{Job: job.ID(words[0])}
-	if len(words) > 1 {
+// nameWorker gives a name to the worker that runs a task of a job, the first one or the one of an index. It waits until the task runs, unless a
+// worker is given for that case.
+func (w *world) nameWorker(words []string) error {
+	task := job.Task{Job: job.ID(words[2])}
+	if len(words) > 3 {
 		var err error
-		if task.Index, err = strconv.Atoi(words[1]); err != nil {
+		if task.Index, err = strconv.Atoi(words[3]); err != nil {
 			return err
 		}
 	}
-	for end := time.Now().Add(strikeWithin); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		if worker, _ := w.fleet.WhereRuns(task); worker != "" {
-			w.names[name] = worker
-			return nil
+	worker, _ := w.fleet.WhereRuns(task)
+	if words[0] == "meet" && worker == "" {
+		worker = words[4]
+	}
+	for end := time.Now().Add(strikeWithin); worker == ""; time.Sleep(5 * time.Millisecond) {
+		if worker, _ = w.fleet.WhereRuns(task); time.Now().After(end) {
+			return errors.New("it does not run")
 		}
 	}
-	return errors.New("it does not run")
+	w.names[words[1]] = worker
+	return nil
 }
 
 // workerNamed is the worker of a name, which is its own where no script gave it.
@@ -77,6 +82,18 @@
 	w.fleet.EndWith(id, emulator.LastMoments{Lost: slices.Contains(words, "lost"), Crash: slices.Contains(words, "crash")})
 }
 
+// sound ends what was brought about on the workers that were added.
+func (w *world) sound() error {
+	for _, id := range w.workers {
+		for _, end := range []string{"open", "heal", "record", "well", "unspoil", "take", "unstick"} {
+			if err := w.workerCommand([]string{end, id}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 // attempts is how many failed runs of a task end a job of a queue.
 func (w *world) attempts(queueName string) int {
 	for i := range w.operator.current.Queues {
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -50,6 +50,7 @@
 	accepted map[job.ID]*job.Request
 	poisoned map[job.ID]bool   // Jobs with a task that crashes its workers.
 	names    map[string]string // Workers that the script has named.
+	workers  []string
 }
 
 // testBox is a box with the means to end it.
@@ -155,6 +156,7 @@
 
 func (w *world) addWorker(name string, rack int, hall string, capacity job.Resources) {
 	label := fmt.Sprintf("r%d", rack)
+	w.workers = append(w.workers, name)
 	w.fleet.Add(fleet.Worker{ID: name, Service: "s", Address: name, Hall: hall, Labels: []string{"a", label}, Rack: label, Capacity: capacity})
 }
 
