--- a/internal/emulator/ends.go
+++ b/internal/emulator/ends.go
@@ -72,6 +72,7 @@
 func (f *Fleet) acknowledged(w *worker, upTo int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.tell(Event{Kind: Acknowledged, Number: upTo})
 	for _, x := range f.judge.byWorker[w.record.ID] {
 		if x.number <= upTo {
 			f.judge.note(x)
@@ -92,6 +93,7 @@
 		f.judge.lapse(w.record.ID)
 	}
 	f.judge.leases[w.record.ID] = until
+	f.tell(Event{Kind: Leased, Until: until})
 }
 
 // noteEnd notes an end that says something of the task: of a gang one that is done stands for all members. The caller holds both locks.
--- a/internal/emulator/judge.go
+++ b/internal/emulator/judge.go
@@ -110,6 +110,7 @@
 func (f *Fleet) started(w *worker, a *activity) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.tell(Event{Kind: Began, Task: a.task, Run: a.number})
 	c := &f.judge.counts
 	c.Starts++
 	if at := f.judge.running[a.task]; at != "" {
@@ -173,6 +174,7 @@
 func (f *Fleet) ended(w *worker, a *activity, outcome job.Outcome) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.tell(Event{Kind: Ended, At: w.endedAt(outcome), Task: a.task, Run: a.number, Outcome: outcome, Number: w.count})
 	if f.judge.running[a.task] == w.record.ID {
 		delete(f.judge.running, a.task)
 	}
