--- a/internal/emulator/ends.go
+++ b/internal/emulator/ends.go
@@ -122,7 +122,7 @@
 func (f *Fleet) noteInCalm(w *worker, x *listedEnd) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if x.at.Sub(w.disturbed) <= calmFor || w.disturbed.After(x.at) || w.dead && w.told < x.number {
+	if x.at.Sub(w.disturbed) <= calmFor || w.disturbed.After(x.at) || w.hardToReach() || w.dead && w.told < x.number {
 		return
 	}
 	f.mu.Lock()
--- a/internal/emulator/signs.go
+++ b/internal/emulator/signs.go
@@ -95,6 +95,18 @@
 	return nil
 }
 
+// hardToReach reports whether a box may miss an answer of the worker, or get it late.
+func (w *worker) hardToReach() bool {
+	for _, from := range []map[string]bool{w.cutFrom, w.shutFrom} {
+		for _, away := range from {
+			if away {
+				return true
+			}
+		}
+	}
+	return w.cut || w.late > 0 || w.mute > 0 || w.holdBack > 0
+}
+
 // untilHangUp waits until a process ends that answers nothing any more.
 func untilHangUp(ctx context.Context, changed <-chan struct{}) error {
 	select {
