--- a/internal/node/commands_test.go
+++ b/internal/node/commands_test.go
@@ -249,6 +249,9 @@
 	if len(words) < 2 {
 		return fmt.Errorf("unknown command")
 	}
+	if words[1] == "all" {
+		return w.toAll(words)
+	}
 	id := w.workerNamed(words[1])
 	switch words[0] {
 	case "crash":
--- a/internal/node/random_lives_test.go
+++ b/internal/node/random_lives_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -84,7 +85,7 @@
 
 // one draws what happens to a worker.
 func (s *lives) one(x string) {
-	switch rapid.SampledFrom([]string{"away", "away", "away", "away", "leave", "unsaid", "with work", "with work", "held back", "fail", "replaced"}).Draw(s.T, "kind") {
+	switch rapid.SampledFrom([]string{"away", "away", "away", "away", "leave", "unsaid", "with work", "with work", "held back", "fail", "fail everywhere", "replaced", "island"}).Draw(s.T, "kind") {
 	case "leave":
 		if s.loses() {
 			s.add("drain %s %dms", x, rapid.SampledFrom([]int{500, 1800, 4000}).Draw(s.T, "leaves"))
@@ -108,6 +109,10 @@
 		s.end(x)
 		s.add("well %s", x)
 		s.add("unspoil %s", x)
+	case "fail everywhere":
+		s.failEverywhere(x)
+	case "island":
+		s.island()
 	case "replaced":
 		s.add("%s %s others", rapid.SampledFrom([]string{"cut", "shut"}).Draw(s.T, "from"), x)
 		s.add("part holder")
@@ -122,6 +127,33 @@
 	}
 }
 
+// failEverywhere has tasks use their attempts up, also over a take-over.
+func (s *lives) failEverywhere(x string) {
+	s.add("spoil all")
+	s.add("fail %s", x)
+	if rapid.Bool().Draw(s.T, "at once") {
+		s.boxFault()
+	}
+	s.begin(x)
+	s.pause(8000)
+	s.end(x)
+	s.add("unspoil all")
+	s.add("well %s", x)
+}
+
+// island has the box with the lease replaced while no other box reaches the workers.
+func (s *lives) island() {
+	s.job(8000)
+	s.lines[len(s.lines)-1] = strings.Replace(s.lines[len(s.lines)-1], "work ", "work 3", 1) // 38 s and more.
+	s.pause(1500)
+	s.add("%s all others", rapid.SampledFrom([]string{"cut", "shut"}).Draw(s.T, "from"))
+	s.add("part holder")
+	s.add("store %s holder", rapid.SampledFrom([]string{"cut", "refuse"}).Draw(s.T, "how"))
+	s.pause(30000)
+	s.add("store up")
+	s.end("all")
+}
+
 // loses reports whether one more worker may go.
 func (s *lives) loses() bool {
 	s.lost++
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -35,6 +35,7 @@
 //	sleep DURATION
 //	kill|start|stop|freeze BOX [D]     of a box
 //	crash|end|cut|heal|fail|well|spoil|unspoil|stick|unstick|refuse|take|forget|record WORKER
+//	                                   "all" stands for every worker, there and in the lines on workers that follow
 //	name NAME ID [INDEX]               NAME is the worker that runs a job's first task now, or the one of an index
 //	meet NAME ID INDEX WORKER          the same, and WORKER where it does not run
 //	cut WORKER [BOX]                   one box only, all but the holder ("others"), or all get no answer; until "heal WORKER"
--- a/internal/node/signs_test.go
+++ b/internal/node/signs_test.go
@@ -56,17 +56,17 @@
 			return err
 		}
 	}
-	worker, _ := w.fleet.WhereRuns(task)
-	if words[0] == "meet" && worker == "" {
-		worker = words[4]
-	}
-	for end := time.Now().Add(strikeWithin); worker == ""; time.Sleep(5 * time.Millisecond) {
-		if worker, _ = w.fleet.WhereRuns(task); time.Now().After(end) {
-			return errors.New("it does not run")
+	for end := time.Now().Add(strikeWithin); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		worker, _ := w.fleet.WhereRuns(task)
+		if worker == "" && words[0] == "meet" {
+			worker = words[4]
+		}
+		if worker != "" {
+			w.names[words[1]] = worker
+			return nil
 		}
 	}
-	w.names[words[1]] = worker
-	return nil
+	return errors.New("it does not run")
 }
 
 // workerNamed is the worker of a name, which is its own where no script gave it.
@@ -82,13 +82,23 @@
 	w.fleet.EndWith(id, emulator.LastMoments{Lost: slices.Contains(words, "lost"), Crash: slices.Contains(words, "crash")})
 }
 
+// toAll gives a command about a worker for all that were added.
+func (w *world) toAll(words []string) error {
+	for _, id := range w.workers {
+		one := slices.Clone(words)
+		one[1] = id
+		if err := w.workerCommand(one); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // sound ends what was brought about on the workers that were added.
 func (w *world) sound() error {
-	for _, id := range w.workers {
-		for _, end := range []string{"open", "heal", "record", "well", "unspoil", "take", "unstick"} {
-			if err := w.workerCommand([]string{end, id}); err != nil {
-				return err
-			}
+	for _, end := range []string{"open", "heal", "record", "well", "unspoil", "take", "unstick"} {
+		if err := w.toAll([]string{end, "all"}); err != nil {
+			return err
 		}
 	}
 	return nil
