--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -78,18 +78,18 @@
 	wake         chan struct{}
 	clock        int64     // Worker's clock at clockAt; 0 before the first answer.
 	clockAt      time.Time // When that answer came.
+	reported     int64     // Its clock in the newest report.
 	lookedAt     time.Time // When the last look was answered.
 	leases       leases
-	applied      int64          // Number of the last end that was taken in.
-	acknowledged int64          // Number of the last end whose effect is committed.
-	told         int64          // Number of the last end that the worker was told to forget.
-	listedEnds   map[int64]bool // Numbers of the ends that were listed and are not forgotten.
-	failures     int            // Orders in a row without an answer.
-	hungUp       bool           // It closed a connection and has not answered since; for logs.
-	leavesAt     time.Time      // When the time that it said it had left is over; zero before it said so.
-	soundSince   time.Time      // When the newest run began there that has not failed at once.
-	failedAt     time.Time      // When a run last failed there as soon as it had begun.
-	unhealthy    time.Time      // Takes no new runs until then.
+	applied      int64     // Number up to which all ends are taken in.
+	acknowledged int64     // Number of the last end whose effect is committed.
+	told         int64     // Number of the last end that the worker was told to forget.
+	failures     int       // Orders in a row without an answer.
+	hungUp       bool      // It closed a connection and has not answered since; for logs.
+	leavesAt     time.Time // When the time that it said it had left is over; zero before it said so.
+	soundSince   time.Time // When the newest run began there that has not failed at once.
+	failedAt     time.Time // When a run last failed there as soon as it had begun.
+	unhealthy    time.Time // Takes no new runs until then.
 	doubt        doubt
 	slow         slowness
 	gone         bool
@@ -229,7 +229,7 @@
 // predecessor then.
 func (h *shard) newWorker(id string) *workerState {
 	w := &workerState{runs: map[job.Task]*run{}, wake: make(chan struct{}, 1), unlisted: time.Now(), since: time.Now(), failures: 1}
-	w.leases.extend(h.Bounds.longestLease(time.Now().Add(renewedFor)))
+	w.leases.extend(h.Bounds.longestLease(h.quiet.Add(renewedFor)))
 	w.ID, w.Address = id, h.addresses.before[id]
 	h.workers[id] = w
 	h.roster = nil
