--- a/internal/cli/rig.go
+++ b/internal/cli/rig.go
@@ -12,28 +12,24 @@
 
 // runRig plays a scenario with real processes, or is one of them.
 func runRig(e *env, args []string) int {
-	if len(args) > 0 && rig.IsRole(args[0]) {
-		if err := rig.RunRole(args, os.Stdin, e.out); err != nil {
+	if len(args) == 2 && args[0] == "role" {
+		if err := rig.RunRole(args[1], os.Stdin, e.out); err != nil {
 			return e.fail(exitBad, err)
 		}
 		return exitGood
 	}
+	set := e.flags("rig")
+	keep := set.String("keep", "", "`directory` where the logs of all processes are kept")
 	if len(args) > 0 && args[0] == "play" {
 		args = args[1:]
 	}
-	set := e.flags("rig")
-	keep := set.String("keep", "", "`directory` where the logs of all processes are kept")
 	if code, done := e.parse(set, args); done {
 		return code
 	}
 	if set.NArg() != 1 {
 		return e.usageError("rig", "want one scenario")
 	}
-	return playRig(e, set.Arg(0), *keep)
-}
-
-func playRig(e *env, file, keep string) int {
-	raw, err := os.ReadFile(file)
+	raw, err := os.ReadFile(set.Arg(0))
 	if err != nil {
 		return e.fail(exitUsage, err)
 	}
@@ -41,33 +37,36 @@
 	if err != nil {
 		return e.fail(exitUsage, err)
 	}
-	program, err := os.Executable()
+	verdict, err := playRig(e, scenario, *keep)
 	if err != nil {
 		return e.fail(exitBad, err)
 	}
+	for _, text := range verdict.Broken() {
+		fmt.Fprintln(e.out, text)
+	}
+	fmt.Fprintln(e.out, verdict)
+	if len(verdict.Broken()) > 0 {
+		return exitBad
+	}
+	return exitGood
+}
+
+// playRig plays a scenario until its end or an interrupt; without a directory for them, logs are not kept.
+func playRig(e *env, scenario *rig.Scenario, keep string) (*rig.Verdict, error) {
+	program, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
 	if keep == "" {
 		if keep, err = os.MkdirTemp("", "pulleyring-rig-"); err != nil {
-			return e.fail(exitBad, err)
+			return nil, err
 		}
 		defer os.RemoveAll(keep)
 	}
 	if err := os.MkdirAll(keep, 0o700); err != nil {
-		return e.fail(exitBad, err)
+		return nil, err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	verdict, err := rig.Play(ctx, scenario, rig.Options{Program: program, Dir: keep, Out: e.out})
-	if err != nil {
-		return e.fail(exitBad, err)
-	}
-	for _, list := range [][]string{verdict.Twice, verdict.Budget, verdict.Unended, verdict.Failed} {
-		for _, text := range list {
-			fmt.Fprintln(e.out, text)
-		}
-	}
-	fmt.Fprintln(e.out, verdict)
-	if !verdict.Good() {
-		return exitBad
-	}
-	return exitGood
+	return rig.Play(ctx, scenario, rig.Options{Program: program, Dir: keep, Out: e.out})
 }
--- a/internal/rig/judge.go
+++ b/internal/rig/judge.go
@@ -11,27 +11,34 @@
 
 // Verdict is what the workers did, and what of that must never happen.
 type Verdict struct {
-	Starts, Ends int
-	Jobs         int
-	Refused      int      // Jobs that were never accepted.
-	Twice        []string // Two runs of a task at a time, or one after it was done.
-	Budget       []string // Starts after the attempts were used up.
-	Unended      []string // Accepted jobs that have not ended.
-	Failed       []string // Jobs that could be done and have failed.
+	Starts, Ends, Jobs int
+	Twice              []string // Two runs of a task at a time, or one after it was done.
+	Budget             []string // Starts after the attempts were used up.
+	Unended            []string // Jobs that were not accepted, or have not ended as completed.
 }
 
-// Good reports whether nothing happened that must not.
-func (v *Verdict) Good() bool {
-	return len(v.Twice)+len(v.Budget)+len(v.Unended)+len(v.Failed)+v.Refused == 0
-}
+// Broken lists what must never happen.
+func (v *Verdict) Broken() []string { return slices.Concat(v.Twice, v.Budget, v.Unended) }
 
 // String is the verdict in one line.
 func (v *Verdict) String() string {
-	return fmt.Sprintf("starts %d, ends %d, twice %d, beyond attempts %d; jobs %d, not taken %d, not ended %d, failed %d",
-		v.Starts, v.Ends, len(v.Twice), len(v.Budget), v.Jobs, v.Refused, len(v.Unended), len(v.Failed))
+	return fmt.Sprintf("starts %d, ends %d, twice %d, beyond attempts %d; jobs %d, not completed %d",
+		v.Starts, v.Ends, len(v.Twice), len(v.Budget), v.Jobs, len(v.Unended))
+}
+
+// verdict judges the play, when all processes have ended.
+func (p *play) verdict() *Verdict {
+	v := Judge(p.lines)
+	v.Jobs = len(p.jobs)
+	for _, j := range p.jobs {
+		if j.state != standin.Completed {
+			v.Unended = append(v.Unended, fmt.Sprintf("job %s is %q, accepted: %t", j.id, j.state, j.accepted))
+		}
+	}
+	return v
 }
 
-// listedFor is how long after a living worker has listed an end it counts as taken note of (the users' rules).
+// listedFor is how long after a worker has listed an end it counts as taken note of (the users' rules).
 const listedFor = 100 * time.Millisecond
 
 // span is a run on a worker.
@@ -39,11 +46,11 @@
 	worker, task string
 	run          int
 	began, ended time.Time
-	outcome      string
+	outcome      string // Empty where the worker did not live to tell it.
 	number       int64
 }
 
-// trace is the lines of a play in order, with what follows from them.
+// trace is the lines of a play in order, with the runs that they tell.
 type trace struct {
 	lines []Line
 	spans []*span
@@ -51,8 +58,7 @@
 
 // Judge judges what the workers' lines tell.
 func Judge(lines []Line) *Verdict {
-	t := newTrace(lines)
-	v := &Verdict{}
+	t, v := newTrace(lines), &Verdict{}
 	for i, s := range t.spans {
 		v.Starts++
 		if s.outcome != "" {
@@ -63,71 +69,54 @@
 			if before.task != s.task {
 				continue
 			}
-			if text := t.twice(before, s); text != "" {
-				v.Twice = append(v.Twice, text)
+			noted := t.noted(before, s.began)
+			if s.began.Before(before.ended) || noted && before.outcome == job.Succeeded.String() {
+				v.Twice = append(v.Twice, fmt.Sprintf("%s, started though %s", s, before))
 			}
-			if before.outcome == job.FailedRun.String() && t.noted(before, s.began) {
+			if noted && before.outcome == job.FailedRun.String() {
 				failed++
 			}
 		}
 		if failed >= standin.Attempts {
-			v.Budget = append(v.Budget, fmt.Sprintf("%s run %d on %s after %d failed runs", s.task, s.run, s.worker, failed))
+			v.Budget = append(v.Budget, fmt.Sprintf("%s, started after %d failed runs", s, failed))
 		}
 	}
 	return v
 }
 
+// String tells a run for a verdict.
+func (s *span) String() string {
+	const format = "15:04:05.000"
+	return fmt.Sprintf("%s run %d on %s from %s to %s %s", s.task, s.run, s.worker, s.began.Format(format), s.ended.Format(format), s.outcome)
+}
+
 func newTrace(lines []Line) *trace {
 	t := &trace{lines: slices.Clone(lines)}
 	slices.SortStableFunc(t.lines, func(a, b Line) int { return a.At.Compare(b.At) })
 	for i := range t.lines {
-		switch l := &t.lines[i]; l.Event {
-		case eventBegan:
+		l := &t.lines[i]
+		if l.Event == eventBegan {
 			t.spans = append(t.spans, &span{worker: l.Worker, task: l.Task, run: l.Run, began: l.At})
-		case eventEnded:
-			if s := t.find(l); s != nil {
+			continue
+		}
+		for _, s := range t.spans {
+			switch {
+			case s.worker != l.Worker || !s.ended.IsZero():
+			case l.Event == eventEnded && s.task == l.Task && s.run == l.Run:
 				s.ended, s.outcome, s.number = l.At, l.Outcome, l.Number
-			}
-		case eventKilled, eventLeft:
-			for _, s := range t.spans {
-				if s.worker == l.Worker && s.ended.IsZero() {
-					s.ended = l.At
-				}
+			case l.Event == eventKilled || l.Event == eventLeft:
+				s.ended = l.At
 			}
 		}
 	}
 	for _, s := range t.spans {
-		if s.ended.IsZero() {
+		if s.ended.IsZero() { // It runs on until its lease is over.
 			s.ended = t.leaseAt(s.worker, t.lines[len(t.lines)-1].At)
 		}
 	}
 	return t
 }
 
-// find returns the run whose end a line tells.
-func (t *trace) find(l *Line) *span {
-	for _, s := range t.spans {
-		if s.worker == l.Worker && s.task == l.Task && s.run == l.Run {
-			return s
-		}
-	}
-	return nil
-}
-
-// twice tells what is wrong with a run after another one of its task, empty for nothing.
-func (t *trace) twice(before, s *span) string {
-	where := fmt.Sprintf("%s run %d on %s at %s", s.task, s.run, s.worker, s.began.Format(timeFormat))
-	switch {
-	case s.began.Before(before.ended):
-		return fmt.Sprintf("%s while run %d on %s, which began at %s, went on to %s", where, before.run, before.worker, before.began.Format(timeFormat), before.ended.Format(timeFormat))
-	case before.outcome == job.Succeeded.String() && t.noted(before, s.began):
-		return fmt.Sprintf("%s after run %d on %s was done at %s", where, before.run, before.worker, before.ended.Format(timeFormat))
-	}
-	return ""
-}
-
-const timeFormat = "15:04:05.000"
-
 // noted reports whether an end counts for what starts at a time: it was acknowledged, then or later, while the lease ran on since the
 // end; or it had been listed by a worker whose lease ran on until then, and which was not killed.
 func (t *trace) noted(s *span, start time.Time) bool {
@@ -144,7 +133,7 @@
 // first is when an end was first listed or acknowledged, zero for never.
 func (t *trace) first(s *span, event string) time.Time {
 	for i := range t.lines {
-		if l := &t.lines[i]; l.Worker == s.worker && l.Event == event && l.Number >= s.number && !l.At.Before(s.ended) {
+		if l := &t.lines[i]; s.number > 0 && l.Worker == s.worker && l.Event == event && l.Number >= s.number && !l.At.Before(s.ended) {
 			return l.At
 		}
 	}
@@ -152,8 +141,7 @@
 }
 
 // leaseAt is until when a worker's lease runs, as of a time.
-func (t *trace) leaseAt(worker string, at time.Time) time.Time {
-	var until time.Time
+func (t *trace) leaseAt(worker string, at time.Time) (until time.Time) {
 	for i := range t.lines {
 		if l := &t.lines[i]; l.Worker == worker && l.Event == eventLeased && !l.At.After(at) {
 			until = l.Until
@@ -190,7 +178,7 @@
 		}
 	}
 	for worker, n := range counts {
-		if most == "" || n > counts[most] || n == counts[most] && worker < most {
+		if n > counts[most] || n == counts[most] && worker < most {
 			most = worker
 		}
 	}
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -17,51 +17,38 @@
 type process struct {
 	name    string
 	command *exec.Cmd
-	in      io.WriteCloser // Its standard input; a role ends when it is closed.
+	in      io.WriteCloser // Its standard input; a process of the rig's own ends when it is closed.
 	out     io.ReadCloser
 	log     *os.File
-	address string // Where it listens, for roles of the rig.
-	ended   bool
+	address string // Where it listens, for the rig's own.
 }
 
-// startProcess starts a program whose logs go to files with a common beginning.
-func startProcess(program string, args, env []string, logs string) (*process, error) {
-	p := &process{name: filepath.Base(logs), command: exec.Command(program, args...)}
+// startProcess starts a program whose log goes to a file.
+func startProcess(program string, args, env []string, log string) (*process, error) {
+	p := &process{name: filepath.Base(log), command: exec.Command(program, args...)}
 	p.command.Env = append(os.Environ(), env...)
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	var err error
-	if p.in, err = p.command.StdinPipe(); err != nil {
-		return nil, errors.Wrap(err, "rig: no pipe")
-	}
-	if p.out, err = p.command.StdoutPipe(); err != nil {
-		return nil, errors.Wrap(err, "rig: no pipe")
-	}
-	if p.log, err = os.Create(logs + ".log"); err != nil {
-		return nil, errors.Wrap(err, "rig: no log")
+	var err, outErr, logErr error
+	p.in, err = p.command.StdinPipe()
+	p.out, outErr = p.command.StdoutPipe()
+	p.log, logErr = os.Create(log + ".log")
+	for _, e := range []error{err, outErr, logErr} {
+		if e != nil {
+			return nil, errors.Wrap(e, "rig: no pipe or log for a process")
+		}
 	}
 	p.command.Stderr = p.log
-	if err := p.command.Start(); err != nil {
-		return nil, errors.Wrapf(err, "rig: unable to start %s", p.name)
-	}
-	return p, nil
+	return p, errors.Wrapf(p.command.Start(), "rig: unable to start %s", p.name)
 }
 
-// tell writes a line to a role's standard input.
+// tell writes a line to a process of the rig's own.
 func (p *process) tell(text string) error {
 	_, err := fmt.Fprintln(p.in, text)
 	return errors.Wrapf(err, "rig: unable to tell %s", p.name)
 }
 
-func (p *process) signal(s syscall.Signal) error {
-	return errors.Wrapf(p.command.Process.Signal(s), "rig: unable to signal %s", p.name)
-}
-
-// kill ends the process and waits for its end; it does so once.
+// kill ends the process and waits for its end.
 func (p *process) kill() {
-	if p.ended {
-		return
-	}
-	p.ended = true
 	_ = p.command.Process.Kill() // One that has ended is waited for all the same.
 	_, _ = p.command.Process.Wait()
 	_ = p.in.Close()
--- a/internal/rig/proxy.go
+++ b/internal/rig/proxy.go
@@ -1,8 +1,6 @@
 package rig
 
 import (
-	"context"
-	"io"
 	"net"
 	"strings"
 	"sync"
@@ -11,17 +9,15 @@
 	"github.com/pkg/errors"
 )
 
-// mode is how a proxy treats connections.
-type mode string
-
+// Modes of a proxy: how it treats connections.
 const (
-	modePass   mode = "pass"
-	modeClose  mode = "close"  // Open connections are ended in order, new ones are refused.
-	modeReset  mode = "reset"  // Open connections are reset, new ones too.
-	modeSilent mode = "silent" // Bytes are held back, connections stay.
-	modeOneWay mode = "oneway" // The answers are held back.
-	modeSlow   mode = "slow"   // Answers come late.
-	modeKeep   mode = "keep"   // Open connections go on, new ones are silent.
+	modePass   = "pass"
+	modeClose  = "close"  // Open connections are ended in order, new ones are refused.
+	modeReset  = "reset"  // Open connections are reset, new ones too.
+	modeSilent = "silent" // Bytes are held back, connections stay.
+	modeOneWay = "oneway" // The answers are held back.
+	modeSlow   = "slow"   // Answers come late, by the time after it.
+	modeKeep   = "keep"   // Open connections go on, new ones are silent.
 )
 
 // proxy passes connections on to a target. Make it with newProxy.
@@ -30,17 +26,16 @@
 
 	mu       sync.Mutex
 	changed  *sync.Cond
-	mode     mode
+	mode     string
 	delay    time.Duration
 	listener net.Listener
-	pairs    map[*pair]bool
+	pairs    map[*pair]bool // Those that are open.
 }
 
 // pair is a connection with the one that it is passed on over.
 type pair struct {
 	client, target *net.TCPConn
 	silent         bool // It was opened while new ones were held back.
-	over           bool
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -56,37 +51,35 @@
 		return errors.Wrap(err, "rig: a proxy is unable to listen")
 	}
 	p.listener, p.address = l, l.Addr().String()
-	go p.accept(l)
-	return nil
-}
-
-func (p *proxy) accept(l net.Listener) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			return
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go p.connect(c.(*net.TCPConn))
 		}
-		go p.connect(c.(*net.TCPConn))
-	}
+	}()
+	return nil
 }
 
+// connect passes one connection on until its end.
 func (p *proxy) connect(client *net.TCPConn) {
-	t, err := net.Dial("tcp", p.target)
+	target, err := net.Dial("tcp", p.target)
 	if err != nil {
 		_ = client.Close()
 		return
 	}
-	c := &pair{client: client, target: t.(*net.TCPConn)}
+	c := &pair{client: client, target: target.(*net.TCPConn)}
 	p.mu.Lock()
-	p.pairs[c] = true
-	c.silent = p.mode == modeKeep
+	p.pairs[c], c.silent = true, p.mode == modeKeep
 	if p.mode == modeReset || p.mode == modeClose {
 		p.finish(c)
 	}
 	p.mu.Unlock()
 	var both sync.WaitGroup
-	both.Go(func() { p.carry(c, c.target, c.client, false) })
-	both.Go(func() { p.carry(c, c.client, c.target, true) })
+	both.Go(func() { p.carry(c, c.target, c.client) })
+	both.Go(func() { p.carry(c, c.client, c.target) })
 	both.Wait()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -95,40 +88,31 @@
 
 // finish ends a pair, by the mode in order or with a reset. The caller holds the lock.
 func (p *proxy) finish(c *pair) {
-	if c.over {
-		return
-	}
-	c.over = true
+	delete(p.pairs, c)
 	if p.mode == modeReset {
 		_ = c.client.SetLinger(0) // It is closed in any case.
 	}
 	_ = c.client.Close()
 	_ = c.target.Close()
-	delete(p.pairs, c)
 	p.changed.Broadcast()
 }
 
-// carry passes bytes on in one direction until their end.
-func (p *proxy) carry(c *pair, to, from *net.TCPConn, request bool) {
+// carry passes bytes, and their end, on in one direction.
+func (p *proxy) carry(c *pair, to, from *net.TCPConn) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		if !p.await(c, request) {
-			return
-		}
-		if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+		if !p.await(c, from == c.client) {
 			return
 		}
-		if err != nil {
-			if errors.Is(err, io.EOF) {
-				_ = to.CloseWrite() // The other side may have ended already.
-			}
+		if _, failed := to.Write(buffer[:n]); err != nil || failed != nil {
+			_ = to.CloseWrite() // The other side may have ended already.
 			return
 		}
 	}
 }
 
-// await waits until bytes may go on and reports whether the pair still lives.
+// await waits until bytes may go on and reports whether the pair is still open.
 func (p *proxy) await(c *pair, request bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -138,19 +122,19 @@
 		time.Sleep(delay)
 		p.mu.Lock()
 	}
-	for !c.over && (c.silent || p.mode == modeSilent || p.mode == modeOneWay && !request) {
+	for p.pairs[c] && (c.silent || p.mode == modeSilent || p.mode == modeOneWay && !request) {
 		p.changed.Wait()
 	}
-	return !c.over
+	return p.pairs[c]
 }
 
-// set changes the mode: the line is a mode, with the delay after "slow".
-func (p *proxy) set(line string) error {
-	word, argument, _ := strings.Cut(line, " ")
+// set changes the mode.
+func (p *proxy) set(line string) (err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	before := p.mode
-	p.mode = mode(word)
+	word, argument, _ := strings.Cut(line, " ")
+	p.mode = word
 	switch p.mode {
 	case modeClose, modeReset:
 		if p.mode == modeClose {
@@ -160,41 +144,18 @@
 			p.finish(c)
 		}
 	case modeSlow:
-		var err error
-		if p.delay, err = time.ParseDuration(argument); err != nil {
-			return errors.Wrap(err, "rig: a proxy's delay")
-		}
+		p.delay, err = time.ParseDuration(argument)
 	case modePass:
 		for c := range p.pairs {
 			c.silent = false
 		}
 	case modeSilent, modeOneWay, modeKeep:
 	default:
-		return errors.Errorf("rig: a proxy knows no mode %q", word)
+		err = errors.Errorf("rig: a proxy knows no mode %q", word)
 	}
 	p.changed.Broadcast()
-	if before == modeClose && p.mode != modeClose {
-		return p.listen()
-	}
-	return nil
-}
-
-// runProxy serves until ctx ends; its modes come as lines.
-func runProxy(ctx context.Context, target string, lines <-chan string, out *printer) error {
-	p, err := newProxy(target)
-	if err != nil {
-		return err
-	}
-	out.print(Line{Event: eventListening, Address: p.address})
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case line := <-lines:
-			if err := p.set(line); err != nil {
-				return err
-			}
-			out.print(Line{Event: "mode", Address: line})
-		}
+	if err == nil && before == modeClose && p.mode != modeClose {
+		err = p.listen()
 	}
+	return err
 }
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -26,8 +26,8 @@
 
 // Options is how a scenario is played.
 type Options struct {
-	Program string   // This program; its roles are started from it.
-	Env     []string // More variables for its processes.
+	Program string   // This program; its processes are started from it.
+	Env     []string // More variables for them.
 	Dir     string   // Where logs are kept.
 	Out     io.Writer
 }
@@ -37,10 +37,10 @@
 	startsWithin = 20 * time.Second
 	// pollEvery is how often a state is asked for.
 	pollEvery = 250 * time.Millisecond
-	// roleLimit ends a role that nobody has ended; no scenario is as long.
-	roleLimit = 5 * time.Minute
 	// untilMost is the longest scenario.
 	untilMost = 2 * time.Minute
+	// roleLimit ends a process of the rig's own that nobody has ended.
+	roleLimit = untilMost + time.Minute
 )
 
 // play is one play of a scenario.
@@ -51,7 +51,9 @@
 	processes map[string]*process
 	order     []*process
 	store     *process
-	fronts    []string
+	client    http.Client
+	ready     []string          // Where boxes tell whether they are ready.
+	fronts    []string          // Where they serve clients.
 	fixed     map[string]string // What a target that was looked up stands for.
 	group     sync.WaitGroup
 
@@ -74,176 +76,130 @@
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
 	ctx, cancel := context.WithTimeout(ctx, startsWithin+s.Until)
-	defer cancel()
 	p := &play{Scenario: s, Options: o, processes: map[string]*process{}, fixed: map[string]string{}}
-	defer p.end()
-	if err := p.begin(ctx); err != nil {
-		return nil, err
-	}
-	began := time.Now()
-	for _, step := range s.Steps {
-		if !interval.Sleep(ctx, time.Until(began.Add(step.At))) {
-			return nil, errors.Wrap(ctx.Err(), "rig: interrupted")
-		}
-		if err := p.carryOut(ctx, &step); err != nil {
-			return nil, errors.WithMessagef(err, "rig: line %d", step.Line)
-		}
-	}
-	for time.Since(began) < s.Until && !p.settled() {
-		if !interval.Sleep(ctx, pollEvery) {
-			return nil, errors.Wrap(ctx.Err(), "rig: interrupted")
-		}
+	err := p.begin(ctx)
+	if err == nil {
+		err = p.carryOutAll(ctx)
 	}
 	cancel()
-	p.end()
-	p.group.Wait()
-	return p.verdict(), nil
-}
-
-// end ends all processes, the boxes first, so that nobody sees the others end.
-func (p *play) end() {
-	for i := len(p.order) - 1; i >= 0; i-- {
+	for i := len(p.order) - 1; i >= 0; i-- { // The boxes before those that they speak to.
 		p.order[i].kill()
 	}
-}
-
-// settled reports whether all jobs have ended, as their clients know.
-func (p *play) settled() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, j := range p.jobs {
-		if !standin.Final(j.state) {
-			return false
-		}
-	}
-	return true
-}
-
-func (p *play) verdict() *Verdict {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	v := Judge(p.lines)
-	for _, j := range p.jobs {
-		switch {
-		case !j.accepted:
-			v.Refused++
-		case !standin.Final(j.state):
-			v.Unended = append(v.Unended, fmt.Sprintf("%s is %q", j.id, j.state))
-		case j.state != standin.Completed:
-			v.Failed = append(v.Failed, fmt.Sprintf("%s is %q", j.id, j.state))
-		}
+	p.group.Wait()
+	if err != nil {
+		return nil, err
 	}
-	v.Jobs = len(p.jobs)
-	return v
+	return p.verdict(), nil
 }
 
 // begin starts everything and waits until a box schedules.
-func (p *play) begin(ctx context.Context) error {
-	st, err := p.role(ctx, "store", "store", "-heartbeat", p.Heartbeat.String())
-	if err != nil {
+func (p *play) begin(ctx context.Context) (err error) {
+	if p.store, err = p.role(ctx, "store", Role{Kind: "store", Heartbeat: p.Heartbeat}); err != nil {
 		return err
 	}
-	p.store = st
 	for i := range p.Workers {
-		if err := p.beginWorker(ctx, fmt.Sprintf("w%d", i+1), st.address); err != nil {
+		if err := p.beginWorker(ctx, fmt.Sprintf("w%d", i+1)); err != nil {
 			return err
 		}
 	}
-	var ready []string
 	for i := range p.Boxes {
-		address, err := p.beginBox(ctx, i+1, st.address)
-		if err != nil {
+		if err := p.beginBox(ctx, fmt.Sprintf("box-%d", i+1)); err != nil {
 			return err
 		}
-		ready = append(ready, address)
-	}
-	client := &http.Client{}
-	deadline := time.Now().Add(startsWithin)
-	for {
-		all := p.holds() != ""
-		for _, address := range ready {
-			all = all && standin.Ready(ctx, client, address)
-		}
-		if all {
-			break
-		}
+	}
+	for deadline := time.Now().Add(startsWithin); !p.allReady(); {
 		if !interval.Sleep(ctx, pollEvery) || time.Now().After(deadline) {
 			return errors.New("rig: the boxes are not ready in time")
 		}
 	}
-	// Workers are recorded by now; a box learns of them with its next read of the records.
-	interval.Sleep(ctx, time.Second)
+	interval.Sleep(ctx, time.Second) // Workers are recorded by now; a box learns of them with its next read of the records.
 	return nil
 }
 
-func (p *play) beginWorker(ctx context.Context, name, st string) error {
-	w, err := p.role(ctx, name, "worker", "-id", name, "-store", st, "-slots", fmt.Sprint(p.Slots), "-lease", p.Lease.String(), "-heartbeat", p.Heartbeat.String())
+func (p *play) allReady() bool {
+	for _, address := range p.ready {
+		if !standin.Ready(&p.client, address) {
+			return false
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.holder != ""
+}
+
+func (p *play) beginWorker(ctx context.Context, name string) error {
+	w, err := p.role(ctx, name, Role{Kind: "worker", Worker: name, Slots: int64(p.Slots), Lease: p.Lease, Heartbeat: p.Heartbeat})
 	if err != nil {
 		return err
 	}
-	proxy, err := p.role(ctx, name+".proxy", "proxy", "-to", w.address)
+	before, err := p.role(ctx, name+".proxy", Role{Kind: "proxy", To: w.address})
 	if err != nil {
 		return err
 	}
-	return w.tell("record " + proxy.address)
+	return w.tell("record " + before.address)
 }
 
-func (p *play) beginBox(ctx context.Context, i int, st string) (ready string, err error) {
-	name := fmt.Sprintf("box-%d", i)
-	proxy, err := p.role(ctx, name+".store", "proxy", "-to", st)
+func (p *play) beginBox(ctx context.Context, name string) error {
+	before, err := p.role(ctx, name+".store", Role{Kind: "proxy", To: p.store.address})
 	if err != nil {
-		return "", err
+		return err
 	}
 	var ports [3]int
 	for k := range ports {
 		if ports[k], err = freePort(); err != nil {
-			return "", err
+			return err
 		}
 	}
-	b := standin.Box{Name: name, Front: loopback(ports[0]), Ready: loopback(ports[1]), Relay: ports[2], Store: proxy.address, MaxLease: p.Lease}
-	if p.Alone {
+	b := standin.Box{Name: name, Front: loopback(ports[0]), Ready: loopback(ports[1]), Relay: ports[2], Store: before.address, MaxLease: p.Lease}
+	if p.Alone != 0 {
 		b.Relay = 0
 	}
+	p.fronts, p.ready = append(p.fronts, b.Front), append(p.ready, b.Ready)
 	file := filepath.Join(p.Dir, name+".conf")
 	if err := os.WriteFile(file, b.Settings(), 0o600); err != nil {
-		return "", errors.Wrap(err, "rig: unable to write settings")
+		return errors.Wrap(err, "rig: unable to write settings")
 	}
-	p.fronts = append(p.fronts, b.Front)
-	_, err = p.start(name, []string{"box"}, []string{platform.EnvSettings + "=" + file}, p.noteHolder)
-	return b.Ready, err
+	_, err = p.start(name, []string{"box"}, platform.EnvSettings+"="+file, p.noteHolder)
+	return err
 }
 
-// role starts one of this program's own roles and waits until it listens.
-func (p *play) role(ctx context.Context, name string, args ...string) (*process, error) {
+// role starts one of the rig's own processes and waits until it listens.
+func (p *play) role(ctx context.Context, name string, r Role) (*process, error) {
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "rig: unable to encode a role")
+	}
 	address := make(chan string, 1)
-	pr, err := p.start(name, append([]string{"rig"}, args...), nil, func(text string) {
-		var l Line
-		if json.Unmarshal([]byte(text), &l) != nil {
-			return
-		}
-		if l.Event == eventListening {
-			address <- l.Address
-			return
-		}
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.lines = append(p.lines, l)
-		if l.Event == eventLeft {
-			_ = p.store.tell(l.Worker) // The platform knows; a store that has ended needs not.
-		}
-	})
+	pr, err := p.start(name, []string{"rig", "role", string(raw)}, "", func(text string) { p.note(text, address) })
 	if err != nil {
 		return nil, err
 	}
-	over, stop := interval.After(startsWithin)
-	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, startsWithin)
+	defer cancel()
 	select {
 	case pr.address = <-address:
 		return pr, nil
-	case <-over:
 	case <-ctx.Done():
+		return nil, errors.Errorf("rig: %s does not listen", name)
+	}
+}
+
+// note takes in a line of one of the rig's own processes.
+func (p *play) note(text string, address chan<- string) {
+	var l Line
+	if json.Unmarshal([]byte(text), &l) != nil {
+		return
 	}
-	return nil, errors.Errorf("rig: %s does not listen", name)
+	switch l.Event {
+	case eventListening:
+		address <- l.Address
+		return
+	case eventRecord, eventLeft: // The platform knows of a worker that has left.
+		_ = p.store.tell(l.Worker + " " + string(l.Record)) // The store ends only with the rig.
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lines = append(p.lines, l)
 }
 
 // noteHolder takes in from a box's log that it schedules.
@@ -260,15 +216,9 @@
 	p.holder = l.Box
 }
 
-func (p *play) holds() string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.holder
-}
-
 // start starts a process of this program and passes each line of its standard output on.
-func (p *play) start(name string, args, env []string, seen func(text string)) (*process, error) {
-	pr, err := startProcess(p.Program, args, append(p.Env, env...), filepath.Join(p.Dir, name))
+func (p *play) start(name string, args []string, env string, seen func(text string)) (*process, error) {
+	pr, err := startProcess(p.Program, args, append(p.Env, env), filepath.Join(p.Dir, name))
 	if err != nil {
 		return nil, err
 	}
@@ -277,9 +227,7 @@
 	p.group.Go(func() {
 		defer pr.log.Close()
 		defer pr.out.Close()
-		lines := bufio.NewScanner(pr.out)
-		lines.Buffer(nil, 1<<20)
-		for lines.Scan() {
+		for lines := bufio.NewScanner(pr.out); lines.Scan(); {
 			fmt.Fprintln(pr.log, lines.Text())
 			seen(lines.Text())
 		}
@@ -287,32 +235,30 @@
 	return pr, nil
 }
 
-// find returns the process that a target names. A box or worker that is looked up by what it does stays the same one from then on.
-func (p *play) find(target string) (*process, error) {
-	who, part, _ := strings.Cut(target, ".")
-	if p.fixed[who] == "" {
-		switch who {
-		case "holder":
-			p.fixed[who] = p.holds()
-		case "successor":
-			p.fixed[who] = fmt.Sprintf("box-%d", 1+strings.Count(p.fixed["holder"], "1"))
-		case "loaded":
-			p.mu.Lock()
-			p.fixed[who] = mostLoaded(p.lines)
-			p.mu.Unlock()
+// carryOutAll carries out the steps and waits until all jobs have ended, as their clients know.
+func (p *play) carryOutAll(ctx context.Context) error {
+	began := time.Now()
+	for _, step := range p.Steps {
+		interval.Sleep(ctx, time.Until(began.Add(step.At)))
+		if err := p.carryOut(ctx, &step); err != nil {
+			return errors.WithMessagef(err, "rig: line %d", step.Line)
 		}
 	}
-	if name := p.fixed[who]; name != "" {
-		who = name
+	for time.Since(began) < p.Until && ctx.Err() == nil && !p.settled() {
+		interval.Sleep(ctx, pollEvery)
 	}
-	if part != "" {
-		who += "." + part
-	}
-	pr := p.processes[who]
-	if pr == nil {
-		return nil, errors.Errorf("there is no process %q", who)
+	return errors.Wrap(ctx.Err(), "rig: interrupted")
+}
+
+func (p *play) settled() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, j := range p.jobs {
+		if !standin.Final(j.state) {
+			return false
+		}
 	}
-	return pr, nil
+	return true
 }
 
 // signals are the verbs that are signals.
@@ -322,10 +268,11 @@
 	fmt.Fprintf(p.Out, "%6.1fs %s %s %s\n", s.At.Seconds(), s.Target, s.Verb, strings.Join(s.Args, " "))
 	switch s.Target {
 	case "client":
-		return p.submit(ctx, s)
+		p.submit(ctx, s)
+		return nil
 	case "machine":
 		for i := range s.Count {
-			if _, err := p.role(ctx, fmt.Sprintf("busy-%d", i+1), "busy"); err != nil {
+			if _, err := p.role(ctx, fmt.Sprintf("busy-%d", i+1), Role{Kind: "busy"}); err != nil {
 				return err
 			}
 		}
@@ -341,38 +288,50 @@
 	}
 	if sig == syscall.SIGKILL {
 		p.mu.Lock()
-		p.lines = append(p.lines, Line{At: time.Now(), Worker: filepath.Base(pr.name), Event: eventKilled})
+		p.lines = append(p.lines, Line{At: time.Now(), Worker: pr.name, Event: eventKilled})
 		p.mu.Unlock()
 	}
-	return pr.signal(sig)
+	return errors.Wrap(pr.command.Process.Signal(sig), "rig: unable to signal")
+}
+
+// find returns the process that a target names. One that is looked up by what it does stays the same from then on.
+func (p *play) find(target string) (*process, error) {
+	who, part, isPart := strings.Cut(target, ".")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fixed[who] == "" {
+		p.fixed[who] = map[string]string{"holder": p.holder, "loaded": mostLoaded(p.lines)}[who]
+	}
+	if p.fixed[who] != "" {
+		who = p.fixed[who]
+	}
+	if isPart {
+		who += "." + part
+	}
+	pr := p.processes[who]
+	if pr == nil {
+		return nil, errors.Errorf("there is no process %q", who)
+	}
+	return pr, nil
 }
 
 // submit has a client hand a job in until it is accepted, and follow it to its end.
-func (p *play) submit(ctx context.Context, s *Step) error {
+func (p *play) submit(ctx context.Context, s *Step) {
 	p.mu.Lock()
 	j := &handedIn{id: job.ID(fmt.Sprintf("%016x", len(p.jobs)+1))}
 	p.jobs = append(p.jobs, j)
 	p.mu.Unlock()
-	c := &standin.Client{Fronts: p.fronts, HTTP: &http.Client{}}
-	payload := standin.Payload{Work: s.Work, Each: slot}
+	c := &standin.Client{Fronts: p.fronts, HTTP: &p.client}
 	p.group.Go(func() {
-		for ctx.Err() == nil && c.Submit(ctx, j.id, s.Count, payload) != nil {
-			interval.Sleep(ctx, pollEvery)
-		}
-		if ctx.Err() != nil {
-			return
-		}
-		p.mu.Lock()
-		j.accepted = true
-		p.mu.Unlock()
-		for ctx.Err() == nil && !standin.Final(j.state) {
-			interval.Sleep(ctx, pollEvery)
-			if state := c.State(ctx, j.id); state != "" {
-				p.mu.Lock()
-				j.state = state
-				p.mu.Unlock()
+		for accepted, state := false, ""; ctx.Err() == nil && !standin.Final(state); interval.Sleep(ctx, pollEvery) {
+			if accepted {
+				state = c.State(ctx, j.id)
+			} else {
+				accepted = c.Submit(ctx, j.id, s.Count, standin.Payload{Work: s.Work, Each: slot}) == nil
 			}
+			p.mu.Lock()
+			j.accepted, j.state = accepted, state
+			p.mu.Unlock()
 		}
 	})
-	return nil
 }
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -29,7 +29,7 @@
 // the worker behind it works on until its lease ends: "worker is gone ... why: its process has ended, runs: 6", 0.1 s after the proxy had
 // closed and 10 s before the lease was over, and six tasks ran on two workers for four seconds.
 func TestRig(t *testing.T) {
-	for _, name := range []string{"proxy_closed"} {
+	for _, name := range []string{"proxy_closed", "leaving_serves_on", "worker_stopped_longer"} {
 		t.Run(name, func(t *testing.T) { play(t, name) })
 	}
 }
@@ -46,8 +46,8 @@
 	verdict, err := rig.Play(context.Background(), scenario, rig.Options{Program: program, Env: []string{envProgram + "=1"}, Dir: dir, Out: &out})
 	quicktest.Assert(t, err, quicktest.IsNil)
 	quicktest.Check(t, verdict.Starts >= 1, quicktest.IsTrue)
-	if !verdict.Good() {
-		t.Errorf("%s\n%s\n%s", verdict, strings.Join(append(verdict.Twice, verdict.Budget...), "\n"), warnings(t, dir))
+	if broken := verdict.Broken(); len(broken) > 0 {
+		t.Errorf("%s\n%s\n%s", verdict, strings.Join(broken, "\n"), warnings(t, dir))
 	}
 }
 
--- a/internal/rig/role.go
+++ b/internal/rig/role.go
@@ -4,12 +4,10 @@
 	"bufio"
 	"context"
 	"encoding/json"
-	"flag"
 	"io"
 	"net"
 	"net/http"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,6 +23,7 @@
 // Events of lines.
 const (
 	eventListening    = "listening"
+	eventRecord       = "record"
 	eventBegan        = "began"
 	eventEnded        = "ended"
 	eventListed       = "listed"
@@ -36,15 +35,26 @@
 
 // Line is what a role prints of what has happened there.
 type Line struct {
-	At      time.Time `json:"at"`
-	Worker  string    `json:"worker,omitempty"`
-	Event   string    `json:"event"`
-	Address string    `json:"address,omitempty"`
-	Task    string    `json:"task,omitempty"`
-	Run     int       `json:"run,omitempty"`
-	Outcome string    `json:"outcome,omitempty"`
-	Number  int64     `json:"number,omitempty"` // Of an end, or of the last end listed or acknowledged.
-	Until   time.Time `json:"until,omitzero"`   // Of a lease.
+	At      time.Time       `json:"at"`
+	Worker  string          `json:"worker,omitempty"`
+	Event   string          `json:"event"`
+	Address string          `json:"address,omitempty"`
+	Record  json.RawMessage `json:"record,omitempty"` // What the worker writes into the store; none where it has left.
+	Task    string          `json:"task,omitempty"`
+	Run     int             `json:"run,omitempty"`
+	Outcome string          `json:"outcome,omitempty"`
+	Number  int64           `json:"number,omitempty"` // Of an end, or of the last end listed or acknowledged.
+	Until   time.Time       `json:"until,omitzero"`   // Of a lease.
+}
+
+// Role is what one of the rig's own processes is told at its start.
+type Role struct {
+	Kind      string // store, worker, proxy or busy.
+	Worker    string
+	To        string // Where a proxy passes connections on.
+	Slots     int64
+	Lease     time.Duration
+	Heartbeat time.Duration
 }
 
 // printer prints lines.
@@ -66,63 +76,63 @@
 	_, _ = p.out.Write(append(raw, '\n')) // Without the rig nobody reads it.
 }
 
-// IsRole reports whether a word names one of the rig's own processes.
-func IsRole(word string) bool {
-	return slices.Contains([]string{"store", "worker", "proxy", "busy"}, word)
-}
-
-// RunRole runs one of the rig's own processes until its standard input ends.
-func RunRole(args []string, in io.Reader, out io.Writer) error {
+// RunRole runs one of the rig's own processes, told by the JSON of a Role, until its standard input ends.
+func RunRole(raw string, in io.Reader, out io.Writer) error {
+	var r Role
+	if err := json.Unmarshal([]byte(raw), &r); err != nil {
+		return errors.Wrap(err, "rig: unable to read a role")
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), roleLimit)
 	defer cancel()
-	lines := make(chan string)
-	go func() {
-		defer cancel()
-		scanner := bufio.NewScanner(in)
-		for scanner.Scan() {
-			lines <- scanner.Text()
-		}
-	}()
-	set := flag.NewFlagSet("rig "+args[0], flag.ContinueOnError)
-	to := set.String("to", "", "")
-	heartbeat := set.Duration("heartbeat", time.Second, "")
-	w := &workerRole{out: &printer{out: out}, client: &http.Client{Timeout: time.Second}}
-	set.StringVar(&w.face.Record.ID, "id", "", "")
-	set.StringVar(&w.store, "store", "", "")
-	set.DurationVar(&w.lease, "lease", 10*time.Second, "")
-	slots := set.Int64("slots", 1, "")
-	if err := set.Parse(args[1:]); err != nil {
+	obey, err := r.begin(ctx, &printer{out: out})
+	if err != nil {
 		return err
 	}
-	switch args[0] {
+	time.AfterFunc(roleLimit, func() { os.Exit(1) })
+	lines := bufio.NewScanner(in)
+	for lines.Scan() {
+		if err := obey(lines.Text()); err != nil {
+			return err
+		}
+	}
+	return lines.Err()
+}
+
+// begin starts what a role does and returns what obeys its lines.
+func (r *Role) begin(ctx context.Context, out *printer) (obey func(line string) error, err error) {
+	switch r.Kind {
 	case "store":
-		return runStore(ctx, *heartbeat, lines, w.out)
+		s := standin.NewStore(r.Heartbeat)
+		go s.Run(ctx)
+		obey = func(line string) error {
+			id, record, _ := strings.Cut(line, " ")
+			s.Record(id, []byte(record))
+			return nil
+		}
+		return obey, serve(s.Handler(), out)
 	case "worker":
-		w.heartbeat, w.leaves, w.face.Record.Capacity = *heartbeat, -1, times(slot, *slots)
-		return w.run(ctx, lines)
+		w := newWorker(ctx, r, out)
+		return func(line string) error { return w.obey(ctx, line) }, serve(w.face.Handler(), out)
 	case "proxy":
-		return runProxy(ctx, *to, lines, w.out)
+		p, err := newProxy(r.To)
+		if err == nil {
+			out.print(Line{Event: eventListening, Address: p.address})
+		}
+		return p.set, err
 	case "busy":
-		w.out.print(Line{Event: eventListening})
-		return keepBusy(ctx)
+		go keepBusy(ctx)
+		out.print(Line{Event: eventListening})
+		return func(string) error { return nil }, nil
 	}
-	return errors.Errorf("rig: unknown role %q", args[0])
+	return nil, errors.Errorf("rig: unknown role %q", r.Kind)
 }
 
 // keepBusy uses a core until ctx ends.
-func keepBusy(ctx context.Context) error {
+func keepBusy(ctx context.Context) {
 	spent := 0
 	for ctx.Err() == nil {
 		spent++
 	}
-	return ctx.Err()
-}
-
-// slot is what a task takes.
-var slot = job.Resources{MilliCPU: 1000, MemoryMB: 256}
-
-func times(r job.Resources, n int64) job.Resources {
-	return job.Resources{MilliCPU: n * r.MilliCPU, MemoryMB: n * r.MemoryMB, Accelerators: n * r.Accelerators}
 }
 
 // serve serves on a free port and prints where.
@@ -136,59 +146,32 @@
 	return nil
 }
 
-func runStore(ctx context.Context, heartbeat time.Duration, lines <-chan string, out *printer) error {
-	s := standin.NewStore(heartbeat)
-	s.Configure(standin.Manifest())
-	if err := serve(s.Handler(), out); err != nil {
-		return err
-	}
-	go s.Run(ctx)
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case id := <-lines:
-			s.Drop(id)
-		}
-	}
-}
+// slot is what a task takes.
+var slot = job.Resources{MilliCPU: 1000, MemoryMB: 256}
 
-// workerRole is the process of a worker.
-type workerRole struct {
+// worker is the process of a worker.
+type worker struct {
 	face      standin.Worker
 	out       *printer
-	client    *http.Client
-	store     string
-	lease     time.Duration
 	heartbeat time.Duration
 
 	mu       sync.Mutex
 	silent   bool // It writes no record.
 	sequence int64
-	leaves   time.Duration // How long after its last run has ended its process does; negative for never, 0 for before anybody is told.
 	running  int
+	leaves   time.Duration // How long after its last run has ended its process does: negative for never, 0 for before anybody is told.
 }
 
-func (w *workerRole) run(ctx context.Context, lines <-chan string) error {
-	r := &w.face.Record
-	r.Service, r.Hall, r.Rack, r.Labels = standin.Service, standin.Hall, "r1", []string{"kind", "r1"}
-	w.face.Fleet = emulator.NewFleet(ctx, w.lease, time.Second)
+func newWorker(ctx context.Context, r *Role, out *printer) *worker {
+	w := &worker{out: out, heartbeat: r.Heartbeat, leaves: -1}
+	record := &w.face.Record
+	record.ID, record.Service, record.Hall, record.Labels = r.Worker, standin.Service, standin.Hall, []string{"kind", "rack"}
+	record.Capacity = job.Resources{MilliCPU: r.Slots * slot.MilliCPU, MemoryMB: r.Slots * slot.MemoryMB}
+	w.face.Fleet = emulator.NewFleet(ctx, r.Lease, time.Second)
 	w.face.Fleet.Observe = w.observe
-	w.face.Listed = func(n int64) { w.out.print(Line{Worker: r.ID, Event: eventListed, Number: n}) }
-	w.face.Fleet.Add(*r)
-	if err := serve(w.face.Handler(), w.out); err != nil {
-		return err
-	}
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case line := <-lines:
-			if err := w.obey(ctx, line); err != nil {
-				return err
-			}
-		}
-	}
+	w.face.Listed = func(n int64) { out.print(Line{Worker: r.Worker, Event: eventListed, Number: n}) }
+	w.face.Fleet.Add(*record)
+	return w
 }
 
 // kinds are the words for events of the emulator's.
@@ -196,10 +179,10 @@
 	emulator.Began: eventBegan, emulator.Ended: eventEnded, emulator.Acknowledged: eventAcknowledged, emulator.Leased: eventLeased,
 }
 
-// observe prints an event; the last end of a worker that leaves ends its process a moment later.
-func (w *workerRole) observe(e emulator.Event) {
+// observe prints an event, and ends the process of a worker that leaves with its last run.
+func (w *worker) observe(e emulator.Event) {
 	l := Line{At: e.At, Worker: w.face.Record.ID, Event: kinds[e.Kind], Run: e.Run, Number: e.Number, Until: e.Until}
-	if e.Kind == emulator.Began || e.Kind == emulator.Ended {
+	if e.Run > 0 {
 		l.Task = e.Task.String()
 	}
 	if e.Kind == emulator.Ended {
@@ -222,77 +205,72 @@
 	}
 }
 
+// leave ends the process.
+func (w *worker) leave() {
+	w.out.print(Line{Worker: w.face.Record.ID, Event: eventLeft})
+	os.Exit(0)
+}
+
 // obey carries a line out.
-func (w *workerRole) obey(ctx context.Context, line string) error {
+func (w *worker) obey(ctx context.Context, line string) (err error) {
 	word, argument, _ := strings.Cut(line, " ")
+	number := 0
+	switch word {
+	case "mute", "late":
+		number, err = strconv.Atoi(argument)
+	}
+	if err != nil {
+		return errors.Wrap(err, "rig: a worker's number")
+	}
 	id := w.face.Record.ID
 	switch word {
 	case "record": // Its record names this address from now on.
-		w.face.Record.Address = argument
-		go interval.Every(ctx, w.heartbeat, w.beat)
+		w.change(func() { w.face.Record.Address = argument })
+		go interval.Every(ctx, w.heartbeat, func(context.Context) { w.beat() })
 	case "quiet": // It writes no record; the one that is there lapses.
-		w.hush(true)
-	case "beat":
-		w.hush(false)
-		w.beat(ctx)
-	case "drain":
-		d, err := time.ParseDuration(argument)
-		w.mu.Lock()
-		w.face.Record.Draining, w.face.Record.Leaves = true, d
-		w.mu.Unlock()
-		w.beat(ctx)
-		return err
+		w.change(func() { w.silent = true })
 	case "unrecord": // Its record goes at once.
-		w.hush(true)
-		return standin.Unrecord(ctx, w.client, w.store, id)
+		w.change(func() { w.silent = true })
+		w.out.print(Line{Worker: id, Event: eventRecord})
+	case "beat":
+		w.change(func() { w.silent = false })
+		w.beat()
+	case "drain": // It says that it leaves after a time.
+		w.change(func() { w.face.Record.Draining = true; w.face.Record.Leaves, err = time.ParseDuration(argument) })
+		w.beat()
 	case "leave":
 		w.leave()
-	case "leave_after_end":
-		d, err := time.ParseDuration(argument)
-		w.mu.Lock()
-		w.leaves = d
-		w.mu.Unlock()
-		return err
-	case "mute", "late": // So many looks, or orders, get no answer.
-		n, err := strconv.Atoi(argument)
-		if err != nil {
-			return errors.Wrap(err, "rig: a worker's number")
-		}
-		if word == "mute" {
-			return w.face.Fleet.Mute(id, n)
-		}
-		return w.face.Fleet.Late(id, n)
+	case "leave_after_end": // It ends so long after its last run.
+		w.change(func() { w.leaves, err = time.ParseDuration(argument) })
+	case "mute": // So many looks get no answer.
+		return w.face.Fleet.Mute(id, number)
+	case "late": // So many orders get no answer and are carried out late.
+		return w.face.Fleet.Late(id, number)
 	case "fail":
 		return w.face.Fleet.Fail(id, argument == "on")
 	default:
 		return errors.Errorf("rig: a worker does not know %q", line)
 	}
-	return nil
+	return err
 }
 
-func (w *workerRole) hush(silent bool) {
+func (w *worker) change(do func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.silent = silent
+	do()
 }
 
-// beat writes the worker's record; one that fails comes again with the next.
-func (w *workerRole) beat(ctx context.Context) {
+// beat prints the worker's record, which the rig passes on to the store.
+func (w *worker) beat() {
 	w.mu.Lock()
-	record, silent := w.face.Record, w.silent
-	w.sequence++
-	sequence := w.sequence
-	w.mu.Unlock()
-	if silent {
+	defer w.mu.Unlock()
+	if w.silent {
 		return
 	}
-	if err := standin.Beat(ctx, w.client, w.store, &record, sequence); err != nil {
-		w.out.print(Line{Worker: record.ID, Event: "no record", Outcome: err.Error()})
+	w.sequence++
+	record, err := standin.RecordOf(&w.face.Record, w.sequence)
+	if err != nil {
+		panic(err) // It is made of numbers and texts.
 	}
-}
-
-// leave ends the process.
-func (w *workerRole) leave() {
-	w.out.print(Line{Worker: w.face.Record.ID, Event: eventLeft})
-	os.Exit(0)
+	w.out.print(Line{Worker: w.face.Record.ID, Event: eventRecord, Record: record})
 }
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -11,8 +11,8 @@
 // Scenario is what is played.
 type Scenario struct {
 	Boxes, Workers int
-	Slots          int  // Tasks that fit on a worker.
-	Alone          bool // Boxes don't call the store through each other.
+	Slots          int // Tasks that fit on a worker.
+	Alone          int // 1 where boxes don't call the store through each other.
 	Heartbeat      time.Duration
 	Lease          time.Duration
 	Until          time.Duration // When it ends at the latest.
@@ -29,9 +29,9 @@
 	Work         time.Duration // Of a task.
 }
 
-// Parse reads a scenario: lines of a key with its value, and of "at TIME TARGET VERB ARGS". Targets are box-N, wN, "holder" (the box
-// that schedules), "successor" (another box), "loaded" (the worker with the most runs), each of the first four with ".store" for its path
-// to the store, each worker with ".proxy" for what stands before it; "client submit TASKS WORK"; and "machine busy PROCESSES".
+// Parse reads a scenario: lines of a key with its value, and of "at TIME TARGET VERB ARGS". Targets are box-N, wN, "holder" (the box that
+// schedules) and "loaded" (the worker with the most runs); with ".store" the path of a box to the store, with ".proxy" what stands before a
+// worker; "client submit TASKS WORK"; and "machine busy PROCESSES".
 func Parse(text string) (*Scenario, error) {
 	s := &Scenario{Boxes: 2, Workers: 3, Slots: 4, Heartbeat: 1500 * time.Millisecond, Lease: 10 * time.Second, Until: 30 * time.Second}
 	for i, line := range strings.Split(text, "\n") {
@@ -51,36 +51,23 @@
 }
 
 func (s *Scenario) take(fields []string, line int) (err error) {
-	if len(fields) < 2 {
-		return errors.New("a key without a value")
-	}
-	switch fields[0] {
-	case "boxes":
-		s.Boxes, err = strconv.Atoi(fields[1])
-	case "workers":
-		s.Workers, err = strconv.Atoi(fields[1])
-	case "slots":
-		s.Slots, err = strconv.Atoi(fields[1])
-	case "heartbeat":
-		s.Heartbeat, err = time.ParseDuration(fields[1])
-	case "lease":
-		s.Lease, err = time.ParseDuration(fields[1])
-	case "alone":
-		s.Alone, err = strconv.ParseBool(fields[1])
-	case "until":
-		s.Until, err = time.ParseDuration(fields[1])
-	case "at":
-		return s.takeStep(fields[1:], line)
+	numbers := map[string]*int{"boxes": &s.Boxes, "workers": &s.Workers, "slots": &s.Slots, "alone": &s.Alone}
+	times := map[string]*time.Duration{"heartbeat": &s.Heartbeat, "lease": &s.Lease, "until": &s.Until}
+	key, values := fields[0], fields[1:]
+	switch {
+	case key == "at" && len(values) >= 3:
+		return s.takeStep(values, line)
+	case numbers[key] != nil && len(values) == 1:
+		*numbers[key], err = strconv.Atoi(values[0])
+	case times[key] != nil && len(values) == 1:
+		*times[key], err = time.ParseDuration(values[0])
 	default:
-		return errors.Errorf("unknown key %q", fields[0])
+		return errors.Errorf("%q is not understood", strings.Join(fields, " "))
 	}
 	return err
 }
 
 func (s *Scenario) takeStep(fields []string, line int) (err error) {
-	if len(fields) < 3 {
-		return errors.New("want a time, a target and a verb")
-	}
 	step := Step{Target: fields[1], Verb: fields[2], Args: fields[3:], Line: line}
 	if step.At, err = time.ParseDuration(fields[0]); err != nil {
 		return err
@@ -88,18 +75,14 @@
 	if n := len(s.Steps); n > 0 && s.Steps[n-1].At > step.At {
 		return errors.New("earlier than the step before")
 	}
-	if step.Target == "client" || step.Target == "machine" {
-		if len(step.Args) == 0 {
-			return errors.New("want a number")
-		}
-		if step.Count, err = strconv.Atoi(step.Args[0]); err != nil {
-			return err
-		}
+	want := map[string]int{"client": 2, "machine": 1}[step.Target]
+	if len(step.Args) < want {
+		return errors.Errorf("want %d values", want)
 	}
-	if step.Target == "client" {
-		if len(step.Args) != 2 {
-			return errors.New("want tasks and work")
-		}
+	if want > 0 {
+		step.Count, err = strconv.Atoi(step.Args[0])
+	}
+	if want > 1 && err == nil {
 		step.Work, err = time.ParseDuration(step.Args[1])
 	}
 	s.Steps = append(s.Steps, step)
