--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -32,14 +32,15 @@
 	// replaced says that another life answers at its address.
 	replaced bool
 	cut      bool // Answers nobody and runs on.
-	fails    bool // Everything there fails, also what began before.
-	spoils   bool // Everything that starts there fails; what began before goes on.
-	stuck    bool // Nothing makes progress.
-	slower   int  // How many times longer all work there takes; 0 and 1 for a sound worker.
-	late     int  // So many orders get no answer and are carried out late.
-	refuse   bool // Takes no starts.
-	belated  bool // It carries out an order late just now.
-	mute     int  // So many orders are carried out at once and get no answer.
+	signs
+	fails   bool // Everything there fails, also what began before.
+	spoils  bool // Everything that starts there fails; what began before goes on.
+	stuck   bool // Nothing makes progress.
+	slower  int  // How many times longer all work there takes; 0 and 1 for a sound worker.
+	late    int  // So many orders get no answer and are carried out late.
+	refuse  bool // Takes no starts.
+	belated bool // It carries out an order late just now.
+	mute    int  // So many orders are carried out at once and get no answer.
 }
 
 // activity is a run on a worker.
@@ -65,6 +66,9 @@
 	return math.Floor(100*float64(a.done)/float64(a.work)) / 100
 }
 
+// endsMost is how many ends a report lists at most, as real workers do.
+const endsMost = 500
+
 // lateBy is how late a delayed order is carried out.
 const lateBy = 2 * time.Second
 
@@ -169,6 +173,9 @@
 	w.ended = append(w.ended, fleet.End{Number: w.count, Task: a.task, Run: a.number, Outcome: outcome, Saved: a.saved})
 	w.fleet.ended(w, a, outcome)
 	w.notify()
+	if outcome == job.Succeeded {
+		w.beginLastMoments(a.task.Job)
+	}
 }
 
 // admit takes a call in: it fences, and tells whether the worker answers.
@@ -252,7 +259,7 @@
 		w.extend(o.Lease)
 	}
 	w.ended = slices.DeleteFunc(w.ended, func(e fleet.End) bool { return e.Number <= o.Acknowledged })
-	r := fleet.Report{Clock: w.clock(), Ended: slices.Clone(w.ended)}
+	r := fleet.Report{Clock: w.clock(), Ended: slices.Clone(w.ended[:min(len(w.ended), endsMost)]), More: len(w.ended) >= endsMost}
 	for _, a := range w.sorted() {
 		r.Running = append(r.Running, fleet.Run{Task: a.task, Run: a.number, Saved: a.saved, Done: a.share()})
 	}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -65,14 +65,13 @@
 		h.withdraw(w, r, try)
 		return nil, fleet.Worker{}
 	}
-	w.lastOrder = time.Now()
 	if r.ordered.IsZero() {
-		r.ordered = w.lastOrder
+		r.ordered = time.Now()
 	}
 	return &fleet.Start{
 		Order:   job.Order{Task: r.task, Run: r.number, Worker: w.ID, Saved: r.saved},
 		Payload: r.job.Request.Payload,
-		Lease:   w.now() + h.Bounds.MaxLease.Milliseconds(),
+		Lease:   h.renew(w),
 		Token:   h.tenure.Epoch(),
 	}, w.Worker
 }
@@ -83,6 +82,7 @@
 	defer h.mu.Unlock()
 	w.answered(clock, err)
 	if err == nil {
+		h.tookOrder(w)
 		r.ordering = false
 		r.confirmed = time.Now()
 		w.signal()
@@ -221,10 +221,7 @@
 	}
 	h.learn(w, r, outcome)
 	if outcome == job.FailedRun || outcome == job.NeverRan {
-		if j.avoid[g] == nil {
-			j.avoid[g] = map[string]bool{}
-		}
-		j.avoid[g][w.ID] = outcome == job.FailedRun
+		j.noteFailedAt(g, w.ID, outcome == job.FailedRun)
 	}
 	if outcome != job.NeverRan { // Else it has waited all along, and guaranteed work must begin within its time.
 		delete(j.since, g)
@@ -240,6 +237,7 @@
 		zap.String("task", r.task.String()), zap.Int("run", r.number), zap.String("worker", w.ID), zap.Stringer("outcome", outcome),
 		zap.Duration("age", time.Since(r.placed)), zap.String("stopped_for", r.stopWhy),
 		zap.Float64("core_seconds", h.loss(r, &r.job.Request.Steps[r.task.Step], time.Now())),
+		h.beliefOf(w),
 	}
 	if r.lost != nil {
 		fields = append(fields, zap.Object("lost", r.lost))
@@ -251,35 +249,28 @@
 func (h *shard) takeReport(w *workerState, report *fleet.Report, sent time.Time, acknowledged int64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if w.gone {
-		return false
+	h.noteReported(w, report)
+	w.told = max(w.told, acknowledged)
+	if w.gone || report.Clock < w.reported {
+		h.takeEnds(w, report) // The rest is outdated: the report was under way as the worker was given up, or a newer one has overtaken it.
+		return !w.gone && w.applied > w.acknowledged
 	}
 	if w.failures > 0 || w.clock == 0 {
 		h.changed = true
 		h.signal()
 	}
 	w.heard(report.Clock)
+	h.tookOrder(w)
+	w.reported = report.Clock
 	w.failures, w.lookedAt = 0, time.Now()
 	h.charge(h.losses.Returned(w.ID))
-	w.told = max(w.told, acknowledged)
-	present := map[job.Task]int{}
 	for i := range report.Running {
-		x := &report.Running[i]
-		present[x.Task] = x.Run
-		h.seen(w, x)
+		h.seen(w, &report.Running[i])
 	}
-	for i := range report.Ended {
-		e := &report.Ended[i]
-		present[e.Task] = max(present[e.Task], e.Run)
-		if e.Number <= w.applied {
-			continue
-		}
-		w.applied = e.Number
-		if r := w.runs[e.Task]; r != nil && r.number == e.Run {
-			h.endRun(w, r, e.Outcome, e.Saved)
-		}
+	h.takeEnds(w, report)
+	if !report.More {
+		h.settleAbsent(w, present(report), sent)
 	}
-	h.settleAbsent(w, present, sent)
 	now := time.Now()
 	h.endStalls(w, now)
 	h.endLagging(w, now)
@@ -289,6 +280,19 @@
 	return w.applied > w.acknowledged
 }
 
+// present is the newest run of each task that a report lists, as running or ended.
+func present(report *fleet.Report) map[job.Task]int {
+	runs := map[job.Task]int{}
+	for i := range report.Running {
+		runs[report.Running[i].Task] = report.Running[i].Run
+	}
+	for i := range report.Ended {
+		e := &report.Ended[i]
+		runs[e.Task] = max(runs[e.Task], e.Run)
+	}
+	return runs
+}
+
 // seen takes in a run that a worker has.
 func (h *shard) seen(w *workerState, x *fleet.Run) {
 	r := w.runs[x.Task]
@@ -316,7 +320,7 @@
 	if p, ok := h.jobTask(x.Task); ok && p.State == job.Finished && p.Run == x.Run {
 		return // A gang's member whose end is about to be listed.
 	}
-	r := &run{task: x.Task, number: x.Run, confirmed: time.Now(), placed: time.Now(), job: h.jobs[x.Task.Job]}
+	r := &run{task: x.Task, number: x.Run, confirmed: time.Now(), placed: time.Now(), job: h.jobs[x.Task.Job], stray: true}
 	if r.job == nil || w.runs[x.Task] != nil {
 		h.Log.Warn("scheduler: unknown run", zap.String("task", x.Task.String()), zap.Int("run", x.Run), zap.String("worker", w.ID))
 		order, target := &fleet.Stop{Task: x.Task, Run: x.Run, Token: h.tenure.Epoch()}, w.Worker
--- a/internal/scheduler/talk.go
+++ b/internal/scheduler/talk.go
@@ -15,17 +15,17 @@
 func (h *shard) talk(w *workerState) {
 	pause := lookRetry
 	for h.ctx.Err() == nil {
-		look, target, idle, gone := h.nextLook(w)
-		if gone {
+		next := h.nextLook(w)
+		if next.gone {
 			return
 		}
-		if idle {
+		if next.idle {
 			interval.SleepOrWoken(h.ctx, idlePause, w.wake)
 			continue
 		}
-		sent := time.Now()
-		ctx, cancel := context.WithTimeout(h.ctx, look.Wait+answerTimeout)
-		report, err := h.Orders.Look(ctx, &target, look)
+		look, sent := &next.look, time.Now()
+		ctx, cancel := context.WithTimeout(h.ctx, next.within)
+		report, err := h.Orders.Look(ctx, &next.target, look)
 		cancel()
 		if h.ctx.Err() != nil {
 			return
@@ -34,8 +34,8 @@
 			h.noteAnswer(err, time.Since(sent))
 		}
 		if err != nil {
-			h.lookFailed(w, err, sent)
-			interval.SleepOrWoken(h.ctx, pause, nil)
+			h.lookFailed(w, err)
+			interval.SleepOrWoken(h.ctx, h.untilOver(w, pause), nil)
 			pause = min(2*pause, lookRetryMost)
 			continue
 		}
@@ -48,30 +48,63 @@
 	}
 }
 
+// nextLook is what to do next about a worker.
+type nextLook struct {
+	look   fleet.Look
+	target fleet.Worker
+	within time.Duration // Its answer is waited for so long.
+	idle   bool          // There is nothing to look for.
+	gone   bool          // The worker is gone.
+}
+
 // nextLook says what to look for: nothing while the worker has no runs and nothing to forget.
-func (h *shard) nextLook(w *workerState) (look *fleet.Look, target fleet.Worker, idle, gone bool) {
+func (h *shard) nextLook(w *workerState) nextLook {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.judgeSilence(w)
 	if w.gone {
-		return nil, target, false, true
+		return nextLook{gone: true}
 	}
 	if w.Address == "" {
-		return nil, target, true, false
+		return nextLook{idle: true}
 	}
 	if len(w.runs) == 0 && w.clock != 0 && w.told >= w.acknowledged && w.failures == 0 {
-		return nil, target, true, false
+		return nextLook{idle: true}
 	}
-	look = &fleet.Look{Token: h.tenure.Epoch(), Acknowledged: w.acknowledged}
+	look := fleet.Look{Token: h.tenure.Epoch(), Acknowledged: w.acknowledged}
 	// A silent worker's leases are not renewed: they must be surely over some time.
 	if w.clock != 0 && len(w.runs) > 0 && w.failures == 0 {
-		look.Lease = w.now() + h.Bounds.MaxLease.Milliseconds()
-		w.lastOrder = time.Now()
+		look.Lease = h.renew(w)
 		if !w.unsettled() {
-			look.Wait = lookWait
+			look.Wait = w.lookWait()
 		}
 	}
-	return look, w.Worker, false, false
+	return nextLook{look: look, target: w.Worker, within: w.untilOver(look.Wait + answerTimeout)}
+}
+
+// leastWait is how long an answer or a pause is waited for at least.
+const leastWait = 20 * time.Millisecond
+
+// untilOver is a time to wait, cut where the leases of a silent worker are over before: what ran there was taken up again up to 1.5 s later otherwise.
+func (w *workerState) untilOver(wait time.Duration) time.Duration {
+	if w.failures == 0 || len(w.runs) == 0 {
+		return wait
+	}
+	return min(wait, max(time.Until(w.leases.over), leastWait))
+}
+
+func (h *shard) untilOver(w *workerState, wait time.Duration) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return w.untilOver(wait)
+}
+
+// lookWait is how long a look waits for an end.
+func (w *workerState) lookWait() time.Duration {
+	if w.leaves() {
+		return leavingWait
+	}
+	return lookWait
 }
 
 // unsettled reports whether a run is to be looked for soon: one that was adopted, or whose start or stop is not settled.
@@ -99,12 +132,9 @@
 }
 
 // lookFailed takes in a look without an answer.
-func (h *shard) lookFailed(w *workerState, err error, sent time.Time) {
+func (h *shard) lookFailed(w *workerState, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if time.Since(sent) >= hangUpAfter || sent.Sub(w.lookedAt) < connectionFresh {
-		w.hungUp = w.hungUp || errors.Is(err, fleet.ErrHungUp)
-	}
 	h.noteFailure(w, err, "look")
 }
 
@@ -119,13 +149,7 @@
 func (h *shard) noteFailure(w *workerState, err error, order string) {
 	refusal, refused := refusalOf(err)
 	if !refused {
-		if w.dueToLeave(time.Now()) {
-			w.hungUp = w.hungUp || errors.Is(err, fleet.ErrHungUp)
-		}
-		if w.hasEnded(err) {
-			h.endLife(w)
-			return
-		}
+		w.hungUp = w.hungUp || errors.Is(err, fleet.ErrHungUp)
 		h.Figures.Count("orders_unanswered")
 		w.failures++
 		if w.failures == 1 {
@@ -136,7 +160,7 @@
 	}
 	switch refusal {
 	case fleet.OtherLife:
-		h.loseWorker(w, otherLife)
+		h.endLife(w)
 	case fleet.Fenced:
 		h.endTenure(w)
 	case fleet.Unhealthy, fleet.NoRoom:
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -12,6 +12,8 @@
 const (
 	// lookWait is how long a look waits for an end; each look costs as much as a health check.
 	lookWait = 1500 * time.Millisecond
+	// leavingWait is the same at a worker that leaves: its leases are short.
+	leavingWait = 700 * time.Millisecond
 	// answerTimeout bounds the answer to an order beyond its own wait: a worker answers within a few ms, so that this is
 	// for lost packets, which come again after 200 ms and more.
 	answerTimeout = 700 * time.Millisecond
@@ -45,6 +47,7 @@
 	confirmed time.Time // Known to be there since then; zero while not known.
 	ordered   time.Time // When the first order to start it left; zero before that, and for an adopted run.
 	adopted   bool      // Ordered by a predecessor.
+	stray     bool      // Found on the worker, and not placed there as far as is known.
 	ordering  bool      // A start is on its way.
 	gaveUp    time.Time // The start got no answer and is not sent again.
 	stopping  bool
@@ -75,13 +78,14 @@
 	wake         chan struct{}
 	clock        int64     // Worker's clock at clockAt; 0 before the first answer.
 	clockAt      time.Time // When that answer came.
+	reported     int64     // Its clock in the newest report.
 	lookedAt     time.Time // When the last look was answered.
-	lastOrder    time.Time // When the last order that renews the lease was sent.
-	applied      int64     // Number of the last end that was taken in.
+	leases       leases
+	applied      int64     // Number up to which all ends are taken in.
 	acknowledged int64     // Number of the last end whose effect is committed.
 	told         int64     // Number of the last end that the worker was told to forget.
 	failures     int       // Orders in a row without an answer.
-	hungUp       bool      // It closed a connection as its end does, and has not answered since.
+	hungUp       bool      // It closed a connection and has not answered since; for logs.
 	leavesAt     time.Time // When the time that it said it had left is over; zero before it said so.
 	soundSince   time.Time // When the newest run began there that has not failed at once.
 	failedAt     time.Time // When a run last failed there as soon as it had begun.
@@ -151,6 +155,9 @@
 }
 
 func (h *shard) addWorker(record *fleet.Worker) {
+	if h.workers[record.ID] == nil {
+		h.noteRecorded(record.ID, false)
+	}
 	if _, over := h.lives[record.ID]; over {
 		return // The record of a life that has ended stays for some seconds.
 	}
@@ -191,6 +198,7 @@
 
 // noteHeartbeat takes in that a worker has written its record anew: it lives, and what it was taken to have lost it was only cut off from.
 func (h *shard) noteHeartbeat(id string) {
+	h.noteRecorded(id, true)
 	w := h.workers[id]
 	if w == nil {
 		return
@@ -220,7 +228,8 @@
 // newWorker adds a life of a worker. Its record may be gone, as a predecessor placed runs there; where it is reached is told by the
 // predecessor then.
 func (h *shard) newWorker(id string) *workerState {
-	w := &workerState{runs: map[job.Task]*run{}, wake: make(chan struct{}, 1), lastOrder: time.Now(), unlisted: time.Now(), since: time.Now(), failures: 1}
+	w := &workerState{runs: map[job.Task]*run{}, wake: make(chan struct{}, 1), unlisted: time.Now(), since: time.Now(), failures: 1}
+	w.leases.extend(h.Bounds.longestLease(h.quiet.Add(renewedFor)))
 	w.ID, w.Address = id, h.addresses.before[id]
 	h.workers[id] = w
 	h.roster = nil
