--- a/internal/rig/proxy.go
+++ b/internal/rig/proxy.go
@@ -66,8 +66,9 @@
 // connect passes one connection on until its end.
 func (p *proxy) connect(client *net.TCPConn) {
 	target, err := net.Dial("tcp", p.target)
-	if err != nil {
+	if err != nil { // The process behind has ended: nobody listens from now on.
 		_ = client.Close()
+		_ = p.set(modeClose)
 		return
 	}
 	c := &pair{client: client, target: target.(*net.TCPConn)}
