--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -22,6 +22,7 @@
 // TestScripts plays every script of testdata/scripts on the emulator. A script is a list of commands, one a line:
 //
 //	boxes N [HALL]                     start boxes box-1 to box-N, or HALL-1 to HALL-N in a hall, and wait until they serve
+//	retain DURATION                    jobs are shown for so long after their end, instead of a minute; before boxes
 //	lose HALL                          kill every box of a hall
 //	site N                             the halls of the site are hall-1 to hall-N; before boxes
 //	workers N [rack N] [gpu N] [halls N]  add workers w1 to wN, so many to a rack; the racks are in halls by turns
@@ -187,6 +188,8 @@
 		return w.strike(words[1], job.ID(words[2]))
 	case "name", "meet":
 		return w.nameWorker(words)
+	case "retain":
+		return w.retained(words[1])
 	case "sound":
 		return w.sound()
 	case "ends_with":
--- a/internal/node/signs_test.go
+++ b/internal/node/signs_test.go
@@ -104,6 +104,13 @@
 	return nil
 }
 
+// retained sets for how long jobs are shown after their end.
+func (w *world) retained(text string) error {
+	d, err := time.ParseDuration(text)
+	w.retain = d
+	return err
+}
+
 // attempts is how many failed runs of a task end a job of a queue.
 func (w *world) attempts(queueName string) int {
 	for i := range w.operator.current.Queues {
