--- a/internal/scheduler/silence_test.go
+++ b/internal/scheduler/silence_test.go
@@ -37,6 +37,7 @@
 	silent := func(h *shard, w *workerState) { h.lookFailed(w, fleet.ErrNoAnswer) }
 	unlisted := func(h *shard, w *workerState) { h.unlist(w.ID) }
 	due := func(_ *shard, w *workerState) { w.Draining, w.leavesAt = true, time.Now().Add(-time.Millisecond) }
+	moved := func(_ *shard, w *workerState) { w.home, w.Address = "10.0.0.1:80", "10.0.0.2:80" }
 	other := func(h *shard, w *workerState) { h.noteFailure(w, fleet.OtherLife, "look") }
 	for _, c := range []struct {
 		name  string
@@ -53,6 +54,7 @@
 		{"leaves, has no record and does not answer", []func(*shard, *workerState){due, unlisted, silent, silent}, false},
 		{"leaves, has no record, hangs up and refuses", []func(*shard, *workerState){due, unlisted, look, refused}, false},
 		{"another life answers", []func(*shard, *workerState){other}, true},
+		{"another life answers where its record has it now", []func(*shard, *workerState){moved, other}, false},
 		{"hangs up, and another life answers", []func(*shard, *workerState){look, refused, other}, true},
 	} {
 		synctest.Test(t, func(t *testing.T) {
@@ -95,3 +97,22 @@
 		quicktest.Check(t, seen.leases.over, quicktest.Equals, after.Bounds.longestLease(time.Now()))
 	})
 }
+
+// TestNothingStartsBesideAStrayRun: a run that was given up is found to go on after all, and is being stopped. Its task could be started elsewhere meanwhile, or on the
+// same worker, where the new run took the place of the old one, whose room stayed taken.
+func TestNothingStartsBesideAStrayRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, w := silentShard()
+		w.Address = "" // The stop is not sent: there are no orders here.
+		h.loseRuns(w, leasesOver)
+		waiting := func() int { return len(h.demand(h.jobs["j"], job.Group{}, time.Now()).Waiting) }
+		quicktest.Check(t, waiting(), quicktest.Equals, 1)
+		task := job.Task{Job: "j"}
+		h.takeReport(w, &fleet.Report{Clock: 2, Running: []fleet.Run{{Task: task, Run: 1, Done: 0.5}}}, time.Now(), 0)
+		quicktest.Check(t, waiting(), quicktest.Equals, 0)
+		quicktest.Check(t, w.used, quicktest.Equals, job.Resources{Accelerators: 1})
+		h.takeReport(w, &fleet.Report{Clock: 3, Ended: []fleet.End{{Number: 1, Task: task, Run: 1, Outcome: job.Stopped}}}, time.Now(), 0)
+		quicktest.Check(t, waiting(), quicktest.Equals, 1)
+		quicktest.Check(t, w.used, quicktest.Equals, job.Resources{})
+	})
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -81,6 +81,7 @@
 	reported     int64     // Its clock in the newest report.
 	lookedAt     time.Time // When the last look was answered.
 	leases       leases
+	home         string    // Where it took its first order of this tenure.
 	applied      int64     // Number up to which all ends are taken in.
 	acknowledged int64     // Number of the last end whose effect is committed.
 	told         int64     // Number of the last end that the worker was told to forget.
@@ -137,7 +138,7 @@
 	listed := map[string]bool{}
 	for i := range l.Workers {
 		listed[l.Workers[i].ID] = true
-		h.addWorker(&l.Workers[i])
+		h.addWorker(&l.Workers[i], l.AsOf)
 		if !whole {
 			h.noteHeartbeat(l.Workers[i].ID)
 		}
@@ -154,7 +155,8 @@
 	}
 }
 
-func (h *shard) addWorker(record *fleet.Worker) {
+// addWorker takes in a worker's record, which was written after a time if it is new.
+func (h *shard) addWorker(record *fleet.Worker, asOf time.Time) {
 	if h.workers[record.ID] == nil {
 		h.noteRecorded(record.ID, false)
 	}
@@ -181,6 +183,7 @@
 	leaves := record.Draining && w.leavesAt.IsZero()
 	if leaves {
 		w.leavesAt = time.Now().Add(record.Leaves)
+		h.ordering.Go(func() { h.clearLeaving(w, asOf.Add(record.Leaves)) })
 	}
 	if w.Address != record.Address {
 		h.addresses.changed(record.ID)
@@ -272,6 +275,9 @@
 		return
 	}
 	delete(w.runs, r.task)
+	if r.stray {
+		r.job.stray(r.task, -1)
+	}
 	w.used = w.used.Sub(r.each)
 	if r.stopping {
 		w.freeing = w.freeing.Sub(r.each)
