Draw no more lost workers than leave room for every job

Up to 5 of 8 workers leave or end in that script, as one that leaves and one that ends with a job were counted as one, and the job is a gang of four that needs a worker each. Change: they count as two.

--- a/internal/node/random_lives_test.go
+++ b/internal/node/random_lives_test.go
@@ -88,17 +88,17 @@
 func (s *lives) one(x string) {
 	switch rapid.SampledFrom([]string{"away", "away", "away", "away", "leave", "unsaid", "with work", "with work", "held back", "fail", "fail everywhere", "replaced", "island"}).Draw(s.T, "kind") {
 	case "leave":
-		if s.loses() {
+		if s.loses(1) {
 			s.add("drain %s %dms", x, rapid.SampledFrom([]int{500, 1800, 4000}).Draw(s.T, "leaves"))
 			s.pause(3000)
 			s.servesOn(x)
 		}
 	case "unsaid":
-		if s.loses() {
+		if s.loses(1) {
 			s.servesOn(x)
 		}
 	case "with work":
-		if s.loses() {
+		if s.loses(2) { // The one that leaves, and the one that ends with the job.
 			s.endsWith(x)
 		}
 	case "held back":
@@ -155,10 +155,13 @@
 	s.end("all")
 }
 
-// loses reports whether one more worker may go.
-func (s *lives) loses() bool {
-	s.lost++
-	return s.lost <= drawnWorkers-leastLeft
+// loses reports whether some more workers may go.
+func (s *lives) loses(n int) bool {
+	if s.lost+n > drawnWorkers-leastLeft {
+		return false
+	}
+	s.lost += n
+	return true
 }
 
 // begin draws how a worker comes to look gone, or is hard to reach.
