Bring about runs that end in the last moments of a worker that leaves as it said, and stops that take their time

And stops took no time in the emulator, where real ones take up to 400 ms. Change: the judge has such an end count for good if the process ended once the promised time was over and nothing was wrong for 3 s before; ends_with has "due" for that; stop_time.

--- a/internal/emulator/crash.go
+++ b/internal/emulator/crash.go
@@ -66,6 +66,7 @@
 	if left := over && w.fleet.isDraining(w.record.ID); !left && !w.leaseKept {
 		w.fleet.leased(w, time.Time{})
 	}
+	w.leftAsSaid = over && w.fleet.hasStayed(w.record.ID)
 	for _, a := range w.sorted() {
 		delete(w.runs, a.task)
 		w.fleet.ended(w, a, job.Lapsed)
@@ -75,6 +76,13 @@
 	}
 }
 
+// hasStayed reports whether a worker that said it leaves has stayed for as long as it said.
+func (f *Fleet) hasStayed(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.isDue(id)
+}
+
 // crash ends a life that another one follows.
 func (w *worker) crash() {
 	if w.dead {
--- a/internal/emulator/ends.go
+++ b/internal/emulator/ends.go
@@ -118,11 +118,11 @@
 }
 
 // noteInCalm notes that an end counts as taken note of, as it was listed for long enough while nothing was wrong. Of a process that has
-// ended by then this holds for good only where a box was told.
+// ended by then this holds for good only where a box was told, or where it left as it had said: then nothing was wrong, and boxes knew the time.
 func (f *Fleet) noteInCalm(w *worker, x *listedEnd) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if x.at.Sub(w.disturbed) <= calmFor || w.disturbed.After(x.at) || w.hardToReach() || w.dead && w.told < x.number {
+	if x.at.Sub(w.disturbed) <= calmFor || w.disturbed.After(x.at) || w.hardToReach() || w.dead && w.told < x.number && !w.leftAsSaid {
 		return
 	}
 	f.mu.Lock()
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -37,6 +37,8 @@
 	crash   Crash
 	lives   int // Lives that came back after a crash.
 	lasts   map[job.ID]LastMoments
+	dueAt   map[string]time.Time // By worker that said it leaves: until when it surely stays.
+	stops   time.Duration        // How long a stop takes.
 }
 
 // record is a worker's entry as of a version.
@@ -74,7 +76,7 @@
 	return &Fleet{
 		MaxLease: maxLease, GangWait: gangWait, ctx: ctx, workers: map[string]*worker{}, records: map[string]record{},
 		changed: make(chan struct{}), gangs: map[gangRun]*gang{}, jobs: map[job.ID]*job.Request{},
-		work: map[job.ID]time.Duration{}, judge: newJudge(), crashes: map[job.Task]time.Duration{}, lasts: map[job.ID]LastMoments{},
+		work: map[job.ID]time.Duration{}, judge: newJudge(), crashes: map[job.Task]time.Duration{}, lasts: map[job.ID]LastMoments{}, dueAt: map[string]time.Time{},
 	}
 }
 
@@ -186,6 +188,7 @@
 	defer f.mu.Unlock()
 	w := f.records[id].worker
 	w.Draining, w.Leaves = true, leaves
+	f.dueAt[id] = time.Now().Add(leaves)
 	f.put(w, false)
 }
 
--- a/internal/emulator/signs.go
+++ b/internal/emulator/signs.go
@@ -19,6 +19,8 @@
 	// leaseKept says that what it listed last counts for as long as its lease would have run.
 	leaseKept bool
 	disturbed time.Time // When a condition of it last changed.
+	// leftAsSaid says that its process has ended once the time was over for which it had said that it stays.
+	leftAsSaid bool
 }
 
 // everyBox stands for all boxes.
@@ -120,6 +122,7 @@
 // LastMoments is how a worker's process ends just after a run there.
 type LastMoments struct {
 	Lost  bool // What it answers in that time is lost.
+	Due   bool // Only once the time has passed for which it said that it stays.
 	Crash bool // It crashes, as SetCrash said; otherwise it leaves as it had said.
 }
 
@@ -137,12 +140,35 @@
 	f.lasts[id] = how
 }
 
+// isDue reports whether a worker has stayed for as long as it said. The caller holds the lock.
+func (f *Fleet) isDue(id string) bool {
+	due, said := f.dueAt[id]
+	return said && !time.Now().Before(due)
+}
+
+// SetStops sets how long a stop takes; what is being stopped works no more and takes its room until then.
+func (f *Fleet) SetStops(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stops = d
+}
+
+// stopTime is how long a stop takes.
+func (f *Fleet) stopTime() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.stops
+}
+
 // beginLastMoments ends the worker's process soon where that was asked for with the end of a run. The caller holds the worker's lock.
 func (w *worker) beginLastMoments(id job.ID) {
 	f := w.fleet
 	f.mu.Lock()
 	how, ok := f.lasts[id]
-	delete(f.lasts, id)
+	ok = ok && (!how.Due || f.isDue(w.record.ID))
+	if ok {
+		delete(f.lasts, id)
+	}
 	f.mu.Unlock()
 	if !ok {
 		return
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -54,10 +54,13 @@
 	done    time.Duration
 	saved   string
 	saves   bool
-	stopped bool
-	spoiled bool // It began where everything fails that starts.
+	stopped time.Time // When it has stopped; zero for one that was not asked to.
+	spoiled bool      // It began where everything fails that starts.
 }
 
+// isStopping reports whether it was asked to stop.
+func (a *activity) isStopping() bool { return !a.stopped.IsZero() }
+
 // share is how much of the work is done, in whole percent as the real workers tell it.
 func (a *activity) share() float64 {
 	if a.work <= 0 {
@@ -142,8 +145,10 @@
 		return
 	}
 	switch state := w.fleet.gangState(a); {
-	case a.stopped:
-		w.end(a, job.Stopped)
+	case a.isStopping():
+		if !time.Now().Before(a.stopped) {
+			w.end(a, job.Stopped)
+		}
 	case state == gangOver:
 		w.end(a, job.GangBroken)
 	case state == gangDone:
@@ -245,7 +250,9 @@
 	w.fleet.noteStop()
 	w.rejected[o.Task] = max(w.rejected[o.Task], o.Run)
 	if a := w.runs[o.Task]; a != nil && a.number <= o.Run {
-		a.stopped = true
+		if !a.isStopping() {
+			a.stopped = time.Now().Add(w.fleet.stopTime())
+		}
 	}
 	return nil
 }
--- a/internal/node/random_lives_test.go
+++ b/internal/node/random_lives_test.go
@@ -31,6 +31,9 @@
 	for range shard {
 		_ = rapid.Uint64().Draw(r, "skipped")
 	}
+	if rapid.Bool().Draw(r, "stops take time") {
+		s.add("stop_time %dms", testStopTime.Milliseconds())
+	}
 	s.work()
 	for range rapid.IntRange(2, 12).Draw(r, "steps") {
 		switch rapid.IntRange(0, 9).Draw(r, "what") {
@@ -207,11 +210,16 @@
 	}
 }
 
-// endsWith has a worker's process end with a drawn job.
+// endsWith has a worker's process end with a drawn job, at any time or as the worker said.
 func (s *lives) endsWith(x string) {
-	if rapid.Bool().Draw(s.T, "said") {
+	words := rapid.SampledFrom([]string{"", " lost", " lost", " crash", " lost crash"}).Draw(s.T, "way")
+	j := rapid.IntRange(1, s.jobs).Draw(s.T, "job")
+	switch rapid.IntRange(0, 2).Draw(s.T, "said") {
+	case 0:
 		s.add("drain %s 4s", x)
+	case 1:
+		s.add("drain %s %dms", x, rapid.IntRange(500, 8000).Draw(s.T, "leaves"))
+		words += " due"
 	}
-	words := rapid.SampledFrom([]string{"", " lost", " lost", " crash", " lost crash"}).Draw(s.T, "way")
-	s.add("ends_with j%d%s", rapid.IntRange(1, s.jobs).Draw(s.T, "job"), words)
+	s.add("ends_with j%d%s", j, words)
 }
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -44,8 +44,10 @@
 //	                                   ones find nobody listening, and the worker runs on
 //	sound                              all of this is over, for all workers
 //	hold_back WORKER D                 the next answer to a look comes so much later, after newer ones
-//	ends_with ID [lost] [crash]        a few ms after the next end of a task of a job as done its worker's process ends: it leaves, or
-//	                                   crashes; what it answers in that time gets through, or is lost
+//	stop_time DURATION                 so long a stop takes
+//	ends_with ID [lost] [crash] [due]  a few ms after the next end of a task of a job as done its worker's process ends: it leaves, or
+//	                                   crashes; what it answers in that time gets through, or is lost; "due": only if it has stayed as long as
+//	                                   it said
 //	crashing [dark] [gone|back D [elsewhere]] [recorded D]   how workers crash under tasks that crash them, and with their hall
 //	crash_hall HALL                    all its workers crash so
 //	strike hall|cut|leave|fail ID      wait until a job's first task runs; 30 ms later its hall crashes, or its worker is cut off, leaves, or fails
@@ -190,6 +192,8 @@
 		return w.nameWorker(words)
 	case "retain":
 		return w.retained(words[1])
+	case "stop_time":
+		return w.stopsTake(words[1])
 	case "sound":
 		return w.sound()
 	case "ends_with":
--- a/internal/node/signs_test.go
+++ b/internal/node/signs_test.go
@@ -79,7 +79,7 @@
 
 // endWith ends the process of the worker on which a job's next run is done.
 func (w *world) endWith(id job.ID, words []string) {
-	w.fleet.EndWith(id, emulator.LastMoments{Lost: slices.Contains(words, "lost"), Crash: slices.Contains(words, "crash")})
+	w.fleet.EndWith(id, emulator.LastMoments{Lost: slices.Contains(words, "lost"), Crash: slices.Contains(words, "crash"), Due: slices.Contains(words, "due")})
 }
 
 // toAll gives a command about a worker for all that were added.
@@ -94,6 +94,13 @@
 	return nil
 }
 
+// stopsTake sets how long a stop takes.
+func (w *world) stopsTake(text string) error {
+	d, err := time.ParseDuration(text)
+	w.fleet.SetStops(d)
+	return err
+}
+
 // sound ends what was brought about on the workers that were added.
 func (w *world) sound() error {
 	for _, end := range []string{"open", "heal", "record", "well", "unspoil", "take", "unstick"} {
