--- a/internal/node/random_lives_test.go
+++ b/internal/node/random_lives_test.go
@@ -24,12 +24,16 @@
 
 func drawLives(r *rapid.T, shard int) []string {
 	s := &lives{script: &script{T: r, lines: []string{
+		"retain 1h", // Longer than any script, so that each job can be asked for at the end.
 		fmt.Sprintf("boxes %d", drawnBoxes), fmt.Sprintf("workers %d rack 4", drawnWorkers), "heartbeats 1500ms",
 		"crashing back 2500ms recorded 4500ms",
 	}, killed: map[string]bool{}, gone: map[string]bool{}}}
 	for range shard {
 		_ = rapid.Uint64().Draw(r, "skipped")
 	}
+	if rapid.Bool().Draw(r, "stops take time") {
+		s.add("stop_time %dms", testStopTime.Milliseconds())
+	}
 	s.work()
 	for range rapid.IntRange(2, 12).Draw(r, "steps") {
 		switch rapid.IntRange(0, 9).Draw(r, "what") {
@@ -87,17 +91,17 @@
 func (s *lives) one(x string) {
 	switch rapid.SampledFrom([]string{"away", "away", "away", "away", "leave", "unsaid", "with work", "with work", "held back", "fail", "fail everywhere", "replaced", "island"}).Draw(s.T, "kind") {
 	case "leave":
-		if s.loses() {
+		if s.loses(1) {
 			s.add("drain %s %dms", x, rapid.SampledFrom([]int{500, 1800, 4000}).Draw(s.T, "leaves"))
 			s.pause(3000)
 			s.servesOn(x)
 		}
 	case "unsaid":
-		if s.loses() {
+		if s.loses(1) {
 			s.servesOn(x)
 		}
 	case "with work":
-		if s.loses() {
+		if s.loses(2) { // The one that leaves, and the one that ends with the job.
 			s.endsWith(x)
 		}
 	case "held back":
@@ -154,10 +158,13 @@
 	s.end("all")
 }
 
-// loses reports whether one more worker may go.
-func (s *lives) loses() bool {
-	s.lost++
-	return s.lost <= drawnWorkers-leastLeft
+// loses reports whether some more workers may go.
+func (s *lives) loses(n int) bool {
+	if s.lost+n > drawnWorkers-leastLeft {
+		return false
+	}
+	s.lost += n
+	return true
 }
 
 // begin draws how a worker comes to look gone, or is hard to reach.
@@ -203,11 +210,16 @@
 	}
 }
 
-// endsWith has a worker's process end with a drawn job.
+// endsWith has a worker's process end with a drawn job, at any time or as the worker said.
 func (s *lives) endsWith(x string) {
-	if rapid.Bool().Draw(s.T, "said") {
+	words := rapid.SampledFrom([]string{"", " lost", " lost", " crash", " lost crash"}).Draw(s.T, "way")
+	j := rapid.IntRange(1, s.jobs).Draw(s.T, "job")
+	switch rapid.IntRange(0, 2).Draw(s.T, "said") {
+	case 0:
 		s.add("drain %s 4s", x)
+	case 1:
+		s.add("drain %s %dms", x, rapid.IntRange(500, 8000).Draw(s.T, "leaves"))
+		words += " due"
 	}
-	words := rapid.SampledFrom([]string{"", " lost", " lost", " crash", " lost crash"}).Draw(s.T, "way")
-	s.add("ends_with j%d%s", rapid.IntRange(1, s.jobs).Draw(s.T, "job"), words)
+	s.add("ends_with j%d%s", j, words)
 }
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -22,6 +22,7 @@
 // TestScripts plays every script of testdata/scripts on the emulator. A script is a list of commands, one a line:
 //
 //	boxes N [HALL]                     start boxes box-1 to box-N, or HALL-1 to HALL-N in a hall, and wait until they serve
+//	retain DURATION                    jobs are shown for so long after their end, instead of a minute; before boxes
 //	lose HALL                          kill every box of a hall
 //	site N                             the halls of the site are hall-1 to hall-N; before boxes
 //	workers N [rack N] [gpu N] [halls N]  add workers w1 to wN, so many to a rack; the racks are in halls by turns
@@ -43,8 +44,10 @@
 //	                                   ones find nobody listening, and the worker runs on
 //	sound                              all of this is over, for all workers
 //	hold_back WORKER D                 the next answer to a look comes so much later, after newer ones
-//	ends_with ID [lost] [crash]        a few ms after the next end of a task of a job as done its worker's process ends: it leaves, or
-//	                                   crashes; what it answers in that time gets through, or is lost
+//	stop_time DURATION                 so long a stop takes
+//	ends_with ID [lost] [crash] [due]  a few ms after the next end of a task of a job as done its worker's process ends: it leaves, or
+//	                                   crashes; what it answers in that time gets through, or is lost; "due": only if it has stayed as long as
+//	                                   it said
 //	crashing [dark] [gone|back D [elsewhere]] [recorded D]   how workers crash under tasks that crash them, and with their hall
 //	crash_hall HALL                    all its workers crash so
 //	strike hall|cut|leave|fail ID      wait until a job's first task runs; 30 ms later its hall crashes, or its worker is cut off, leaves, or fails
@@ -187,6 +190,10 @@
 		return w.strike(words[1], job.ID(words[2]))
 	case "name", "meet":
 		return w.nameWorker(words)
+	case "retain":
+		return w.retained(words[1])
+	case "stop_time":
+		return w.stopsTake(words[1])
 	case "sound":
 		return w.sound()
 	case "ends_with":
