--- a/internal/box/script_test.go
+++ b/internal/box/script_test.go
@@ -32,6 +32,8 @@
 //	freeze_at NAME VERB         freeze the box at its next hold, arm, go, stop or renew
 //	cut_at NAME VERB WORKER     the box can't reach the worker from its first such step on
 //	cut_worker NAME WORKER      the box can't reach the worker any more
+//	cut_box NAME                the box can't reach the table and the other boxes any more
+//	blank_worker WORKER         the worker has no trace of its tasks any more; they run on under their leases
 //	operator_at NAME COMMAND    carried out at that box
 //	fault KEY VALUE             set a fault of the stand-ins
 //	operator COMMAND            carried out at the first live box
@@ -132,6 +134,11 @@
 		s.boxes[args[0]].gate.set(func(g *gate) { g.cutAt, g.cutName = worker.Verb(args[1]), args[2] })
 	case "cut_worker":
 		s.boxes[args[0]].gate.cutOff(args[1])
+	case "cut_box":
+		s.network.Cut(args[0], true)
+		s.boxes[args[0]].gate.set(func(g *gate) { g.tableCut = true })
+	case "blank_worker":
+		s.platform.Workers.Blank(args[0])
 	case "leave":
 		go s.boxes[args[0]].leaveQuietly()
 	case "fault":
--- a/internal/box/world_test.go
+++ b/internal/box/world_test.go
@@ -46,6 +46,7 @@
 	cutAt    worker.Verb // The first step of this kind at the worker cutName cuts that worker off.
 	cutName  string
 	cut      map[string]bool // Workers that the box can't reach.
+	tableCut bool            // The box can't reach the table.
 	broken   rules
 }
 
@@ -100,6 +101,13 @@
 	return nil
 }
 
+// tableIsCut reports whether the box can't reach the table.
+func (g *gate) tableIsCut() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tableCut
+}
+
 // set changes the gate under its lock.
 func (g *gate) set(change func(g *gate)) {
 	g.mu.Lock()
@@ -152,7 +160,7 @@
 }
 
 func (t gatedTable) Commit(ctx context.Context, txn table.Txn) (int64, error) {
-	if t.pass() != nil {
+	if t.pass() != nil || t.tableIsCut() {
 		return 0, table.ErrUnknown
 	}
 	if t.broken.tellFirst && accepts(txn) {
@@ -176,14 +184,14 @@
 }
 
 func (t gatedTable) Read(ctx context.Context, keys []string) ([]table.Row, error) {
-	if t.pass() != nil {
+	if t.pass() != nil || t.tableIsCut() {
 		return nil, table.ErrUnavailable
 	}
 	return t.Service.Read(ctx, keys)
 }
 
 func (t gatedTable) Changes(ctx context.Context, prefix string, after int64, limit int) ([]table.Row, int64, error) {
-	if t.pass() != nil {
+	if t.pass() != nil || t.tableIsCut() {
 		return nil, 0, table.ErrUnavailable
 	}
 	return t.Service.Changes(ctx, prefix, after, limit)
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -49,12 +49,13 @@
 	Done                int `json:"done"`
 	Failed              int `json:"failed"`
 	NotRun              int `json:"not_run"`
+	Doubled             int `json:"doubled"`    // Requests of which two attempts ran at the same time.
 	Unknowable          int `json:"unknowable"` // At-most-once gangs whose worker was lost with what it knew.
 }
 
 // Broken returns the number of broken promises.
 func (j *Judgement) Broken() int {
-	return j.Lost + j.PartialGangs + j.Repeated + j.Misdelivered + j.CutInFlight + j.GuaranteesRefused + j.NotRunButRan + j.Contradicted
+	return j.Lost + j.PartialGangs + j.Repeated + j.Misdelivered + j.CutInFlight + j.GuaranteesRefused + j.NotRunButRan + j.Contradicted + j.Doubled
 }
 
 // Line returns the judgement as one line of JSON.
@@ -66,7 +67,7 @@
 // Judge counts.
 func Judge(told []*Told, records standin.Records) *Judgement {
 	ran := RanTimes(records)
-	j := &Judgement{PartialGangs: PartialGangs(records.Runs), Requests: len(told)}
+	j := &Judgement{PartialGangs: PartialGangs(records.Runs), Doubled: Doubled(records.Runs), Requests: len(told)}
 	for _, t := range told {
 		j.add(t, ran[t.Identity])
 	}
@@ -155,6 +156,20 @@
 	return ran
 }
 
+// Doubled counts the requests of which two attempts ran at the same time.
+func Doubled(runs []standin.Run) int {
+	doubled := map[request.Identity]bool{}
+	for i, a := range runs { // In the order in which they began.
+		for _, b := range runs[i+1:] {
+			over := a.Ended.IsZero() || b.Began.Before(a.Ended)
+			if a.Identity == b.Identity && a.Attempt != b.Attempt && over {
+				doubled[a.Identity] = true
+			}
+		}
+	}
+	return len(doubled)
+}
+
 // PartialGangs counts attempts of which some members ran and others never did.
 func PartialGangs(runs []standin.Run) int {
 	members := map[string]int{}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -66,6 +66,7 @@
 	mu     sync.Mutex
 	name   string
 	tasks  map[string]*task
+	hidden []*task // Tasks that run on although the worker has no trace of them any more.
 	fenced map[string]bool
 	runs   []*Run
 	twice  int // Devices that were asked for while another held them.
@@ -238,19 +239,26 @@
 // advance brings every task to the present: what finished, what failed and whose lease lapsed.
 func (g *guarded) advance(now time.Time) {
 	for _, t := range g.tasks {
-		switch t.state {
-		case worker.Held, worker.Armed:
-			if !t.lease.After(now) {
-				t.state = worker.Refused
-			}
-		case worker.Going:
-			if !t.began.After(now) {
-				g.begin(t)
-				t.advance(now)
-			}
-		case worker.Running:
+		g.advanceTask(t, now)
+	}
+	for _, t := range g.hidden {
+		g.advanceTask(t, now)
+	}
+}
+
+func (g *guarded) advanceTask(t *task, now time.Time) {
+	switch t.state {
+	case worker.Held, worker.Armed:
+		if !t.lease.After(now) {
+			t.state = worker.Refused
+		}
+	case worker.Going:
+		if !t.began.After(now) {
+			g.begin(t)
 			t.advance(now)
 		}
+	case worker.Running:
+		t.advance(now)
 	}
 }
 
@@ -322,6 +330,19 @@
 	return nil, errors.New("standin: the worker can't be reached")
 }
 
+// Blank takes from a worker the trace of all its tasks, as where its guard is replaced. What it runs goes on until its end or the end of
+// its lease.
+func (s *Workers) Blank(name string) {
+	g := s.worker(name)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.advance(time.Now())
+	for attempt, t := range g.tasks {
+		g.hidden = append(g.hidden, t)
+		delete(g.tasks, attempt)
+	}
+}
+
 func (s *Workers) worker(name string) *guarded {
 	s.mu.Lock()
 	defer s.mu.Unlock()
