Take a member for over only when its lease surely is

A box that had stood still took the time since its own last renewal for a lapsed lease, while the next box had renewed it (frozen_box_thaws, the drawn scripts). A worker that reported without the attempt counted as having ended it (worker_forgets). A successor counted leases from its own begin, and every renewal that failed started the count anew, so that a gang on a worker that never came back waited for ever (worker_never_returns, replaced_box_renews: not settled on the code before). Change: leases run from the worker's own clock, as the renewal's report told it, so a late renewal extends nothing. A worker without a trace of the attempt ends it a lease later. A silent one is lost when tries over more than a lease have failed; its member is over unchecked_ms plus a lease after the row that says to stop, and boxes renew no longer than unchecked_ms (10 min) from rows that they can't read. Reports that were overtaken are dropped. Figures: leases of 4 s, unchecked_ms 70 s.

--- a/internal/box/world_test.go
+++ b/internal/box/world_test.go
@@ -331,6 +331,7 @@
 	s := settings.Defaults()
 	s.Name, s.Hall, s.Listen, s.LinkListen = name, hall, name, name
 	s.Lease.Hold, s.Lease.Run, s.Lease.Renew = 2*time.Second, 4*time.Second, 400*time.Millisecond
+	s.Lease.Unchecked = 70 * time.Second // Longer than the outages of the scripts.
 	s.Timing.BalancerDelay = 500 * time.Millisecond
 	g := &gate{broken: w.broken}
 	b := New(&s, Platform{
--- a/internal/hall/book.go
+++ b/internal/hall/book.go
@@ -7,16 +7,35 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/pulleyring/pulleyring/internal/settlement"
 	"github.com/pulleyring/pulleyring/internal/table"
 )
 
-// Entry is a job with the version of its row.
+// Entry is a job with the version of its row, and since when this box knows what it says.
 type Entry struct {
 	settlement.Job
-	Version int64
+	Version  int64
+	Learned  time.Time // When this box first saw the attempt, which was held at its workers before.
+	Stopping time.Time // When it first saw that the attempt is to stop; zero before.
+}
+
+// date fills in since when the box knows the attempt and its stop, from the entry before.
+func (e *Entry) date(old *Entry) {
+	now := time.Now()
+	e.Learned = now
+	if e.State == settlement.Stopping {
+		e.Stopping = now
+	}
+	if old == nil || old.Attempt != e.Attempt {
+		return
+	}
+	e.Learned = old.Learned
+	if old.State == settlement.Stopping {
+		e.Stopping = old.Stopping
+	}
 }
 
 // Key returns the job's key, caller/id.
@@ -99,7 +118,8 @@
 	case "rack":
 		b.racks[name] = max(b.racks[name], row.Version)
 	case "job":
-		if old := b.jobs[name]; old != nil && old.Version >= row.Version {
+		old := b.jobs[name]
+		if old != nil && old.Version >= row.Version {
 			return nil
 		}
 		if row.Deleted {
@@ -110,6 +130,7 @@
 		if err := settlement.Decode(row, &e.Job); err != nil {
 			return err
 		}
+		e.date(old)
 		b.jobs[name] = e
 	}
 	return nil
@@ -121,9 +142,13 @@
 	defer b.mu.Unlock()
 	b.init()
 	key := job.Identity.String()
-	if old := b.jobs[key]; old == nil || old.Version < version {
-		b.jobs[key] = &Entry{Job: job, Version: version}
+	old := b.jobs[key]
+	if old != nil && old.Version >= version {
+		return
 	}
+	e := &Entry{Job: job, Version: version}
+	e.date(old)
+	b.jobs[key] = e
 }
 
 // Drop notes that this box committed the deletion of a job row.
--- a/internal/hall/keeper.go
+++ b/internal/hall/keeper.go
@@ -46,7 +46,7 @@
 	mu        sync.Mutex
 	on        bool                 // This box decides now.
 	stale     bool                 // The book must be refreshed.
-	refreshed time.Time            // Last refresh.
+	refreshed time.Time            // Begin of the last refresh that succeeded.
 	busy      map[string]bool      // Jobs with a step under way.
 	resting   map[string]time.Time // Jobs that take no step until an instant.
 	starts    map[string]*placement
@@ -168,17 +168,25 @@
 	if !needed {
 		return true
 	}
+	began := time.Now()
 	err := k.Book.Refresh(ctx)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if err == nil {
-		k.refreshed = time.Now()
+		k.refreshed = began
 		return true
 	}
 	k.stale = true
 	return false
 }
 
+// checkedWithin reports whether the book was brought up to date in that time.
+func (k *Keeper) checkedWithin(d time.Duration) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return time.Since(k.refreshed) <= d
+}
+
 // note adds an event of this hall to the time line.
 func (k *Keeper) note(job, attempt, text string) {
 	k.Recorder.Add(timeline.Event{Part: "hall", Hall: k.Hall, Job: job, Attempt: attempt, Text: text})
--- a/internal/hall/pass.go
+++ b/internal/hall/pass.go
@@ -213,7 +213,7 @@
 		if e.State == settlement.Waiting || k.isBusy(e.Key()) {
 			continue
 		}
-		sights := k.watch.sights(&e.Job, k.fresh(), k.Settings.Lease.Run)
+		sights := k.watch.sights(e, k.bounds())
 		step := settlement.Judge(&e.Job, sights)
 		switch step {
 		case settlement.Keep:
--- a/internal/hall/settle.go
+++ b/internal/hall/settle.go
@@ -129,7 +129,9 @@
 		state := string(s.Task.State)
 		switch {
 		case s.Expired:
-			state = "out of reach, its lease has lapsed"
+			state = "lost, its lease is over"
+		case s.Lost:
+			state = "lost"
 		case !s.Known:
 			state = "not heard lately"
 		}
--- a/internal/hall/sight.go
+++ b/internal/hall/sight.go
@@ -13,7 +13,7 @@
 // Times of the watch over workers that are no settings.
 const (
 	renewTimeout = time.Second
-	// leaseMargin is added to a lease before it is taken to have surely lapsed at a worker that can't be reached.
+	// leaseMargin is added to a lease before it counts as over, for clocks that run at slightly different speeds.
 	leaseMargin = 500 * time.Millisecond
 	// orphanAfter is how long an ended task without a row is left at its worker before it is forgotten there.
 	orphanAfter = 20 * time.Second
@@ -21,11 +21,14 @@
 
 // watched is what this box knows of one worker.
 type watched struct {
-	heard   time.Time // Last report.
-	renewed time.Time // Last time a renewal may have reached it.
-	usage   contract.Shape
-	tasks   map[string]worker.Task
-	orphans map[string]time.Time // Ended tasks without a row, by when they were first seen.
+	heard     time.Time // When the last report was asked for.
+	clock     int64     // The worker's clock in it.
+	silent    time.Time // When the first try since then had failed; zero where the last one did not fail.
+	lost      bool      // Tries have failed for longer than a lease.
+	usage     contract.Shape
+	tasks     map[string]worker.Task
+	traceless map[string]time.Time // Attempts that the worker was found to have no trace of, since when.
+	orphans   map[string]time.Time // Ended tasks without a row, by when they were first seen.
 }
 
 // watch keeps what the workers of a hall report.
@@ -35,7 +38,7 @@
 	workers map[string]*watched
 }
 
-// reset forgets everything; a box that becomes preferred starts so, since another may have renewed until now.
+// reset forgets everything, as a box becomes preferred.
 func (s *watch) reset() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -49,18 +52,22 @@
 	}
 	w := s.workers[name]
 	if w == nil {
-		w = &watched{renewed: s.since, tasks: map[string]worker.Task{}, orphans: map[string]time.Time{}}
+		w = &watched{tasks: map[string]worker.Task{}, traceless: map[string]time.Time{}, orphans: map[string]time.Time{}}
 		s.workers[name] = w
 	}
 	return w
 }
 
-// take notes a report.
+// take notes a report; one that was overtaken by a later one says nothing new.
 func (s *watch) take(name string, asked time.Time, report worker.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w := s.worker(name)
-	w.heard = asked
+	if asked.Before(w.heard) {
+		return
+	}
+	w.heard, w.clock = asked, report.Clock
+	w.silent, w.lost = time.Time{}, false
 	w.usage = report.Usage
 	w.tasks = make(map[string]worker.Task, len(report.Tasks))
 	for _, t := range report.Tasks {
@@ -68,6 +75,20 @@
 	}
 }
 
+// fail notes that a report could not be had. A worker is lost once a try that began more than a lease after the first failure fails
+// too; the time alone says nothing, as this box may have stood still meanwhile.
+func (s *watch) fail(name string, asked time.Time, lease time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.worker(name)
+	if w.silent.IsZero() {
+		w.silent = time.Now()
+	}
+	if asked.Sub(w.silent) > lease+leaseMargin {
+		w.lost = true
+	}
+}
+
 // takeTask notes what a worker answered to a step. It says nothing of other attempts, so it does not count as a report.
 func (s *watch) takeTask(name string, t worker.Task) {
 	s.mu.Lock()
@@ -75,11 +96,18 @@
 	s.worker(name).tasks[t.Attempt] = t
 }
 
-// renewing notes that a renewal is on its way.
-func (s *watch) renewing(name string) {
+// task returns what a worker last said of an attempt.
+func (s *watch) task(name, attempt string) worker.Task {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.worker(name).renewed = time.Now()
+	return s.worker(name).tasks[attempt]
+}
+
+// clock returns a worker's clock as it last reported, 0 before the first report.
+func (s *watch) clock(name string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.worker(name).clock
 }
 
 // reachable reports whether a worker reported lately.
@@ -100,34 +128,53 @@
 	return contract.Shape{}
 }
 
+// bounds are the times from which sights are judged.
+type bounds struct {
+	fresh     time.Duration // Age up to which a report says how a live task stands.
+	lease     time.Duration // Of a running gang.
+	unchecked time.Duration // How long other boxes may renew an attempt that a row says to stop.
+}
+
 // sights returns what is known of the seats of an attempt.
-func (s *watch) sights(j *settlement.Job, fresh, lease time.Duration) []settlement.Sight {
+func (s *watch) sights(e *Entry, b bounds) []settlement.Sight {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	list := make([]settlement.Sight, len(j.Seats))
-	for i, seat := range j.Seats {
-		w := s.worker(seat.Worker)
-		task, found := w.tasks[j.Attempt]
-		switch {
-		case found && !task.State.Live(): // What has ended stays so.
-			list[i] = settlement.Sight{Task: task, Known: true}
-		case now.Sub(w.heard) <= fresh && w.heard.After(j.Started):
-			if !found {
-				task = worker.Task{Attempt: j.Attempt, State: worker.Unknown}
-			}
-			list[i] = settlement.Sight{Task: task, Known: true}
-		default:
-			last := w.renewed
-			if j.Started.After(last) {
-				last = j.Started
-			}
-			list[i].Expired = now.Sub(last) > lease+leaseMargin
-		}
+	list := make([]settlement.Sight, len(e.Seats))
+	for i, seat := range e.Seats {
+		list[i] = s.worker(seat.Worker).sight(e, b)
 	}
 	return list
 }
 
+// sight returns what is known of an attempt at one worker.
+func (w *watched) sight(e *Entry, b bounds) settlement.Sight {
+	task, found := w.tasks[e.Attempt]
+	found = found && task.State != worker.Unknown
+	if found && !task.State.Live() { // What has ended stays so.
+		return settlement.Sight{Task: task, Known: true}
+	}
+	if found {
+		delete(w.traceless, e.Attempt)
+	}
+	asked := time.Since(w.heard) <= b.fresh && w.heard.After(e.Learned)
+	if found && asked {
+		return settlement.Sight{Task: task, Known: true}
+	}
+	if asked && w.traceless[e.Attempt].IsZero() {
+		w.traceless[e.Attempt] = time.Now()
+	}
+	if since := w.traceless[e.Attempt]; !since.IsZero() {
+		return settlement.Sight{Lost: true, Expired: time.Since(since) > b.lease+leaseMargin}
+	}
+	return settlement.Sight{Lost: w.lost, Expired: w.lost && e.overBy(b)}
+}
+
+// overBy reports whether no box can be renewing an attempt any more, so that its lease is over: each of them reads the rows anew, or stops
+// to renew once it could not do so for a while. A go that is carried out late falls into the same time.
+func (e *Entry) overBy(b bounds) bool {
+	return !e.Stopping.IsZero() && time.Since(e.Stopping) > b.unchecked+b.lease+leaseMargin
+}
+
 // renewTurn renews the leases at every worker and takes in their reports, where this box decides.
 func (k *Keeper) renewTurn(ctx context.Context) {
 	if k.active() {
@@ -143,10 +190,12 @@
 	for _, e := range k.Book.Jobs() {
 		current[e.Attempt] = true
 	}
+	k.missUnlisted()
 	var group sync.WaitGroup
 	for _, w := range k.workers() {
 		group.Go(func() {
 			k.renew(ctx, w, worker.Renewal{
+				Clock:    k.watch.clock(w.Name),
 				Attempts: whole[w.Name],
 				Forget:   k.watch.orphaned(w.Name, current),
 				LeaseMS:  k.Settings.Lease.Run.Milliseconds(),
@@ -156,10 +205,25 @@
 	group.Wait()
 }
 
+// missUnlisted counts workers that rows name and the configuration does not as silent: they can't be asked.
+func (k *Keeper) missUnlisted() {
+	listed := k.workersByName()
+	for _, e := range k.Book.Jobs() {
+		for _, seat := range e.Seats {
+			if _, ok := listed[seat.Worker]; !ok {
+				k.watch.fail(seat.Worker, time.Now(), k.Settings.Lease.Run)
+			}
+		}
+	}
+}
+
 // wholeAttempts returns, by worker, the running attempts whose members are all well; only these are renewed, so that
-// a gang that lost a member ends whole.
+// a gang that lost a member ends whole, and only while the rows that say so are not too old.
 func (k *Keeper) wholeAttempts() map[string][]string {
 	list := map[string][]string{}
+	if !k.checkedWithin(k.Settings.Lease.Unchecked) {
+		return list
+	}
 	for _, e := range k.Book.Jobs() {
 		if e.State != settlement.Starting || !k.whole(e) {
 			continue
@@ -172,11 +236,11 @@
 }
 
 func (k *Keeper) whole(e *Entry) bool {
-	for _, s := range k.watch.sights(&e.Job, k.fresh(), k.Settings.Lease.Run) {
+	for _, s := range k.watch.sights(e, k.bounds()) {
 		if s.Known && !s.Task.State.Live() && s.Task.State != worker.Finished {
 			return false
 		}
-		if s.Expired {
+		if s.Lost || s.Expired {
 			return false
 		}
 	}
@@ -203,9 +267,9 @@
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	asked := time.Now()
-	k.watch.renewing(w.Name)
 	report, err := k.Workers.Renew(ctx, w, renewal)
 	if err != nil {
+		k.watch.fail(w.Name, asked, k.Settings.Lease.Run)
 		return
 	}
 	k.watch.take(w.Name, asked, report)
@@ -235,5 +299,10 @@
 	return list
 }
 
+// bounds returns the times from which sights are judged.
+func (k *Keeper) bounds() bounds {
+	return bounds{fresh: k.fresh(), lease: k.Settings.Lease.Run, unchecked: k.Settings.Lease.Unchecked}
+}
+
 // fresh is the age up to which a worker's report says how a live task stands.
 func (k *Keeper) fresh() time.Duration { return 2*k.Settings.Lease.Renew + renewTimeout }
--- a/internal/hall/start.go
+++ b/internal/hall/start.go
@@ -172,10 +172,9 @@
 // unfinished are the seats of an attempt that are not known to have ended well. A member that was told to go alone, as its box died, may have ended
 // before the next box finds the others armed: it can't be armed any more, and a gang that was to be armed whole was never settled.
 func (k *Keeper) unfinished(j *settlement.Job) []settlement.Seat {
-	sights := k.watch.sights(j, k.fresh(), k.Settings.Lease.Run)
 	var list []settlement.Seat
-	for i, seat := range j.Seats {
-		if sights[i].Task.State != worker.Finished {
+	for _, seat := range j.Seats {
+		if k.watch.task(seat.Worker, j.Attempt).State != worker.Finished {
 			list = append(list, seat)
 		}
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -50,6 +50,8 @@
 	Hold  time.Duration // From hold to go.
 	Run   time.Duration // Between renewals of a running gang.
 	Renew time.Duration // Interval of renewals.
+	// Unchecked is how long a box renews from rows that it can't check against the table, where another may have written since that the gang stops.
+	Unchecked time.Duration
 }
 
 // Timing holds intervals and delays.
@@ -85,7 +87,7 @@
 func Defaults() Box {
 	return Box{
 		Budget: Budget{WritesPerSecond: 400, ReadsPerSecond: 2000},
-		Lease:  Lease{Hold: 3 * time.Second, Run: 10 * time.Second, Renew: 2 * time.Second},
+		Lease:  Lease{Hold: 3 * time.Second, Run: 10 * time.Second, Renew: 2 * time.Second, Unchecked: 10 * time.Minute},
 		Timing: Timing{
 			Pass: 100 * time.Millisecond, Refresh: time.Second,
 			Heartbeat: 150 * time.Millisecond, DeadAfter: 600 * time.Millisecond,
@@ -134,6 +136,7 @@
 			{Key: "hold_ms", Doc: "Lease from hold to go.", Unit: "ms", Target: &b.Lease.Hold, Min: 100, Max: 60000},
 			{Key: "run_ms", Doc: "Lease of a running gang.", Unit: "ms", Target: &b.Lease.Run, Min: 500, Max: 600000},
 			{Key: "renew_ms", Doc: "Interval of renewals; at most a third of run_ms.", Unit: "ms", Target: &b.Lease.Renew, Min: 50, Max: 200000},
+			{Key: "unchecked_ms", Doc: "Longest time for which gangs are renewed while the table is out; a gang whose worker is silent waits as long before it starts elsewhere. At least hold_ms.", Unit: "ms", Target: &b.Lease.Unchecked, Min: 1000, Max: 86400000},
 		}},
 		{"timing", b.timingOptions()},
 		{"limits", b.limitOptions()},
@@ -222,6 +225,9 @@
 		if b.Lease.Renew*3 > b.Lease.Run {
 			s.Add("renew_ms", "at most a third of run_ms", "%d is too long for run_ms %d", b.Lease.Renew.Milliseconds(), b.Lease.Run.Milliseconds())
 		}
+		if b.Lease.Unchecked < b.Lease.Hold {
+			s.Add("unchecked_ms", "at least hold_ms", "%d is too short for hold_ms %d", b.Lease.Unchecked.Milliseconds(), b.Lease.Hold.Milliseconds())
+		}
 	case "timing":
 		if b.Timing.Heartbeat*3 > b.Timing.DeadAfter {
 			s.Add("dead_after_ms", "at least three times heartbeat_ms", "%d is too short for heartbeat_ms %d", b.Timing.DeadAfter.Milliseconds(), b.Timing.Heartbeat.Milliseconds())
--- a/internal/settlement/gang.go
+++ b/internal/settlement/gang.go
@@ -11,7 +11,8 @@
 type Sight struct {
 	Task    worker.Task
 	Known   bool // The worker reported in time.
-	Expired bool // It can't be reached, and its lease has surely lapsed there.
+	Lost    bool // The worker is silent, or has no trace of it; it may run on until its lease is over.
+	Expired bool // The same, and its lease is surely over.
 }
 
 // Step is what an attempt needs next.
@@ -88,10 +89,14 @@
 	var c tally
 	for _, s := range sights {
 		if !s.Known {
-			if s.Expired {
+			switch {
+			case s.Expired:
 				c.expired++
 				c.dead++
-			} else {
+			case s.Lost:
+				c.unknown++
+				c.dead++
+			default:
 				c.unknown++
 			}
 			continue
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -65,6 +65,7 @@
 type guarded struct {
 	mu     sync.Mutex
 	name   string
+	begun  time.Time // Its own clock counts from here.
 	tasks  map[string]*task
 	hidden []*task // Tasks that run on although the worker has no trace of them any more.
 	fenced map[string]bool
@@ -288,7 +289,7 @@
 	g.advance(now)
 	for _, attempt := range renewal.Attempts {
 		if t := g.tasks[attempt]; t != nil && t.state.Live() {
-			t.lease = until(renewal.LeaseMS)
+			t.extend(g.instant(renewal.Clock), renewal.LeaseMS)
 		}
 	}
 	for _, attempt := range renewal.Forget {
@@ -297,7 +298,7 @@
 			g.fenced[attempt] = true
 		}
 	}
-	var report worker.Report
+	report := worker.Report{Clock: g.clock(now)}
 	for _, t := range g.tasks {
 		report.Tasks = append(report.Tasks, t.report(now))
 		if t.state == worker.Running {
@@ -307,6 +308,24 @@
 	return report, nil
 }
 
+// clock is the worker's own clock in milliseconds.
+func (g *guarded) clock(now time.Time) int64 { return 1 + now.Sub(g.begun).Milliseconds() }
+
+// instant is when the worker's own clock stood so; zero where the box had no reading of it.
+func (g *guarded) instant(clock int64) time.Time {
+	if clock == 0 {
+		return time.Time{}
+	}
+	return g.begun.Add(time.Duration(clock-1) * time.Millisecond)
+}
+
+// extend lets a lease last for so long from an instant on; it never shortens it.
+func (t *task) extend(from time.Time, ms int64) {
+	if end := from.Add(time.Duration(ms) * time.Millisecond); end.After(t.lease) {
+		t.lease = end
+	}
+}
+
 // reach returns a worker; one that is lost can't be reached and drops what it ran.
 func (s *Workers) reach(ctx context.Context, name string) (*guarded, error) {
 	if err := ctx.Err(); err != nil {
@@ -351,7 +370,7 @@
 	}
 	g := s.workers[name]
 	if g == nil {
-		g = &guarded{name: name, tasks: map[string]*task{}, fenced: map[string]bool{}}
+		g = &guarded{name: name, begun: time.Now(), tasks: map[string]*task{}, fenced: map[string]bool{}}
 		s.workers[name] = g
 	}
 	return g
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -64,6 +64,7 @@
 
 // Report is a worker's answer to a renewal: every task it knows, and its usage, which lags.
 type Report struct {
+	Clock      int64          `json:"clock_ms"` // The worker's own clock as it answered, from 1 on and never set back.
 	Tasks      []Task         `json:"tasks"`
 	Usage      contract.Shape `json:"usage"`
 	UsageLagMS int64          `json:"usage_lag_ms"`
@@ -71,9 +72,10 @@
 
 // Renewal carries one worker's renewals in one message.
 type Renewal struct {
+	Clock    int64    `json:"clock_ms"` // Of the last report; 0 extends nothing.
 	Attempts []string `json:"attempts"` // Leases to extend.
 	Forget   []string `json:"forget"`   // Ended attempts that are settled.
-	LeaseMS  int64    `json:"lease_ms"`
+	LeaseMS  int64    `json:"lease_ms"` // From Clock on, so that a renewal that comes late extends nothing.
 }
 
 // ErrRefused says that the worker surely did not do what it was asked.
