Let a worker forget ended tasks only after the rows were read later

Cause: a task counted as nobody's when no row in this box's memory named it for 20 s, however old that memory was. Change: the rows must have been read after those 20 s.

--- a/internal/hall/keeper.go
+++ b/internal/hall/keeper.go
@@ -180,11 +180,11 @@
 	return false
 }
 
-// checkedWithin reports whether the book was brought up to date in that time.
-func (k *Keeper) checkedWithin(d time.Duration) bool {
+// checked returns the instant as of which the book is surely up to date.
+func (k *Keeper) checked() time.Time {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return time.Since(k.refreshed) <= d
+	return k.refreshed
 }
 
 // note adds an event of this hall to the time line.
--- a/internal/hall/sight.go
+++ b/internal/hall/sight.go
@@ -186,6 +186,7 @@
 // renewAll sends one message to each worker.
 func (k *Keeper) renewAll(ctx context.Context) {
 	whole := k.wholeAttempts()
+	checked := k.checked() // Before the rows are listed, which are as new or newer.
 	current := map[string]bool{}
 	for _, e := range k.Book.Jobs() {
 		current[e.Attempt] = true
@@ -197,7 +198,7 @@
 			k.renew(ctx, w, worker.Renewal{
 				Clock:    k.watch.clock(w.Name),
 				Attempts: whole[w.Name],
-				Forget:   k.watch.orphaned(w.Name, current),
+				Forget:   k.watch.orphaned(w.Name, current, checked),
 				LeaseMS:  k.Settings.Lease.Run.Milliseconds(),
 			})
 		})
@@ -221,7 +222,7 @@
 // a gang that lost a member ends whole, and only while the rows that say so are not too old.
 func (k *Keeper) wholeAttempts() map[string][]string {
 	list := map[string][]string{}
-	if !k.checkedWithin(k.Settings.Lease.Unchecked) {
+	if time.Since(k.checked()) > k.Settings.Lease.Unchecked {
 		return list
 	}
 	for _, e := range k.Book.Jobs() {
@@ -275,8 +276,9 @@
 	k.watch.take(w.Name, asked, report)
 }
 
-// orphaned returns the ended tasks of a worker that no row has named for a while; current holds those that rows name.
-func (s *watch) orphaned(name string, current map[string]bool) []string {
+// orphaned returns the ended tasks of a worker that no row has named for a while; current holds those that rows name, as of checked. A row that
+// this box has not read yet may name a task, and its answer must last until that row settles it.
+func (s *watch) orphaned(name string, current map[string]bool, checked time.Time) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w := s.worker(name)
@@ -291,7 +293,7 @@
 			w.orphans[attempt] = time.Now()
 			continue
 		}
-		if time.Since(first) > orphanAfter {
+		if checked.Sub(first) > orphanAfter {
 			list = append(list, attempt)
 			delete(w.orphans, attempt)
 		}
