--- a/internal/box/script_test.go
+++ b/internal/box/script_test.go
@@ -26,7 +26,7 @@
 //	box NAME HALL               start one more box
 //	wait DURATION               let time pass
 //	small CALLER ID [once] [work=D] [fail] [at=N]
-//	gang CALLER ID SIZE [once] [checkpoints] [urgent] [work=D] [fail] [refuse] [at=N]
+//	gang CALLER ID SIZE [once] [checkpoints] [urgent] [work=D] [fail] [crash] [refuse] [at=N]
 //	many N small|gang CALLER PREFIX ...      the same N times
 //	kill|freeze|thaw|leave NAME
 //	freeze_at NAME VERB         freeze the box at its next hold, arm, go, stop or renew
@@ -44,6 +44,7 @@
 //	expect_unused NAME          nothing began at that worker or upstream since the mark
 //	expect FIGURE N             a figure of the judgement; figures that stand for broken promises are always 0
 //	expect_outcome CALLER ID OUTCOME
+//	expect_attempts CALLER ID MOST           so many of its attempts began at the most
 //	expect_within DURATION CALLER ID         it first ran so long after its submission at the latest
 type script struct {
 	*world
@@ -164,6 +165,8 @@
 		return s.expect(args[0], args[1])
 	case "expect_outcome":
 		return s.expectOutcome(args[0], args[1], args[2])
+	case "expect_attempts":
+		return s.expectAttempts(args[0]+"/"+args[1], args[2])
 	case "expect_within":
 		return s.expectWithin(args)
 	default:
@@ -204,7 +207,7 @@
 	if gang > 0 {
 		r.Shape = contract.Shape{CPUs: 1, MemoryGB: 1, Accelerators: 1}
 	}
-	length, first, fail := 100*time.Millisecond, len(s.told), false
+	length, first, trouble := 100*time.Millisecond, len(s.told), ""
 	for _, o := range options {
 		key, value, _ := strings.Cut(o, "=")
 		var err error
@@ -217,8 +220,8 @@
 			r.Urgent = true
 		case "refuse":
 			r.OnOutage = "refuse"
-		case "fail":
-			fail = true
+		case "fail", "crash":
+			trouble = o
 		case "work":
 			length, err = time.ParseDuration(value)
 		case "at":
@@ -231,8 +234,8 @@
 		}
 	}
 	r.Payload = work(identity, length)
-	if fail {
-		r.Payload = []byte(`{"fail":true}`)
+	if trouble != "" {
+		r.Payload = fmt.Appendf(nil, `{%q:true}`, trouble)
 	}
 	s.submitted[identity.String()] = time.Now()
 	s.submit(identity, r, first, patience)
@@ -335,6 +338,23 @@
 	return fmt.Errorf("%s/%s is not %s", caller, id, outcome)
 }
 
+func (s *script) expectAttempts(key, most string) error {
+	n, err := strconv.Atoi(most)
+	if err != nil {
+		return err
+	}
+	attempts := map[string]bool{}
+	for _, r := range s.platform.Workers.Runs() {
+		if r.Identity.String() == key {
+			attempts[r.Attempt] = true
+		}
+	}
+	if len(attempts) > n {
+		return fmt.Errorf("%d attempts began", len(attempts))
+	}
+	return nil
+}
+
 func (s *script) expectWithin(args []string) error {
 	d, err := time.ParseDuration(args[0])
 	if err != nil {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -17,7 +17,8 @@
 // work is what the stand-ins read of a payload.
 type work struct {
 	WorkMS int64 `json:"work_ms"`
-	Fail   bool  `json:"fail"` // Fails wherever it runs.
+	Fail   bool  `json:"fail"`  // Fails wherever it runs.
+	Crash  bool  `json:"crash"` // Ends the process of each worker that runs it, with all that runs there and what it knew.
 }
 
 // Answer is what a stand-in answers: enough for the caller to see that the answer is its own and whole.
@@ -80,13 +81,14 @@
 	began  time.Time
 	needs  time.Duration // Run time from began.
 	fails  bool
+	crash  bool
 	paused bool // After a checkpoint, until the stop.
 	saved  float64
 	run    *Run
 	answer json.RawMessage
 }
 
-// failAfter is the run time after which a failing task fails.
+// failAfter is the run time after which a failing task fails, or crashes its worker.
 const failAfter = 20 * time.Millisecond
 
 // Hold implements worker.Service.
@@ -186,7 +188,8 @@
 	_ = json.Unmarshal(t.Payload, &body) // A payload of another form is work of no length.
 	t.needs = time.Duration(body.WorkMS)*time.Millisecond - time.Duration(t.From*float64(time.Second))
 	t.fails = body.Fail || slices.Contains(s.Faults.Get().FailWorkers, g.name)
-	if t.fails {
+	t.crash = body.Crash
+	if t.fails || t.crash {
 		t.needs = failAfter
 	}
 }
@@ -241,12 +244,27 @@
 func (g *guarded) advance(now time.Time) {
 	for _, t := range g.tasks {
 		g.advanceTask(t, now)
+		if t.crash && t.state == worker.Finished {
+			t.run.State = worker.Stopped
+			g.crash(t.run.Ended)
+			return
+		}
 	}
 	for _, t := range g.hidden {
 		g.advanceTask(t, now)
 	}
 }
 
+// crash ends all that runs and takes the trace of it from the worker, which is back at once.
+func (g *guarded) crash(at time.Time) {
+	for _, t := range g.tasks {
+		if t.state == worker.Running {
+			t.end(worker.Stopped, at)
+		}
+	}
+	clear(g.tasks)
+}
+
 func (g *guarded) advanceTask(t *task, now time.Time) {
 	switch t.state {
 	case worker.Held, worker.Armed:
