Count attempts that lose a worker just after they have begun, and give a job up at the fifth

Cause: a member whose worker was lost counted for nothing, and its gang waited again. Change: an attempt that loses a worker within 2 s of its begin counts once, in the job's row, committed as it waits again; the fifth ends the job, with its reason. Losses by a cut count as well; only the age tells them apart.

--- a/internal/decider/pulleyring.go
+++ b/internal/decider/pulleyring.go
@@ -45,6 +45,8 @@
 			b.giveUp(j, &Reason{Code: NeverFits})
 		case b.failsAlways(j):
 			b.giveUp(j, &Reason{Code: FailsAlways, Detail: join(j.FailedOn)})
+		case j.Losses >= LossesToGiveUp:
+			b.giveUp(j, &Reason{Code: LosesWorkers})
 		default:
 			rest = append(rest, i)
 		}
@@ -52,6 +54,10 @@
 	return rest
 }
 
+// LossesToGiveUp is the number of attempts that lost a worker just after they had begun, after which a job is given up. Workers are also lost for reasons of
+// their own, and no loss here tells which it was, so it is the highest number of losses.md.
+const LossesToGiveUp = 5
+
 // gangForm is what decides whether a gang can ever fit.
 type gangForm struct {
 	gang  int
--- a/internal/hall/sight.go
+++ b/internal/hall/sight.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -17,6 +18,8 @@
 	leaseMargin = 500 * time.Millisecond
 	// orphanAfter is how long an ended task without a row is left at its worker before it is forgotten there.
 	orphanAfter = 20 * time.Second
+	// listedFor is how long it is kept when an attempt was last listed; longer than a lost one is waited for.
+	listedFor = time.Hour
 )
 
 // watched is what this box knows of one worker.
@@ -28,6 +31,7 @@
 	usage     contract.Shape
 	tasks     map[string]worker.Task
 	traceless map[string]time.Time // Attempts that the worker was found to have no trace of, since when.
+	listed    map[string]time.Time // When reports were asked for that listed attempts as live, the last one each.
 	orphans   map[string]time.Time // Ended tasks without a row, by when they were first seen.
 }
 
@@ -52,7 +56,7 @@
 	}
 	w := s.workers[name]
 	if w == nil {
-		w = &watched{tasks: map[string]worker.Task{}, traceless: map[string]time.Time{}, orphans: map[string]time.Time{}}
+		w = &watched{tasks: map[string]worker.Task{}, traceless: map[string]time.Time{}, listed: map[string]time.Time{}, orphans: map[string]time.Time{}}
 		s.workers[name] = w
 	}
 	return w
@@ -72,7 +76,11 @@
 	w.tasks = make(map[string]worker.Task, len(report.Tasks))
 	for _, t := range report.Tasks {
 		w.tasks[t.Attempt] = t
+		if t.State.Live() {
+			w.listed[t.Attempt] = asked
+		}
 	}
+	maps.DeleteFunc(w.listed, func(_ string, last time.Time) bool { return asked.Sub(last) > listedFor })
 }
 
 // fail notes that a report could not be had. A worker is lost once a try that began more than a lease after the first failure fails
--- a/internal/hall/view.go
+++ b/internal/hall/view.go
@@ -38,7 +38,11 @@
 	}
 	index := k.addWorkers(v, orders)
 	v.Layout = k.layoutFor(site, v)
+	suspect := k.suspect(now)
 	for _, e := range k.Book.Jobs() {
+		if e.State == settlement.Waiting && e.Losses > 0 && e.Losses < decider.LossesToGiveUp && e.Key() != suspect && k.starts[e.Key()] == nil {
+			continue // Its turn comes.
+		}
 		k.addJob(v, e, index)
 	}
 	return v
@@ -126,7 +130,7 @@
 	return decider.Job{
 		Key: key, Workspace: e.Submission.Workspace, Kind: e.Submission.Kind, Gang: e.Submission.Gang, Shape: e.Submission.Shape,
 		DeclaredSeconds: e.Submission.DeclaredSeconds, Urgent: e.Submission.Urgent, AtMostOnce: e.Submission.AtMostOnce,
-		Checkpoints: e.Submission.Checkpoints, Arrived: e.Received, Done: e.Done, Stops: e.Stops, FailedOn: k.health.FailedOn(key),
+		Checkpoints: e.Submission.Checkpoints, Arrived: e.Received, Done: e.Done, Stops: e.Stops, FailedOn: k.health.FailedOn(key), Losses: e.Losses,
 	}
 }
 
--- a/internal/settlement/record.go
+++ b/internal/settlement/record.go
@@ -106,6 +106,7 @@
 	Stops      int                `json:"stops,omitempty"`    // Times it was stopped to make room.
 	Moves      int                `json:"moves,omitempty"`    // Times it moved to another hall.
 	Failures   []string           `json:"failures,omitempty"` // Workers that an attempt failed on.
+	Losses     int                `json:"losses,omitempty"`   // Attempts that lost a worker just after they had begun.
 	Ran        bool               `json:"ran,omitempty"`      // A member of an earlier attempt has run.
 	Halt       *Halt              `json:"halt,omitempty"`
 }
