--- a/internal/box/script_test.go
+++ b/internal/box/script_test.go
@@ -34,6 +34,7 @@
 //	cut_worker NAME WORKER      the box can't reach the worker any more
 //	cut_box NAME                the box can't reach the table and the other boxes any more
 //	blank_worker WORKER         the worker has no trace of its tasks any more; they run on under their leases
+//	blank_upstream NAME         the executor has no trace of its calls any more; they run on
 //	operator_at NAME COMMAND    carried out at that box
 //	fault KEY VALUE             set a fault of the stand-ins
 //	operator COMMAND            carried out at the first live box
@@ -51,7 +52,7 @@
 	submitted map[string]time.Time
 	faults    standin.Faults
 	marked    time.Time
-	lost      bool // Workers were lost, so that some outcomes can't be known.
+	lost      bool // Workers or executors lost what they knew, so that some outcomes can't be known.
 }
 
 // patience is how long the callers of a script go on asking.
@@ -140,6 +141,9 @@
 		s.boxes[args[0]].gate.set(func(g *gate) { g.tableCut = true })
 	case "blank_worker":
 		s.platform.Workers.Blank(args[0])
+	case "blank_upstream":
+		s.platform.Executors.Blank(args[0])
+		s.lost = true
 	case "leave":
 		go s.boxes[args[0]].leaveQuietly()
 	case "fault":
--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -99,6 +99,14 @@
 	return answer, ctx.Err()
 }
 
+// Blank takes from an executor the trace of all its calls, as where its process is replaced behind the same address. What runs goes on.
+func (s *Executors) Blank(name string) {
+	e := s.executor(name)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.attempts = map[string]*call{}
+}
+
 // Fence implements upstream.Service.
 func (s *Executors) Fence(ctx context.Context, u contract.Upstream, attempt string) (upstream.Fate, upstream.Answer, error) {
 	if err := ctx.Err(); err != nil {
@@ -180,10 +188,10 @@
 func (e *executor) begin(attempt string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.attempts[attempt].fate == upstream.Never {
+	if c := e.attempts[attempt]; c != nil && c.fate == upstream.Never {
 		return false
 	}
-	e.attempts[attempt].fate = upstream.Running
+	e.attempts[attempt] = &call{fate: upstream.Running}
 	return true
 }
 
