Take only an upstream's own word for what became of a call

Cause: any 503, 429 or 500 counted as the executor's word, which a proxy before it gives too, after it has handed the call on; an executor without a trace of a call counted as never having run it, also where its process had been replaced; the stand-in called a repeated call not run that may have run. Change: a refusal or failure counts where it names the attempt. A fence says how long ago the call was sent, and an executor that has lost what it knew of that time says so; the request is then told as unresolved for good, as gangs on lost workers are. The sentence of a fence costs no further call. A refused call whose refusal does not name it costs a fence more, not measured.

--- a/internal/intake/once.go
+++ b/internal/intake/once.go
@@ -22,6 +22,7 @@
 	fenceInterval = 200 * time.Millisecond
 	settleWithin  = 10 * time.Second
 	sweepInterval = time.Second
+	clockMargin   = 5 * time.Second // By which the clocks of two boxes differ at the most.
 	sweepMargin   = 5 * time.Second // Added to the time that the sending box has for a request.
 )
 
@@ -148,7 +149,7 @@
 	}
 	within, cancel := context.WithTimeout(context.WithoutCancel(ctx), fenceTimeout)
 	defer cancel()
-	fate, answer, err := in.Upstreams.Fence(within, u, s.record.Sending.Attempt)
+	fate, answer, err := in.Upstreams.Fence(within, u, s.record.Sending.Attempt, in.age(s))
 	if err != nil {
 		return request.Reply{}, false
 	}
@@ -160,10 +161,21 @@
 		return in.settleRow(ctx, s, request.Done, answer.Body, ""), true
 	case upstream.Never:
 		return in.settleRow(ctx, s, request.NotRun, nil, "it never reached the upstream"), true
+	case upstream.Lost:
+		return in.settleRow(ctx, s, request.Unresolved, nil, settlement.ReasonForgotten), true
 	}
 	return request.Reply{}, false
 }
 
+// age returns how long ago a request was sent at the most; the instant in its row is by the clock of the box that took it.
+func (in *Intake) age(s *sent) time.Duration {
+	age := time.Since(s.record.Received)
+	if s.record.Sending.Box != in.Box {
+		age += clockMargin
+	}
+	return age
+}
+
 // settleRow commits the outcome of an at-most-once request; its caller is told only what the table holds.
 func (in *Intake) settleRow(ctx context.Context, s *sent, outcome request.Outcome, answer json.RawMessage, reason string) request.Reply {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleWithin)
--- a/internal/settlement/gang.go
+++ b/internal/settlement/gang.go
@@ -33,6 +33,9 @@
 // ReasonUnknowable is told where a lost worker took with it whether an at-most-once gang ran.
 const ReasonUnknowable = "a worker that may have run it was lost and can't be asked"
 
+// ReasonForgotten is told where the upstream of an at-most-once request lost what it knew of it.
+const ReasonForgotten = "the upstream that may have run it has lost what it knew"
+
 // Judge returns the next step of an attempt from what is known of its seats.
 func Judge(j *Job, sights []Sight) Step {
 	c := count(sights)
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -247,22 +247,32 @@
 	case err == nil:
 		wire.Reply(w, http.StatusOK, answer)
 	case errors.Is(err, upstream.ErrNotRun):
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		refuse(w, http.StatusServiceUnavailable, call.Attempt, err)
 	case errors.Is(err, upstream.ErrFailed):
-		http.Error(w, err.Error(), http.StatusInternalServerError)
+		refuse(w, http.StatusInternalServerError, call.Attempt, err)
 	default:
 		abort()
 	}
 }
 
+// refuse answers in the executor's own name, by which a box tells it from a proxy.
+func refuse(w http.ResponseWriter, status int, attempt string, err error) {
+	wire.Reply(w, status, struct {
+		Attempt string `json:"attempt"`
+		Problem string `json:"problem"`
+	}{attempt, err.Error()})
+}
+
 func (p *Platform) fence(w http.ResponseWriter, r *http.Request) {
 	var body struct {
 		Attempt string `json:"attempt"`
+		AgeMS   int64  `json:"age_ms"`
 	}
 	if !decode(w, r, &body) {
 		return
 	}
-	fate, answer, err := p.Executors.Fence(r.Context(), contract.Upstream{Name: chi.URLParam(r, "name")}, body.Attempt)
+	age := time.Duration(body.AgeMS) * time.Millisecond
+	fate, answer, err := p.Executors.Fence(r.Context(), contract.Upstream{Name: chi.URLParam(r, "name")}, body.Attempt, age)
 	if err != nil {
 		abort()
 	}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/pulleyring/pulleyring/internal/wire"
@@ -19,14 +21,15 @@
 func (c *Client) Run(ctx context.Context, u contract.Upstream, call Call) (Answer, error) {
 	var answer Answer
 	err := wire.Post(ctx, c.HTTP, base(u)+"/run", call, &answer)
-	return answer, classify(err)
+	return answer, classify(err, call.Attempt)
 }
 
 // Fence implements Service.
-func (c *Client) Fence(ctx context.Context, u contract.Upstream, attempt string) (Fate, Answer, error) {
+func (c *Client) Fence(ctx context.Context, u contract.Upstream, attempt string, age time.Duration) (Fate, Answer, error) {
 	body := struct {
 		Attempt string `json:"attempt"`
-	}{attempt}
+		AgeMS   int64  `json:"age_ms"`
+	}{attempt, age.Milliseconds()}
 	var reply struct {
 		Fate   Fate   `json:"fate"`
 		Answer Answer `json:"answer"`
@@ -37,20 +40,14 @@
 
 func base(u contract.Upstream) string { return u.Address + "/upstreams/" + u.Name }
 
-// classify tells apart what surely did not run: a refused connection, or a status that says so.
-func classify(err error) error {
+// classify tells apart what surely did not run, or ran and failed: no connection was had, or the executor says so.
+func classify(err error, attempt string) error {
 	if err == nil {
 		return nil
 	}
 	var status *wire.StatusError
 	if errors.As(err, &status) {
-		switch status.Status {
-		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-			return errors.Wrap(ErrNotRun, status.Text)
-		case http.StatusInternalServerError:
-			return errors.Wrap(ErrFailed, status.Text)
-		}
-		return err
+		return classifyStatus(status, attempt)
 	}
 	var op *net.OpError
 	if errors.As(err, &op) && op.Op == "dial" {
@@ -58,3 +55,22 @@
 	}
 	return err
 }
+
+// classifyStatus takes a status for the executor's word only where it comes with the name of the attempt: a proxy answers with the same
+// ones, also after it has handed a call on.
+func classifyStatus(status *wire.StatusError, attempt string) error {
+	var reply struct {
+		Attempt string `json:"attempt"`
+		Problem string `json:"problem"`
+	}
+	if json.Unmarshal([]byte(status.Text), &reply) != nil || reply.Attempt != attempt {
+		return status
+	}
+	switch status.Status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return errors.Wrap(ErrNotRun, reply.Problem)
+	case http.StatusInternalServerError:
+		return errors.Wrap(ErrFailed, reply.Problem)
+	}
+	return status
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/pulleyring/pulleyring/pkg/contract"
@@ -33,6 +34,7 @@
 	Ran     Fate = "ran"     // It ran and its answer is known.
 	Running Fate = "running" // It runs now.
 	Never   Fate = "never"   // It has not run and, after the fence, never will.
+	Lost    Fate = "lost"    // The executor has lost what it knew since the call was sent. After the fence it does not begin any more.
 )
 
 // ErrNotRun says that the executor surely did not run the call: it refused it or could not be reached.
@@ -45,6 +47,6 @@
 type Service interface {
 	// Run sends a call once. The error is ErrNotRun, ErrFailed, or anything else where it may have run.
 	Run(ctx context.Context, u contract.Upstream, call Call) (Answer, error)
-	// Fence asks for the fate of an attempt and forbids it to start from then on.
-	Fence(ctx context.Context, u contract.Upstream, attempt string) (Fate, Answer, error)
+	// Fence asks for the fate of an attempt, sent so long ago at the most, and forbids it to start from then on.
+	Fence(ctx context.Context, u contract.Upstream, attempt string, age time.Duration) (Fate, Answer, error)
 }
