Take only the table's own word for a commit that did nothing

Cause: a proxy's 503 counted as the table's. Change: a refusal of a commit counts where it names the transaction; any other leaves the outcome open, and the transaction is sent again under its id until it is known. Before a table that names no transaction callers hear unresolved in an outage where they heard not_run.

--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -91,7 +91,7 @@
 		return
 	}
 	revision, err := p.Table.Commit(r.Context(), txn)
-	if tableError(w, err) {
+	if tableError(w, err, txn.ID) {
 		return
 	}
 	wire.Reply(w, http.StatusOK, struct {
@@ -99,8 +99,8 @@
 	}{revision})
 }
 
-// tableError answers an error of the table and reports whether there was one.
-func tableError(w http.ResponseWriter, err error) bool {
+// tableError answers an error of the table, in the name of the transaction where there is one, and reports whether there was an error.
+func tableError(w http.ResponseWriter, err error, txn string) bool {
 	var conflict *table.Conflict
 	switch {
 	case err == nil:
@@ -108,7 +108,10 @@
 	case errors.As(err, &conflict):
 		wire.Reply(w, http.StatusConflict, conflict)
 	case errors.Is(err, table.ErrUnavailable):
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		wire.Reply(w, http.StatusServiceUnavailable, struct {
+			Txn     string `json:"txn,omitempty"`
+			Problem string `json:"problem"`
+		}{txn, err.Error()})
 	default:
 		abort()
 	}
@@ -123,7 +126,7 @@
 		return
 	}
 	rows, err := p.Table.Read(r.Context(), body.Keys)
-	if tableError(w, err) {
+	if tableError(w, err, "") {
 		return
 	}
 	wire.Reply(w, http.StatusOK, struct {
@@ -140,7 +143,7 @@
 		return
 	}
 	rows, revision, err := p.Table.Changes(r.Context(), query.Get("prefix"), after, limit)
-	if tableError(w, err) {
+	if tableError(w, err, "") {
 		return
 	}
 	wire.Reply(w, http.StatusOK, struct {
--- a/internal/table/client.go
+++ b/internal/table/client.go
@@ -23,6 +23,9 @@
 		Revision int64 `json:"revision"`
 	}
 	err := c.call(ctx, http.MethodPost, "/table/commit", txn, &reply)
+	if errors.Is(err, ErrUnavailable) && !names(err, txn.ID) {
+		return 0, errors.Wrap(ErrUnknown, err.Error())
+	}
 	return reply.Revision, err
 }
 
@@ -59,6 +62,25 @@
 	return classify(err)
 }
 
+// refusal is a status by which the service, or a proxy before it, says that it did nothing.
+type refusal struct{ *wire.StatusError }
+
+// Is makes a refusal an ErrUnavailable.
+func (refusal) Is(target error) bool { return target == ErrUnavailable }
+
+// names reports whether a refusal is that of a transaction. Only then is it the table's own word: a proxy answers with the same statuses,
+// also after it has handed a transaction on.
+func names(err error, txn string) bool {
+	var r refusal
+	if !errors.As(err, &r) {
+		return false
+	}
+	var body struct {
+		Txn string `json:"txn"`
+	}
+	return json.Unmarshal([]byte(r.Text), &body) == nil && body.Txn == txn
+}
+
 // classify tells apart what surely did nothing from what may have been applied.
 func classify(err error) error {
 	if err == nil {
@@ -76,7 +98,7 @@
 		}
 		return conflict
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-		return ErrUnavailable
+		return refusal{status}
 	}
 	return errors.Wrap(ErrUnknown, err.Error())
 }
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -37,7 +37,7 @@
 	Writes []Write `json:"writes"`
 }
 
-// ErrUnavailable says that the service surely did nothing.
+// ErrUnavailable says that the service surely did nothing, in the name of the transaction where it was asked to write.
 var ErrUnavailable = errors.New("table: unavailable, nothing was done")
 
 // ErrUnknown says that the outcome of a transaction is not known.
