--- a/internal/box/script_test.go
+++ b/internal/box/script_test.go
@@ -32,6 +32,7 @@
 //	freeze_at NAME VERB         freeze the box at its next hold, arm, go, stop or renew
 //	cut_at NAME VERB WORKER     the box can't reach the worker from its first such step on
 //	cut_worker NAME WORKER      the box can't reach the worker any more
+//	uncut_workers NAME          the box can reach all workers again
 //	cut_box NAME                the box can't reach the table and the other boxes any more
 //	blank_worker WORKER         the worker has no trace of its tasks any more; they run on under their leases
 //	blank_upstream NAME         the executor has no trace of its calls any more; they run on
@@ -136,6 +137,8 @@
 		s.boxes[args[0]].gate.set(func(g *gate) { g.cutAt, g.cutName = worker.Verb(args[1]), args[2] })
 	case "cut_worker":
 		s.boxes[args[0]].gate.cutOff(args[1])
+	case "uncut_workers":
+		s.boxes[args[0]].gate.set(func(g *gate) { g.cut = nil })
 	case "cut_box":
 		s.network.Cut(args[0], true)
 		s.boxes[args[0]].gate.set(func(g *gate) { g.tableCut = true })
