Take in the end of an unresolved gang that its worker lists later

Cause: the row of an at-most-once gang was dropped as its caller was told that nobody can find out whether it ran, also where the worker was only out of reach. Devices and loads leave it out. settle takes a struct of what the job is settled with.

--- a/internal/hall/cancel.go
+++ b/internal/hall/cancel.go
@@ -39,7 +39,7 @@
 }
 
 func (k *Keeper) cancelWaiting(ctx context.Context, e *Entry, reason string) error {
-	reply, revision, err := k.trySettle(ctx, e, e.Unrun(), nil, reason)
+	reply, revision, err := k.trySettle(ctx, e, verdict{outcome: e.Unrun(), reason: reason})
 	if err != nil {
 		return err
 	}
--- a/internal/hall/pass.go
+++ b/internal/hall/pass.go
@@ -100,7 +100,9 @@
 		}
 	}
 	for _, e := range k.Book.Jobs() {
-		add(e.Seats)
+		if !e.Unsettled { // Nothing of it runs any more.
+			add(e.Seats)
+		}
 	}
 	for _, p := range k.starts {
 		add(p.seats)
@@ -147,7 +149,7 @@
 			halt := settlement.Halt{Reason: d.Reason.String(), AtOnce: d.AtOnce}
 			k.spawn(e.Key(), func() { k.halt(ctx, e, halt) })
 		case decider.GiveUp:
-			k.spawn(e.Key(), func() { k.settle(ctx, e, e.Unrun(), nil, d.Reason.String()) })
+			k.spawn(e.Key(), func() { k.settle(ctx, e, verdict{outcome: e.Unrun(), reason: d.Reason.String()}) })
 		}
 	}
 }
@@ -161,7 +163,9 @@
 		}
 		deadline := e.Submission.Deadline(e.Received)
 		if !deadline.IsZero() && v.Now.After(deadline) {
-			k.spawn(e.Key(), func() { k.settle(ctx, e, e.Unrun(), nil, "its deadline passed before it could start") })
+			k.spawn(e.Key(), func() {
+				k.settle(ctx, e, verdict{outcome: e.Unrun(), reason: "its deadline passed before it could start"})
+			})
 		}
 	}
 }
@@ -229,6 +233,9 @@
 			k.spawn(e.Key(), func() { k.requeue(ctx, e, sights) })
 		default:
 			outcome, _ := step.Outcome()
+			if e.Unsettled && outcome == request.Unresolved && k.mayBeListed(e, sights) {
+				continue
+			}
 			k.spawn(e.Key(), func() { k.finish(ctx, e, sights, outcome) })
 		}
 	}
--- a/internal/hall/settle.go
+++ b/internal/hall/settle.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -122,7 +123,22 @@
 	if outcome != request.Done {
 		k.note(e.Key(), e.Attempt, "ended: "+seen(e, sights))
 	}
-	k.settle(ctx, e, outcome, answer, outcomeReason(e, outcome))
+	v := verdict{outcome: outcome, answer: answer, reason: outcomeReason(e, outcome)}
+	if outcome == request.Unresolved && k.mayBeListed(e, sights) {
+		left := e.Job
+		left.Unsettled = true
+		v.left = &left
+	}
+	k.settle(ctx, e, v)
+}
+
+// unsettledFor is how long the row of a gang stays after its caller was told that nobody can find out whether it ran.
+const unsettledFor = 24 * time.Hour
+
+// mayBeListed reports whether a worker that can't be asked may still list how an attempt ended there, once it is back.
+func (k *Keeper) mayBeListed(e *Entry, sights []settlement.Sight) bool {
+	silent := func(s settlement.Sight) bool { return s.Expired && !s.Traceless }
+	return slices.ContainsFunc(sights, silent) && time.Since(e.Stopping) < unsettledFor
 }
 
 // seen puts what is known of the seats into words.
@@ -157,17 +173,28 @@
 	k.estimates.Observe(e.Submission.Workspace, e.Submission.Kind, e.Submission.DeclaredSeconds, e.Done+longest)
 }
 
+// verdict is what a job is settled with.
+type verdict struct {
+	outcome request.Outcome
+	answer  json.RawMessage
+	reason  string
+	left    *settlement.Job // What stays of the job's row; nil drops it.
+}
+
 // settle writes a job's outcome, drops its row, and tells the box where its caller waits.
-func (k *Keeper) settle(ctx context.Context, e *Entry, outcome request.Outcome, answer json.RawMessage, reason string) {
+func (k *Keeper) settle(ctx context.Context, e *Entry, v verdict) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	reply, revision, err := k.trySettle(ctx, e, outcome, answer, reason)
+	reply, revision, err := k.trySettle(ctx, e, v)
 	if err != nil {
 		k.Log.Debug("hall: a settlement is open: "+err.Error(), k.field(e))
 		k.Stale()
 		interval.Sleep(ctx, settlePause/2+rand.N(settlePause))
 		return
 	}
+	if v.left != nil {
+		k.Book.Put(*v.left, revision) // Which keeps it where settledAt drops what is older.
+	}
 	k.settledAt(e, revision, reply)
 }
 
@@ -181,20 +208,24 @@
 	k.Settled(e.Box, link.Settled{Identity: e.Identity, Reply: reply, Round: e.Round})
 }
 
-func (k *Keeper) trySettle(ctx context.Context, e *Entry, outcome request.Outcome, answer json.RawMessage, reason string) (request.Reply, int64, error) {
+func (k *Keeper) trySettle(ctx context.Context, e *Entry, v verdict) (request.Reply, int64, error) {
 	requestKey := settlement.RequestKey(e.Identity)
 	jobKey := settlement.JobKey(k.Hall, e.Identity)
 	rows, err := k.Book.Table.Read(ctx, []string{requestKey})
 	if err != nil {
 		return request.Reply{}, 0, errors.Wrap(err, "hall: unable to read a request")
 	}
-	op := table.Op{Priority: table.Settle, Checks: []table.Check{{Key: jobKey, Version: e.Version}}, Writes: []table.Write{table.Drop(jobKey)}}
+	job := table.Drop(jobKey)
+	if v.left != nil {
+		job = table.Put(jobKey, *v.left)
+	}
+	op := table.Op{Priority: table.Settle, Checks: []table.Check{{Key: jobKey, Version: e.Version}}, Writes: []table.Write{job}}
 	var record settlement.Record
 	if err := settlement.Decode(rows[0], &record); err != nil {
 		return request.Reply{}, 0, err
 	}
 	if !record.Outcome.Final() {
-		record, err = record.Settle(outcome, answer, reason)
+		record, err = record.Settle(v.outcome, v.answer, v.reason)
 		if err != nil {
 			return request.Reply{}, 0, err
 		}
@@ -207,7 +238,7 @@
 	}
 	revision, err := k.Committer.Do(ctx, op)
 	reply := record.Reply()
-	reply.Answer = answer
+	reply.Answer = v.answer
 	return reply, revision, err
 }
 
--- a/internal/hall/sight.go
+++ b/internal/hall/sight.go
@@ -172,7 +172,7 @@
 		w.traceless[e.Attempt] = time.Now()
 	}
 	if since := w.traceless[e.Attempt]; !since.IsZero() {
-		return settlement.Sight{Lost: true, Expired: time.Since(since) > b.lease+leaseMargin}
+		return settlement.Sight{Lost: true, Traceless: true, Expired: time.Since(since) > b.lease+leaseMargin}
 	}
 	return settlement.Sight{Lost: w.lost, Expired: w.lost && e.overBy(b)}
 }
--- a/internal/hall/view.go
+++ b/internal/hall/view.go
@@ -40,6 +40,9 @@
 	v.Layout = k.layoutFor(site, v)
 	suspect := k.suspect(now)
 	for _, e := range k.Book.Jobs() {
+		if e.Unsettled {
+			continue
+		}
 		if e.State == settlement.Waiting && e.Losses > 0 && e.Losses < decider.LossesToGiveUp && e.Key() != suspect && k.starts[e.Key()] == nil {
 			continue // Its turn comes.
 		}
--- a/internal/settlement/gang.go
+++ b/internal/settlement/gang.go
@@ -13,6 +13,8 @@
 	Known   bool // The worker reported in time.
 	Lost    bool // The worker is silent, or has no trace of it; it may run on until its lease is over.
 	Expired bool // The same, and its lease is surely over.
+	// Traceless says that the worker has no trace of it, so that it won't list an end.
+	Traceless bool
 }
 
 // Step is what an attempt needs next.
--- a/internal/settlement/record.go
+++ b/internal/settlement/record.go
@@ -109,6 +109,8 @@
 	Losses     int                `json:"losses,omitempty"`   // Attempts that lost a worker just after they had begun.
 	Ran        bool               `json:"ran,omitempty"`      // A member of an earlier attempt has run.
 	Halt       *Halt              `json:"halt,omitempty"`
+	// Unsettled says that its caller was told that nobody can find out whether it ran. The row stays for an end that a worker may list yet.
+	Unsettled bool `json:"unsettled,omitempty"`
 }
 
 // JobKey returns the key of a gang's row in a hall.
@@ -168,6 +170,7 @@
 	j.Done = max(j.Done, done)
 	j.Attempt, j.Rack, j.Seats, j.Halt = "", "", nil, nil
 	j.Started = time.Time{}
+	j.Unsettled = false
 	return j, nil
 }
 
