Bring about an end that is listed and forgotten again; the test fails

Cause: each report of a worker replaced all that was known of it, also ends that it had listed before.

--- a/internal/hall/sight_test.go
+++ b/internal/hall/sight_test.go
@@ -75,3 +75,26 @@
 		qt.Assert(t, s.clock("w1"), qt.Equals, int64(20))
 	})
 }
+
+// TestListedEndStays says that an end counts once a worker has listed it, also where the worker has no trace of it later: a part of a gang
+// had ended as done, its worker lost its memory before the others ended, and all of them were stopped and began anew.
+func TestListedEndStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var s watch
+		s.reset()
+		e := &Entry{Job: settlement.Job{State: settlement.Starting, Attempt: "a#1", Seats: []settlement.Seat{{Worker: "w1"}}}, Learned: time.Now()}
+		within := bounds{fresh: time.Second, lease: 4 * time.Second, unchecked: time.Minute}
+		time.Sleep(10 * time.Millisecond)
+		done := worker.Task{Attempt: "a#1", State: worker.Finished, Answer: []byte(`1`)}
+		s.take("w1", time.Now(), worker.Report{Tasks: []worker.Task{done}})
+		time.Sleep(10 * time.Millisecond)
+		s.take("w1", time.Now(), worker.Report{})
+		qt.Assert(t, s.sights(e, within), qt.DeepEquals, []settlement.Sight{{Known: true, Task: done}})
+
+		// Once no row names it, it is forgotten.
+		qt.Assert(t, s.orphaned("w1", nil, time.Now()), qt.HasLen, 0)
+		time.Sleep(orphanAfter + time.Second)
+		qt.Assert(t, s.orphaned("w1", nil, time.Now()), qt.DeepEquals, []string{"a#1"})
+		qt.Assert(t, s.task("w1", "a#1"), qt.DeepEquals, worker.Task{})
+	})
+}
