Keep an end that a worker has listed, whatever it says later

Cause: each report replaced all that was known of a worker; an answer that was overtaken could call a task live whose end had been listed. Change: listed ends stay until no row names them. Leases are renewed by reports that came before the look at the rows, and the age of the rows goes by the clock that says more, so that a box that stands still in between, or is suspended, renews nothing beyond the bound. No test for the order of looks and the two clocks: nothing here stands still between two lines.

--- a/internal/hall/sight.go
+++ b/internal/hall/sight.go
@@ -62,7 +62,8 @@
 	return w
 }
 
-// take notes a report; one that was overtaken by a later one says nothing new.
+// take notes a report; one that was overtaken by a later one says nothing new. Ends that were listed before count also where the worker
+// has no trace of them any more.
 func (s *watch) take(name string, asked time.Time, report worker.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -73,9 +74,9 @@
 	w.heard, w.clock = asked, report.Clock
 	w.silent, w.lost = time.Time{}, false
 	w.usage = report.Usage
-	w.tasks = make(map[string]worker.Task, len(report.Tasks))
+	maps.DeleteFunc(w.tasks, func(_ string, t worker.Task) bool { return !ended(t) })
 	for _, t := range report.Tasks {
-		w.tasks[t.Attempt] = t
+		w.note(t)
 		if t.State.Live() {
 			w.listed[t.Attempt] = asked
 		}
@@ -101,7 +102,19 @@
 func (s *watch) takeTask(name string, t worker.Task) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.worker(name).tasks[t.Attempt] = t
+	s.worker(name).note(t)
+}
+
+// note keeps what a worker said of an attempt, unless it is known to have ended: an answer that was overtaken may still call it live.
+func (w *watched) note(t worker.Task) {
+	if !ended(w.tasks[t.Attempt]) {
+		w.tasks[t.Attempt] = t
+	}
+}
+
+// ended reports whether a worker listed the end of a task.
+func ended(t worker.Task) bool {
+	return t.State != "" && t.State != worker.Unknown && !t.State.Live()
 }
 
 // task returns what a worker last said of an attempt.
@@ -111,11 +124,15 @@
 	return s.worker(name).tasks[attempt]
 }
 
-// clock returns a worker's clock as it last reported, 0 before the first report.
-func (s *watch) clock(name string) int64 {
+// clocks returns the workers' clocks as they last reported.
+func (s *watch) clocks() map[string]int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.worker(name).clock
+	list := make(map[string]int64, len(s.workers))
+	for name, w := range s.workers {
+		list[name] = w.clock
+	}
+	return list
 }
 
 // reachable reports whether a worker reported lately.
@@ -156,11 +173,11 @@
 
 // sight returns what is known of an attempt at one worker.
 func (w *watched) sight(e *Entry, b bounds) settlement.Sight {
-	task, found := w.tasks[e.Attempt]
-	found = found && task.State != worker.Unknown
-	if found && !task.State.Live() { // What has ended stays so.
+	task := w.tasks[e.Attempt]
+	if ended(task) { // It stays so.
 		return settlement.Sight{Task: task, Known: true}
 	}
+	found := task.State.Live()
 	if found {
 		delete(w.traceless, e.Attempt)
 	}
@@ -193,6 +210,7 @@
 
 // renewAll sends one message to each worker.
 func (k *Keeper) renewAll(ctx context.Context) {
+	clocks := k.watch.clocks() // Before the rows are looked at: a lease that is renewed by them ends run_ms after that at the latest.
 	whole := k.wholeAttempts()
 	checked := k.checked() // Before the rows are listed, which are as new or newer.
 	current := map[string]bool{}
@@ -204,7 +222,7 @@
 	for _, w := range k.workers() {
 		group.Go(func() {
 			k.renew(ctx, w, worker.Renewal{
-				Clock:    k.watch.clock(w.Name),
+				Clock:    clocks[w.Name],
 				Attempts: whole[w.Name],
 				Forget:   k.watch.orphaned(w.Name, current, checked),
 				LeaseMS:  k.Settings.Lease.Run.Milliseconds(),
@@ -230,7 +248,7 @@
 // a gang that lost a member ends whole, and only while the rows that say so are not too old.
 func (k *Keeper) wholeAttempts() map[string][]string {
 	list := map[string][]string{}
-	if time.Since(k.checked()) > k.Settings.Lease.Unchecked {
+	if age(k.checked()) > k.Settings.Lease.Unchecked {
 		return list
 	}
 	for _, e := range k.Book.Jobs() {
@@ -244,6 +262,11 @@
 	return list
 }
 
+// age is how long ago an instant was, by the clock that says more: one of them may stand still with a machine that is suspended.
+func age(at time.Time) time.Duration {
+	return max(time.Since(at), time.Now().Round(0).Sub(at.Round(0)))
+}
+
 func (k *Keeper) whole(e *Entry) bool {
 	for _, s := range k.watch.sights(e, k.bounds()) {
 		if s.Known && !s.Task.State.Live() && s.Task.State != worker.Finished {
@@ -304,6 +327,7 @@
 		if checked.Sub(first) > orphanAfter {
 			list = append(list, attempt)
 			delete(w.orphans, attempt)
+			delete(w.tasks, attempt)
 		}
 	}
 	return list
--- a/internal/hall/sight_test.go
+++ b/internal/hall/sight_test.go
@@ -72,7 +72,7 @@
 		s.take("w1", time.Now(), worker.Report{Clock: 20, Tasks: []worker.Task{{Attempt: "a#1", State: worker.Finished}}})
 		s.take("w1", early, worker.Report{Clock: 10})
 		qt.Assert(t, s.task("w1", "a#1").State, qt.Equals, worker.Finished)
-		qt.Assert(t, s.clock("w1"), qt.Equals, int64(20))
+		qt.Assert(t, s.clocks()["w1"], qt.Equals, int64(20))
 	})
 }
 
