--- a/internal/settlement/gang.go
+++ b/internal/settlement/gang.go
@@ -11,7 +11,10 @@
 type Sight struct {
 	Task    worker.Task
 	Known   bool // The worker reported in time.
-	Expired bool // It can't be reached, and its lease has surely lapsed there.
+	Lost    bool // The worker is silent, or has no trace of it; it may run on until its lease is over.
+	Expired bool // The same, and its lease is surely over.
+	// Traceless says that the worker has no trace of it, so that it won't list an end.
+	Traceless bool
 }
 
 // Step is what an attempt needs next.
@@ -32,6 +35,9 @@
 // ReasonUnknowable is told where a lost worker took with it whether an at-most-once gang ran.
 const ReasonUnknowable = "a worker that may have run it was lost and can't be asked"
 
+// ReasonForgotten is told where the upstream of an at-most-once request lost what it knew of it.
+const ReasonForgotten = "the upstream that may have run it has lost what it knew"
+
 // Judge returns the next step of an attempt from what is known of its seats.
 func Judge(j *Job, sights []Sight) Step {
 	c := count(sights)
@@ -88,10 +94,14 @@
 	var c tally
 	for _, s := range sights {
 		if !s.Known {
-			if s.Expired {
+			switch {
+			case s.Expired:
 				c.expired++
 				c.dead++
-			} else {
+			case s.Lost:
+				c.unknown++
+				c.dead++
+			default:
 				c.unknown++
 			}
 			continue
--- a/internal/settlement/record.go
+++ b/internal/settlement/record.go
@@ -106,8 +106,11 @@
 	Stops      int                `json:"stops,omitempty"`    // Times it was stopped to make room.
 	Moves      int                `json:"moves,omitempty"`    // Times it moved to another hall.
 	Failures   []string           `json:"failures,omitempty"` // Workers that an attempt failed on.
+	Losses     int                `json:"losses,omitempty"`   // Attempts that lost a worker just after they had begun.
 	Ran        bool               `json:"ran,omitempty"`      // A member of an earlier attempt has run.
 	Halt       *Halt              `json:"halt,omitempty"`
+	// Unsettled says that its caller was told that nobody can find out whether it ran. The row stays for an end that a worker may list yet.
+	Unsettled bool `json:"unsettled,omitempty"`
 }
 
 // JobKey returns the key of a gang's row in a hall.
@@ -167,6 +170,7 @@
 	j.Done = max(j.Done, done)
 	j.Attempt, j.Rack, j.Seats, j.Halt = "", "", nil, nil
 	j.Started = time.Time{}
+	j.Unsettled = false
 	return j, nil
 }
 
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -91,7 +91,7 @@
 		return
 	}
 	revision, err := p.Table.Commit(r.Context(), txn)
-	if tableError(w, err) {
+	if tableError(w, err, txn.ID) {
 		return
 	}
 	wire.Reply(w, http.StatusOK, struct {
@@ -99,8 +99,8 @@
 	}{revision})
 }
 
-// tableError answers an error of the table and reports whether there was one.
-func tableError(w http.ResponseWriter, err error) bool {
+// tableError answers an error of the table, in the name of the transaction where there is one, and reports whether there was an error.
+func tableError(w http.ResponseWriter, err error, txn string) bool {
 	var conflict *table.Conflict
 	switch {
 	case err == nil:
@@ -108,7 +108,10 @@
 	case errors.As(err, &conflict):
 		wire.Reply(w, http.StatusConflict, conflict)
 	case errors.Is(err, table.ErrUnavailable):
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		wire.Reply(w, http.StatusServiceUnavailable, struct {
+			Txn     string `json:"txn,omitempty"`
+			Problem string `json:"problem"`
+		}{txn, err.Error()})
 	default:
 		abort()
 	}
@@ -123,7 +126,7 @@
 		return
 	}
 	rows, err := p.Table.Read(r.Context(), body.Keys)
-	if tableError(w, err) {
+	if tableError(w, err, "") {
 		return
 	}
 	wire.Reply(w, http.StatusOK, struct {
@@ -140,7 +143,7 @@
 		return
 	}
 	rows, revision, err := p.Table.Changes(r.Context(), query.Get("prefix"), after, limit)
-	if tableError(w, err) {
+	if tableError(w, err, "") {
 		return
 	}
 	wire.Reply(w, http.StatusOK, struct {
@@ -247,22 +250,32 @@
 	case err == nil:
 		wire.Reply(w, http.StatusOK, answer)
 	case errors.Is(err, upstream.ErrNotRun):
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		refuse(w, http.StatusServiceUnavailable, call.Attempt, err)
 	case errors.Is(err, upstream.ErrFailed):
-		http.Error(w, err.Error(), http.StatusInternalServerError)
+		refuse(w, http.StatusInternalServerError, call.Attempt, err)
 	default:
 		abort()
 	}
 }
 
+// refuse answers in the executor's own name, by which a box tells it from a proxy.
+func refuse(w http.ResponseWriter, status int, attempt string, err error) {
+	wire.Reply(w, status, struct {
+		Attempt string `json:"attempt"`
+		Problem string `json:"problem"`
+	}{attempt, err.Error()})
+}
+
 func (p *Platform) fence(w http.ResponseWriter, r *http.Request) {
 	var body struct {
 		Attempt string `json:"attempt"`
+		AgeMS   int64  `json:"age_ms"`
 	}
 	if !decode(w, r, &body) {
 		return
 	}
-	fate, answer, err := p.Executors.Fence(r.Context(), contract.Upstream{Name: chi.URLParam(r, "name")}, body.Attempt)
+	age := time.Duration(body.AgeMS) * time.Millisecond
+	fate, answer, err := p.Executors.Fence(r.Context(), contract.Upstream{Name: chi.URLParam(r, "name")}, body.Attempt, age)
 	if err != nil {
 		abort()
 	}
