--- a/internal/job/ends_test.go
+++ b/internal/job/ends_test.go
@@ -1,15 +1,13 @@
 package job
 
 import (
-	"bufio"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"testing"
 
-	"github.com/frankban/quicktest"
 	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/script"
 )
 
 // TestListedEndsCount plays the cases of testdata/ends.txt. Only the end of the run that was followed changed anything. A worker that was taken
@@ -20,33 +18,9 @@
 //
 // A failed run of a job that was cancelled made it failed, too.
 func TestListedEndsCount(t *testing.T) {
-	f, err := os.Open("testdata/ends.txt")
-	quicktest.Assert(t, err, quicktest.IsNil)
-	defer f.Close()
-	cases := map[string][][]string{}
-	var names []string
-	lines := bufio.NewScanner(f)
-	for lines.Scan() {
-		words := strings.Fields(lines.Text())
-		if len(words) == 0 || words[0] == "#" {
-			continue
-		}
-		if words[0] == "case" {
-			names = append(names, strings.Join(words[1:], " "))
-			continue
-		}
-		name := names[len(names)-1]
-		cases[name] = append(cases[name], words)
-	}
-	for _, name := range names {
-		t.Run(name, func(t *testing.T) {
-			p := &played{}
-			for _, words := range cases[name] {
-				if err := p.step(words); err != nil {
-					t.Fatalf("%s: %v", strings.Join(words, " "), err)
-				}
-			}
-		})
+	for _, c := range script.Cases(t, "testdata/ends.txt") {
+		p := &played{}
+		c.Run(t, p.step)
 	}
 }
 
--- a/internal/scheduler/ends_test.go
+++ b/internal/scheduler/ends_test.go
@@ -1,19 +1,17 @@
 package scheduler
 
 import (
-	"bufio"
 	"fmt"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 	"github.com/pulleyring/pulleyring/internal/fleet"
 	"github.com/pulleyring/pulleyring/internal/job"
+	"github.com/pulleyring/pulleyring/internal/script"
 )
 
 // TestListedEndsCount plays the cases of testdata/ends.txt. A box placed a task, took its worker for gone and placed the task elsewhere. The worker
@@ -21,33 +19,9 @@
 // runs that were followed did. So a task that was done ran to its end once more, and failed runs were no attempts. On a worker that was back the box
 // logged "stopping a run ... nobody placed it here" for a run that it had placed there itself.
 func TestListedEndsCount(t *testing.T) {
-	f, err := os.Open("testdata/ends.txt")
-	quicktest.Assert(t, err, quicktest.IsNil)
-	defer f.Close()
-	cases := map[string][][]string{}
-	var names []string
-	lines := bufio.NewScanner(f)
-	for lines.Scan() {
-		words := strings.Fields(lines.Text())
-		if len(words) == 0 || words[0] == "#" {
-			continue
-		}
-		if words[0] == "case" {
-			names = append(names, strings.Join(words[1:], " "))
-			continue
-		}
-		name := names[len(names)-1]
-		cases[name] = append(cases[name], words)
-	}
-	for _, name := range names {
-		t.Run(name, func(t *testing.T) {
-			c := &reportCase{h: keptShard(), workers: map[string]*workerState{}}
-			for _, words := range cases[name] {
-				if err := c.step(words); err != nil {
-					t.Fatalf("%s: %v", strings.Join(words, " "), err)
-				}
-			}
-		})
+	for _, c := range script.Cases(t, "testdata/ends.txt") {
+		p := &reportCase{h: keptShard(), workers: map[string]*workerState{}}
+		c.Run(t, p.step)
 	}
 }
 
