Let the clocks of emulated workers be slow, as they may be

Cause: leases are measured on workers' clocks, which may be 2% slow; those of the emulator kept time, so that nothing showed whether leases are waited for long enough.

--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -39,6 +39,7 @@
 	lasts   map[job.ID]LastMoments
 	dueAt   map[string]time.Time // By worker that said it leaves: until when it surely stays.
 	stops   time.Duration        // How long a stop takes.
+	drift   float64              // Share by which the clocks of workers are slow that are added.
 }
 
 // record is a worker's entry as of a version.
@@ -85,7 +86,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	life := &worker{
-		fleet: f, record: w, born: time.Now(), runs: map[job.Task]*activity{}, rejected: map[job.Task]int{},
+		fleet: f, record: w, born: time.Now(), drift: f.drift, runs: map[job.Task]*activity{}, rejected: map[job.Task]int{},
 		changed: make(chan struct{}), begun: make(chan struct{}, 1),
 	}
 	f.workers[w.ID] = life
@@ -100,6 +101,13 @@
 	f.changed = make(chan struct{})
 }
 
+// SetDrift sets by which share the clocks are slow of workers that are added from now on.
+func (f *Fleet) SetDrift(share float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.drift = share
+}
+
 // Expect tells the fleet how long a job's tasks really take.
 func (f *Fleet) Expect(r *job.Request, work time.Duration) {
 	f.mu.Lock()
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -18,6 +18,7 @@
 	fleet    *Fleet
 	record   fleet.Worker
 	born     time.Time
+	drift    float64 // Share by which its clock is slow.
 	token    int64
 	lease    time.Time
 	runs     map[job.Task]*activity
@@ -82,7 +83,15 @@
 	idleTick = time.Second
 )
 
-func (w *worker) clock() int64 { return time.Since(w.born).Milliseconds() + 1 }
+// clock is the time that the worker's clock shows.
+func (w *worker) clock() int64 {
+	return time.Duration(float64(time.Since(w.born))*(1-w.drift)).Milliseconds() + 1
+}
+
+// within is how long the worker's clock takes to show that a time has passed.
+func (w *worker) within(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / (1 - w.drift))
+}
 
 func (w *worker) isDead() bool {
 	w.mu.Lock()
@@ -198,8 +207,8 @@
 }
 
 func (w *worker) extend(until int64) {
-	end := w.born.Add(time.Duration(until) * time.Millisecond)
-	if most := time.Now().Add(w.fleet.MaxLease); end.After(most) {
+	end := w.born.Add(w.within(time.Duration(until) * time.Millisecond))
+	if most := time.Now().Add(w.within(w.fleet.MaxLease)); end.After(most) {
 		end = most
 	}
 	if end.After(w.lease) {
--- a/internal/node/random_lives_test.go
+++ b/internal/node/random_lives_test.go
@@ -24,7 +24,8 @@
 
 func drawLives(r *rapid.T, shard int) []string {
 	s := &lives{script: &script{T: r, lines: []string{
-		"retain 1h", // Longer than any script, so that each job can be asked for at the end.
+		"retain 1h",  // Longer than any script, so that each job can be asked for at the end.
+		"drift 0.02", // As slow as clocks of workers may be.
 		fmt.Sprintf("boxes %d", drawnBoxes), fmt.Sprintf("workers %d rack 4", drawnWorkers), "heartbeats 1500ms",
 		"crashing back 2500ms recorded 4500ms",
 	}, killed: map[string]bool{}, gone: map[string]bool{}}}
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -44,6 +44,7 @@
 //	                                   ones find nobody listening, and the worker runs on
 //	sound                              all of this is over, for all workers
 //	hold_back WORKER D                 the next answer to a look comes so much later, after newer ones
+//	drift SHARE                        the clocks of workers are slow by that; before workers
 //	stop_time DURATION                 so long a stop takes
 //	ends_with ID [lost] [crash] [due]  a few ms after the next end of a task of a job as done its worker's process ends: it leaves, or
 //	                                   crashes; what it answers in that time gets through, or is lost; "due": only if it has stayed as long as
@@ -192,6 +193,8 @@
 		return w.nameWorker(words)
 	case "retain":
 		return w.retained(words[1])
+	case "drift":
+		return w.drift(words[1])
 	case "stop_time":
 		return w.stopsTake(words[1])
 	case "sound":
--- a/internal/node/signs_test.go
+++ b/internal/node/signs_test.go
@@ -101,6 +101,13 @@
 	return err
 }
 
+// drift sets by which share the clocks of workers are slow.
+func (w *world) drift(text string) error {
+	share, err := strconv.ParseFloat(text, 64)
+	w.fleet.SetDrift(share)
+	return err
+}
+
 // sound ends what was brought about on the workers that were added.
 func (w *world) sound() error {
 	for _, end := range []string{"open", "heal", "record", "well", "unspoil", "take", "unstick"} {
