Hold that a stray run is no part of its gang, and that a full answer did not wait; the tests fail

Cause: found in review. A stray run of a gang joins the holding of the gang's present run; a full answer that took long, over a thin link, counts as one that had waited. Change: TestAStrayIsNoPartOfItsGang and two cases of TestAgeOfNews, failing here.

--- a/internal/scheduler/follow_test.go
+++ b/internal/scheduler/follow_test.go
@@ -68,6 +68,8 @@
 		{"full", 2200 * ms, 2205 * ms, true, 1900 * ms},
 		{"what a full answer left out", 2205 * ms, 2210 * ms, false, 1900 * ms},
 		{"after all was read", 2510 * ms, 2515 * ms, false, 2205 * ms},
+		{"full, and long under way: it did not wait", 2900 * ms, 3600 * ms, true, 2510 * ms},
+		{"what that left out", 3600 * ms, 3610 * ms, false, 2510 * ms},
 	} {
 		quicktest.Check(t, age.took(at(c.began), at(c.came), c.more), quicktest.Equals, at(c.want), quicktest.Commentf(c.name))
 	}
--- /dev/null
+++ b/internal/scheduler/stray_test.go
@@ -0,0 +1,41 @@
+package scheduler
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pulleyring/pulleyring/internal/fleet"
+	"github.com/pulleyring/pulleyring/internal/job"
+)
+
+// TestAStrayIsNoPartOfItsGang: a member of a gang that was given up was found to go on, once the gang had begun anew. It was put with the members that run now, so
+// that the whole gang was taken for one that is being stopped, and stayed so: its members were neither begun anew nor stopped on a worker that leaves.
+func TestAStrayIsNoPartOfItsGang(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, lost := silentShard()
+		other := &workerState{Worker: fleet.Worker{ID: "v", Capacity: job.Resources{Accelerators: 8}}, listed: true, runs: map[job.Task]*run{}, wake: make(chan struct{}, 1)}
+		h.workers["v"] = other
+		h.addJob(&job.Request{ID: "g", Steps: []job.Step{{Count: 2, Gang: true, Each: job.Resources{Accelerators: 1}}}, Terms: job.Terms{Attempts: 9}}, nil)
+		place := func(workers map[int]string) {
+			d := h.demand(h.jobs["g"], job.Group{}, time.Now())
+			h.place(&d, workers, time.Now())
+		}
+		first, second := job.Task{Job: "g"}, job.Task{Job: "g", Index: 1}
+		place(map[int]string{0: "w", 1: "v"})
+		h.loseRuns(lost, leasesOver)
+		h.endRun(other, other.runs[second], job.Stopped, "")
+		place(map[int]string{0: "v", 1: "v"})
+		h.takeReport(lost, &fleet.Report{Clock: 2, Running: []fleet.Run{{Task: first, Run: 1, Done: 0.5}}}, time.Now(), 0)
+		quicktest.Check(t, lost.runs[first].held.stopping, quicktest.IsTrue)
+		for _, member := range []job.Task{first, second} {
+			r := other.runs[member]
+			quicktest.Check(t, r.number, quicktest.Equals, 2)
+			quicktest.Check(t, r.held.stopping, quicktest.IsFalse)
+			quicktest.Check(t, r.held.runs, quicktest.HasLen, 2)
+		}
+		h.takeReport(lost, &fleet.Report{Clock: 3, Ended: []fleet.End{{Number: 1, Task: first, Run: 1, Outcome: job.Stopped}}}, time.Now(), 0)
+		quicktest.Check(t, other.runs[first].held.runs, quicktest.HasLen, 2)
+	})
+}
