Keep a stray run out of its gang's holding

Cause: a run of a gang that was given up and found to go on was put with the members that run now, and its stop marked all of them as being stopped, for as long as they ran. Change: a stray run is a holding of its own.

--- a/internal/scheduler/held.go
+++ b/internal/scheduler/held.go
@@ -43,9 +43,9 @@
 	r.held = held
 }
 
-// of is the holding that a run belongs to, a new one where there is none.
+// of is the holding that a run belongs to, a new one where there is none. A stray run is no part of the gang that runs now.
 func (x *holdings) of(r *run) *held {
-	gang := r.job.Request.Steps[r.task.Step].Gang
+	gang := r.job.Request.Steps[r.task.Step].Gang && !r.stray
 	key := claimKey{r.task.Job, r.group()}
 	if known := x.gangs[key]; gang && known != nil {
 		return known
