Take a full answer of a feed for one that did not wait, however long it took

Cause: a call that takes longer than a store that is well needs counts as one that had waited, so that what it tells is new; a full answer over a thin link takes as long. A worker that leaves was then cleared too late by as much. Change: what a full answer tells was written since all was read last.

--- a/internal/scheduler/follow.go
+++ b/internal/scheduler/follow.go
@@ -15,12 +15,12 @@
 }
 
 // took takes in an answer that came at a time to a call that began before, and returns the time since when what it tells was written. More says
-// that the answer was full and left something out. A call that had waited was answered as soon as there was something to tell.
+// that the answer was full and left something out. A call that had waited was answered as soon as there was something to tell; one with a full answer had not.
 func (f *feedAge) took(began, at time.Time, more bool) time.Time {
 	newest, asOf := began, f.whole
 	if waited := at.Add(-slowFeed); waited.After(began) {
 		newest = waited
-		if waited.After(asOf) {
+		if !more && waited.After(asOf) {
 			asOf = waited
 		}
 	}
