--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -215,7 +215,12 @@
 func (f *Fleet) Slow(id string, n int) error { return f.change(id, func(w *worker) { w.slower = n }) }
 
 // Late lets the next n orders to a worker go unanswered and be carried out late.
-func (f *Fleet) Late(id string, n int) error { return f.change(id, func(w *worker) { w.late = n }) }
+func (f *Fleet) Late(id string, n int) error { return f.LateBy(id, n, lateBy) }
+
+// LateBy lets the next n orders to a worker go unanswered and be carried out so much later.
+func (f *Fleet) LateBy(id string, n int, by time.Duration) error {
+	return f.change(id, func(w *worker) { w.late, w.lateBy = n, by })
+}
 
 // Mute lets the next n orders to a worker be carried out without an answer.
 func (f *Fleet) Mute(id string, n int) error { return f.change(id, func(w *worker) { w.mute = n }) }
--- a/internal/emulator/view.go
+++ b/internal/emulator/view.go
@@ -57,8 +57,9 @@
 	}
 	if w.late > 0 {
 		w.late--
+		late := w.lateBy
 		w.mu.Unlock()
-		time.AfterFunc(lateBy, func() {
+		time.AfterFunc(late, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			w.belated = true
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -33,14 +33,15 @@
 	replaced bool
 	cut      bool // Answers nobody and runs on.
 	signs
-	fails   bool // Everything there fails, also what began before.
-	spoils  bool // Everything that starts there fails; what began before goes on.
-	stuck   bool // Nothing makes progress.
-	slower  int  // How many times longer all work there takes; 0 and 1 for a sound worker.
-	late    int  // So many orders get no answer and are carried out late.
-	refuse  bool // Takes no starts.
-	belated bool // It carries out an order late just now.
-	mute    int  // So many orders are carried out at once and get no answer.
+	fails   bool          // Everything there fails, also what began before.
+	spoils  bool          // Everything that starts there fails; what began before goes on.
+	stuck   bool          // Nothing makes progress.
+	slower  int           // How many times longer all work there takes; 0 and 1 for a sound worker.
+	late    int           // So many orders get no answer and are carried out late.
+	lateBy  time.Duration // How late that is.
+	refuse  bool          // Takes no starts.
+	belated bool          // It carries out an order late just now.
+	mute    int           // So many orders are carried out at once and get no answer.
 }
 
 // activity is a run on a worker.
@@ -66,12 +67,12 @@
 	return math.Floor(100*float64(a.done)/float64(a.work)) / 100
 }
 
+// lateBy is how late a delayed order is carried out where nothing else is said.
+const lateBy = 2 * time.Second
+
 // endsMost is how many ends a report lists at most, as real workers do.
 const endsMost = 500
 
-// lateBy is how late a delayed order is carried out.
-const lateBy = 2 * time.Second
-
 const (
 	// tick is how often a worker looks at its runs.
 	tick = 10 * time.Millisecond
--- a/internal/node/commands_test.go
+++ b/internal/node/commands_test.go
@@ -279,6 +279,13 @@
 		if err != nil {
 			return err
 		}
+		if len(words) > 3 {
+			by, err := time.ParseDuration(words[3])
+			if err != nil {
+				return err
+			}
+			return w.fleet.LateBy(id, n, by)
+		}
 		return map[string]func(string, int) error{"late": w.fleet.Late, "mute": w.fleet.Mute, "slow": w.fleet.Slow}[words[0]](id, n)
 	case "drain":
 		d, err := time.ParseDuration(words[2])
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -53,7 +53,7 @@
 //	why ID TEXT                        fail where the box that schedules tells operators something else
 //	figure NAME N                      fail where a counter, over all boxes, is another number
 //	slow WORKER N                      all work there takes so many times as long
-//	late WORKER N                      so many orders are carried out late
+//	late WORKER N [D]                  so many orders are carried out late, by 2 s or by D
 //	mute WORKER N                      so many orders are carried out without an answer
 //	drain WORKER DURATION
 //	store busy|silent|up|compact|deaf|part_out|slow D|commits D|lose SHARE|cut BOX|refuse BOX|thin D
