Renew no lease of a worker again before it has taken the stops of runs that were given up and may still begin

Cause: a lease that is over ends what runs, but not a start that is still under way: renewed for other work, it let the start begin its run beside the one elsewhere. Change: a run that is given up with the lease of its worker, after an order to start it and without a sign that it began, owes its stop: it is sent until it is taken, also once the worker's record is back, and until then the worker takes no new runs and its leases are not renewed.

--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -55,7 +55,7 @@
 func (w *workerState) leaves() bool { return w.Draining || !w.listed }
 
 // renew returns until when, by a worker's clock, an order may renew its leases, and takes in that they may run until then. It is 0 where
-// the tenure's last commit is so long ago that they are not renewed.
+// they are not renewed: the tenure's last commit is too long ago, or stops are owed to the worker.
 func (h *shard) renew(w *workerState) int64 {
 	now := time.Now()
 	renewed := now
@@ -63,7 +63,7 @@
 		renewed = last
 	}
 	until := renewed.Add(h.Bounds.lease(w.leaves()))
-	if !until.After(now) {
+	if !until.After(now) || len(w.owed) > 0 {
 		return 0
 	}
 	w.leases.extend(w.clockAt.Add(slowed(until.Sub(w.clockAt)) + h.Bounds.endsWithin()))
--- a/internal/scheduler/loss.go
+++ b/internal/scheduler/loss.go
@@ -57,6 +57,7 @@
 	h.Log.Warn("scheduler: worker is gone", zap.String("worker", w.ID), zap.Stringer("why", cause), zap.Int("runs", len(w.runs)),
 		zap.String("hall", w.Hall), zap.Int("lost_in_hall", h.losses.Together(w.Hall, time.Now())), zap.Duration("known_for", time.Since(w.since)), h.beliefOf(w))
 	h.loseRuns(w, cause)
+	h.keepOwed(w, cause)
 	delete(h.workers, w.ID)
 	h.addresses.changed(w.ID)
 	h.roster = nil
@@ -72,6 +73,7 @@
 			Cause: cause, Ordered: !r.ordered.IsZero(), Newest: !r.ordered.Before(newest), Beside: beside, Seen: w.seen(r),
 		}
 		h.endRun(w, r, job.Lapsed, "")
+		h.oweStop(w, r)
 	}
 	if w.Draining {
 		return // It had said so: that is no task's doing.
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -156,9 +156,9 @@
 func (h *shard) sendStop(w *workerState, r *run) {
 	for h.ctx.Err() == nil {
 		h.mu.Lock()
-		current, target := w.runs[r.task] == r && !w.gone, w.Worker
+		wanted, target := w.isStopWanted(r), w.Worker
 		h.mu.Unlock()
-		if !current {
+		if !wanted {
 			return
 		}
 		ctx, cancel := context.WithTimeout(h.ctx, answerTimeout)
@@ -172,6 +172,8 @@
 		refusal, refused := refusalOf(err)
 		if err == nil || refused && refusal == fleet.Outdated {
 			r.stopKnown = time.Now()
+			h.changed = h.changed || w.owed[r] // It may take new runs.
+			delete(w.owed, r)
 			w.signal()
 			h.mu.Unlock()
 			return
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -94,11 +94,12 @@
 	workers    map[string]*workerState
 	roster     []*workerState // The workers by their names; nil once one came or went.
 	holdings   holdings
-	view       placement.View       // Of the last decision; its lists are used again.
-	dirty      map[job.ID]bool      // Jobs whose progress is to be committed.
-	launches   []*run               // Placed runs to be ordered once they are committed.
-	lives      map[string]time.Time // Of workers that another life has followed, by when that was found.
-	givenUp    map[string]*givenUp  // Workers whose runs were taken for over.
+	view       placement.View           // Of the last decision; its lists are used again.
+	dirty      map[job.ID]bool          // Jobs whose progress is to be committed.
+	launches   []*run                   // Placed runs to be ordered once they are committed.
+	lives      map[string]time.Time     // Of workers that another life has followed, by when that was found.
+	givenUp    map[string]*givenUp      // Workers whose runs were taken for over.
+	owed       map[string]map[*run]bool // Stops that are owed to workers that are gone.
 	losses     loss.Judge
 	claims     map[claimKey]claimed
 	noPlan     map[claimKey]time.Time // Until when no room is looked for.
@@ -162,6 +163,7 @@
 	return &shard{
 		Scheduler: s, tenure: tenure, ctx: ctx, wake: make(chan struct{}, 1),
 		jobs: map[job.ID]*liveJob{}, workers: map[string]*workerState{}, dirty: map[job.ID]bool{}, lives: map[string]time.Time{}, givenUp: map[string]*givenUp{},
+		owed:   map[string]map[*run]bool{},
 		claims: map[claimKey]claimed{}, noPlan: map[claimKey]time.Time{}, waitLogged: map[claimKey]time.Time{},
 		stepTimes: map[claimKey]*stepTimes{}, early: map[job.ID]time.Time{}, away: map[job.ID][]string{}, forgotten: map[job.ID]forgotten{},
 	}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -81,16 +81,17 @@
 	reported     int64     // Its clock in the newest report.
 	lookedAt     time.Time // When the last look was answered.
 	leases       leases
-	home         string    // Where it took its first order of this tenure.
-	applied      int64     // Number up to which all ends are taken in.
-	acknowledged int64     // Number of the last end whose effect is committed.
-	told         int64     // Number of the last end that the worker was told to forget.
-	failures     int       // Orders in a row without an answer.
-	hungUp       bool      // It closed a connection and has not answered since; for logs.
-	leavesAt     time.Time // When the time that it said it had left is over; zero before it said so.
-	soundSince   time.Time // When the newest run began there that has not failed at once.
-	failedAt     time.Time // When a run last failed there as soon as it had begun.
-	unhealthy    time.Time // Takes no new runs until then.
+	owed         map[*run]bool // Runs that were given up and may still begin: their stops are to be taken before leases are renewed.
+	home         string        // Where it took its first order of this tenure.
+	applied      int64         // Number up to which all ends are taken in.
+	acknowledged int64         // Number of the last end whose effect is committed.
+	told         int64         // Number of the last end that the worker was told to forget.
+	failures     int           // Orders in a row without an answer.
+	hungUp       bool          // It closed a connection and has not answered since; for logs.
+	leavesAt     time.Time     // When the time that it said it had left is over; zero before it said so.
+	soundSince   time.Time     // When the newest run began there that has not failed at once.
+	failedAt     time.Time     // When a run last failed there as soon as it had begun.
+	unhealthy    time.Time     // Takes no new runs until then.
 	doubt        doubt
 	slow         slowness
 	gone         bool
@@ -130,7 +131,7 @@
 
 // usable reports whether the worker takes new runs.
 func (w *workerState) usable(now time.Time) bool {
-	return w.listed && !w.gone && !w.Draining && w.clock != 0 && w.failures == 0 && now.After(w.unhealthy)
+	return w.listed && !w.gone && !w.Draining && w.clock != 0 && w.failures == 0 && len(w.owed) == 0 && now.After(w.unhealthy)
 }
 
 // takeListing takes in workers' records; a whole listing also tells which are gone.
@@ -235,6 +236,7 @@
 	w.leases.extend(h.Bounds.longestLease(h.quiet.Add(renewedFor)))
 	w.ID, w.Address = id, h.addresses.before[id]
 	h.workers[id] = w
+	h.takeOwed(w)
 	h.roster = nil
 	h.ordering.Go(func() { h.talk(w) })
 	return w
