Hold that a worker that stays after all is not cleared; the test fails

Cause: found in review. A record that says that its worker leaves, and then that it does not, as where another writer's record stood in its place, leaves the clearing of the worker due. Change: TestAWorkerThatStaysIsNotCleared, failing here.

--- a/internal/scheduler/leaving_test.go
+++ b/internal/scheduler/leaving_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/pulleyring/pulleyring/internal/job"
 )
 
 func TestWorkThatIsLostWithItsWorker(t *testing.T) {
@@ -29,3 +31,40 @@
 		t.Run(test.name, func(t *testing.T) { quicktest.Check(t, test.d.isLost(), quicktest.Equals, test.want) })
 	}
 }
+
+// TestAWorkerThatStaysIsNotCleared: a worker's record says that it leaves, and then that it does not. What ran there was stopped all the same at the time at which it would have
+// left, and a worker that said so once more was not cleared then.
+func TestAWorkerThatStaysIsNotCleared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, w := silentShard()
+		defer h.ordering.Wait()
+		r := w.runs[job.Task{Job: "j"}]
+		say := func(draining bool) {
+			record := w.Worker
+			record.Draining, record.Leaves = draining, 3*time.Second
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.addWorker(&record, time.Now())
+		}
+		stopping := func() bool {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			return r.stopping
+		}
+		w.clock = 0 // Nobody looks there.
+		say(true)
+		time.Sleep(time.Second)
+		say(false)
+		time.Sleep(5 * time.Second)
+		quicktest.Assert(t, stopping(), quicktest.IsFalse)
+		say(true)
+		time.Sleep(time.Second)
+		quicktest.Assert(t, stopping(), quicktest.IsFalse)
+		say(false)
+		say(true)
+		time.Sleep(1500 * time.Millisecond) // The first time that it said is nearly over, the second is not.
+		quicktest.Assert(t, stopping(), quicktest.IsFalse)
+		time.Sleep(time.Second)
+		quicktest.Check(t, stopping(), quicktest.IsTrue)
+	})
+}
