Clear no worker that says it stays after all

Cause: the clearing of a worker was due from its first word that it leaves, whatever it said later: work on a worker that stays was stopped, and a second leaving was not cleared. Change: what a record says now holds; a clearing that was due for another time ends. Figures: TestAWorkerThatStaysIsNotCleared fails before, passes now; scripts and lives pass.

--- a/internal/scheduler/leaving.go
+++ b/internal/scheduler/leaving.go
@@ -80,19 +80,23 @@
 
 // clearLeaving stops what is left on a worker before it may be gone: a run that ended in the last moments of its process ends with nobody to hear of
 // it, and what is lost with the worker waits until its leases are over. First those that don't end in time, as late as their stops surely
-// take effect; then whatever is left all the same.
-func (h *shard) clearLeaving(w *workerState, leaves time.Time) {
-	h.stopLeft(w, leaves.Add(-h.Bounds.StopTime-stopMargin), func(r *run) bool { return !r.endsBefore(leaves.Add(-lastMoments)) })
-	h.stopLeft(w, leaves.Add(-lastMoments), func(*run) bool { return true })
+// take effect; then whatever is left all the same. Said is when it leaves by what it said, and stays so until it says otherwise.
+func (h *shard) clearLeaving(w *workerState, said, earliest time.Time) {
+	last := earliest.Add(-lastMoments)
+	h.stopLeft(w, said, earliest.Add(-h.Bounds.StopTime-stopMargin), func(r *run) bool { return !r.endsBefore(last) })
+	h.stopLeft(w, said, last, func(*run) bool { return true })
 }
 
-// stopLeft stops, at a time, those of a worker's runs that are to be stopped, each with its gang.
-func (h *shard) stopLeft(w *workerState, at time.Time, isLeft func(*run) bool) {
+// stopLeft stops, at a time, those of a worker's runs that are to be stopped, each with its gang, unless the worker said meanwhile that it stays.
+func (h *shard) stopLeft(w *workerState, said, at time.Time, isLeft func(*run) bool) {
 	if !interval.Sleep(h.ctx, max(time.Until(at), 0)) {
 		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if !w.leavesAt.Equal(said) {
+		return
+	}
 	for _, r := range w.runs {
 		if r.held.stopping || !isLeft(r) {
 			continue
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -88,7 +88,7 @@
 	told         int64         // Number of the last end that the worker was told to forget.
 	failures     int           // Orders in a row without an answer.
 	hungUp       bool          // It closed a connection and has not answered since; for logs.
-	leavesAt     time.Time     // When the time that it said it had left is over; zero before it said so.
+	leavesAt     time.Time     // When the time that it said it had left is over; zero where it does not leave.
 	soundSince   time.Time     // When the newest run began there that has not failed at once.
 	failedAt     time.Time     // When a run last failed there as soon as it had begun.
 	unhealthy    time.Time     // Takes no new runs until then.
@@ -184,7 +184,11 @@
 	leaves := record.Draining && w.leavesAt.IsZero()
 	if leaves {
 		w.leavesAt = time.Now().Add(record.Leaves)
-		h.ordering.Go(func() { h.clearLeaving(w, asOf.Add(record.Leaves)) })
+		said, earliest := w.leavesAt, asOf.Add(record.Leaves)
+		h.ordering.Go(func() { h.clearLeaving(w, said, earliest) })
+	}
+	if !record.Draining {
+		w.leavesAt = time.Time{}
 	}
 	if w.Address != record.Address {
 		h.addresses.changed(record.ID)
