Take another life's answer for proof after a take-over only where the predecessor reached the worker

Cause: a tenure that had not yet had an order taken by a worker took another life's answer at any recorded address for the end of all that ran there; a record may be another writer's until the worker's next one. Change: a successor reckons with the address at which the predecessor reached the worker, which the predecessor passes on as such; where none is known, with the record's.

--- a/internal/scheduler/addresses.go
+++ b/internal/scheduler/addresses.go
@@ -1,6 +1,10 @@
 package scheduler
 
-import "github.com/pulleyring/pulleyring/internal/ledger"
+import (
+	"cmp"
+
+	"github.com/pulleyring/pulleyring/internal/ledger"
+)
 
 // addresses follows where workers are reached, for the successor: it can ask a worker whose record is gone. Without them it
 // waited for all leases there to be over, 12 s instead of 2.5 s: 9 urgent jobs of 650 were lost so on a day on which a hall and then all boxes
@@ -40,7 +44,7 @@
 	h.addresses.stale = nil
 	for id, w := range h.workers {
 		if row := b.Addresses[ledger.AddressRow(id)]; row != nil && w.Address != "" {
-			row[id] = w.Address
+			row[id] = cmp.Or(w.home, w.Address)
 		}
 	}
 }
--- a/internal/scheduler/talk.go
+++ b/internal/scheduler/talk.go
@@ -170,8 +170,8 @@
 	h.signal()
 }
 
-// isHome reports whether the worker's address is the one at which it has answered. At another one, which a record told since, another life's answer says nothing
-// of it.
+// isHome reports whether the worker's address is the one at which it was reached, in this tenure or the one before, where that is known. At another one, which a
+// record told since, another life's answer says nothing of it.
 func (w *workerState) isHome() bool { return w.home == "" || w.home == w.Address }
 
 // endTenure ends the tenure because a worker has seen a later holder's token.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -82,7 +82,7 @@
 	lookedAt     time.Time // When the last look was answered.
 	leases       leases
 	owed         map[*run]bool // Runs that were given up and may still begin: their stops are to be taken before leases are renewed.
-	home         string        // Where it took its first order of this tenure.
+	home         string        // Where it took its first order of this tenure, or where the predecessor reached it.
 	applied      int64         // Number up to which all ends are taken in.
 	acknowledged int64         // Number of the last end whose effect is committed.
 	told         int64         // Number of the last end that the worker was told to forget.
@@ -238,7 +238,7 @@
 func (h *shard) newWorker(id string) *workerState {
 	w := &workerState{runs: map[job.Task]*run{}, wake: make(chan struct{}, 1), unlisted: time.Now(), since: time.Now(), failures: 1}
 	w.leases.extend(h.Bounds.longestLease(h.quiet.Add(renewedFor)))
-	w.ID, w.Address = id, h.addresses.before[id]
+	w.ID, w.Address, w.home = id, h.addresses.before[id], h.addresses.before[id]
 	h.workers[id] = w
 	h.takeOwed(w)
 	h.roster = nil
