--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -296,6 +296,7 @@
 // Records are the stand-ins' own records.
 type Records struct {
 	Runs      []Run         `json:"runs"`   // At workers.
+	Broken    []string      `json:"broken"` // Attempts that lost a worker between go and the begin.
 	Served    []Served      `json:"served"` // At executors.
 	Table     TableStats    `json:"table"`
 	Executors ExecutorStats `json:"executors"`
@@ -303,7 +304,7 @@
 
 // Records returns the stand-ins' own records.
 func (p *Platform) Records() Records {
-	return Records{Runs: p.Workers.Runs(), Served: p.Executors.Runs(), Table: p.Table.Stats(), Executors: p.Executors.Stats()}
+	return Records{Runs: p.Workers.Runs(), Broken: p.Workers.Broken(), Served: p.Executors.Runs(), Table: p.Table.Stats(), Executors: p.Executors.Stats()}
 }
 
 func (p *Platform) records(w http.ResponseWriter, _ *http.Request) {
