--- a/internal/scheduler/leaving_test.go
+++ b/internal/scheduler/leaving_test.go
@@ -68,3 +68,26 @@
 		quicktest.Check(t, stopping(), quicktest.IsTrue)
 	})
 }
+
+// TestALeaverIsClearedByTheAgeOfItsNews: what runs on a worker that leaves is stopped before it may be gone, and it may have said so as early as just after all records were read last.
+func TestALeaverIsClearedByTheAgeOfItsNews(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		age, stopsIn time.Duration
+		share        float64 // Of its work that it did in the second before.
+	}{{0, 1800 * ms, 0}, {time.Second, 800 * ms, 0}, {5 * time.Second, 0, 0}, {0, 1800 * ms, 0.1}, {0, 2850 * ms, 0.9}, {time.Second, 1850 * ms, 0.9}} {
+		synctest.Test(t, func(t *testing.T) {
+			h, w := silentShard()
+			r := w.runs[job.Task{Job: "j"}]
+			w.clock = 0 // Nobody looks there.
+			said := time.Now()
+			r.confirmed, r.progress.at, r.progress.share = said.Add(-time.Second), said, c.share
+			record := w.Worker
+			record.Draining, record.Leaves = true, 3*time.Second
+			h.addWorker(&record, said.Add(-c.age))
+			h.ordering.Wait()
+			quicktest.Check(t, r.stopping, quicktest.IsTrue)
+			quicktest.Check(t, r.stopAsked.Sub(said), quicktest.Equals, c.stopsIn)
+		})
+	}
+}
