Hold the lock in the test of clearing, as the code does

Cause: the test took a record in without the lock that its callers hold; the race detector says so. Change: the test takes the lock.

--- a/internal/scheduler/leaving_test.go
+++ b/internal/scheduler/leaving_test.go
@@ -84,7 +84,9 @@
 			r.confirmed, r.progress.at, r.progress.share = said.Add(-time.Second), said, c.share
 			record := w.Worker
 			record.Draining, record.Leaves = true, 3*time.Second
+			h.mu.Lock()
 			h.addWorker(&record, said.Add(-c.age))
+			h.mu.Unlock()
 			h.ordering.Wait()
 			quicktest.Check(t, r.stopping, quicktest.IsTrue)
 			quicktest.Check(t, r.stopAsked.Sub(said), quicktest.Equals, c.stopsIn)
