--- a/internal/scheduler/silence_test.go
+++ b/internal/scheduler/silence_test.go
@@ -8,6 +8,7 @@
 	"github.com/frankban/quicktest"
 	"github.com/pulleyring/pulleyring/internal/fleet"
 	"github.com/pulleyring/pulleyring/internal/job"
+	"github.com/pulleyring/pulleyring/internal/ledger"
 )
 
 // silentShard is a shard with a worker that has a run under a lease of this tenure.
@@ -116,3 +117,35 @@
 		quicktest.Check(t, w.used, quicktest.Equals, job.Resources{})
 	})
 }
+
+// TestAStartRenewsALease: a start names a time for all that runs at its worker, as a look does, and what is known of the lease there reckons with it.
+func TestAStartRenewsALease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, w := silentShard()
+		h.tenure = &ledger.Tenure{}
+		time.Sleep(time.Second)
+		order, _ := h.nextStart(w, w.runs[job.Task{Job: "j"}], 1)
+		left := milliseconds(order.Lease - w.clock)
+		quicktest.Check(t, w.leases.over.Before(w.clockAt.Add(slowed(left)+h.Bounds.endsWithin())), quicktest.IsFalse)
+	})
+}
+
+// TestALookFromBeforeTellsNothingOfARun: a worker's report answers a look that was sent before the run was known to be there, or before its stop was taken. That the report
+// has neither the run nor its end tells nothing.
+func TestALookFromBeforeTellsNothingOfARun(t *testing.T) {
+	for _, known := range []func(r *run){
+		func(r *run) { r.confirmed = time.Now() },
+		func(r *run) { r.stopKnown = time.Now() },
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			h, w := silentShard()
+			sent := time.Now()
+			time.Sleep(time.Millisecond)
+			known(w.runs[job.Task{Job: "j"}])
+			h.takeReport(w, &fleet.Report{Clock: 2}, sent, 0)
+			quicktest.Check(t, w.runs, quicktest.HasLen, 1)
+			h.takeReport(w, &fleet.Report{Clock: 3}, time.Now().Add(time.Millisecond), 0)
+			quicktest.Check(t, w.runs, quicktest.HasLen, 0)
+		})
+	}
+}
