--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -39,6 +39,7 @@
 	lasts   map[job.ID]LastMoments
 	dueAt   map[string]time.Time // By worker that said it leaves: until when it surely stays.
 	stops   time.Duration        // How long a stop takes.
+	drift   float64              // Share by which the clocks of workers are slow that are added.
 }
 
 // record is a worker's entry as of a version.
@@ -85,7 +86,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	life := &worker{
-		fleet: f, record: w, born: time.Now(), runs: map[job.Task]*activity{}, rejected: map[job.Task]int{},
+		fleet: f, record: w, born: time.Now(), drift: f.drift, runs: map[job.Task]*activity{}, rejected: map[job.Task]int{},
 		changed: make(chan struct{}), begun: make(chan struct{}, 1),
 	}
 	f.workers[w.ID] = life
@@ -100,6 +101,13 @@
 	f.changed = make(chan struct{})
 }
 
+// SetDrift sets by which share the clocks are slow of workers that are added from now on.
+func (f *Fleet) SetDrift(share float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.drift = share
+}
+
 // Expect tells the fleet how long a job's tasks really take.
 func (f *Fleet) Expect(r *job.Request, work time.Duration) {
 	f.mu.Lock()
@@ -218,7 +226,12 @@
 func (f *Fleet) Slow(id string, n int) error { return f.change(id, func(w *worker) { w.slower = n }) }
 
 // Late lets the next n orders to a worker go unanswered and be carried out late.
-func (f *Fleet) Late(id string, n int) error { return f.change(id, func(w *worker) { w.late = n }) }
+func (f *Fleet) Late(id string, n int) error { return f.LateBy(id, n, lateBy) }
+
+// LateBy lets the next n orders to a worker go unanswered and be carried out so much later.
+func (f *Fleet) LateBy(id string, n int, by time.Duration) error {
+	return f.change(id, func(w *worker) { w.late, w.lateBy = n, by })
+}
 
 // Mute lets the next n orders to a worker be carried out without an answer.
 func (f *Fleet) Mute(id string, n int) error { return f.change(id, func(w *worker) { w.mute = n }) }
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -18,6 +18,7 @@
 	fleet    *Fleet
 	record   fleet.Worker
 	born     time.Time
+	drift    float64 // Share by which its clock is slow.
 	token    int64
 	lease    time.Time
 	runs     map[job.Task]*activity
@@ -33,14 +34,15 @@
 	replaced bool
 	cut      bool // Answers nobody and runs on.
 	signs
-	fails   bool // Everything there fails, also what began before.
-	spoils  bool // Everything that starts there fails; what began before goes on.
-	stuck   bool // Nothing makes progress.
-	slower  int  // How many times longer all work there takes; 0 and 1 for a sound worker.
-	late    int  // So many orders get no answer and are carried out late.
-	refuse  bool // Takes no starts.
-	belated bool // It carries out an order late just now.
-	mute    int  // So many orders are carried out at once and get no answer.
+	fails   bool          // Everything there fails, also what began before.
+	spoils  bool          // Everything that starts there fails; what began before goes on.
+	stuck   bool          // Nothing makes progress.
+	slower  int           // How many times longer all work there takes; 0 and 1 for a sound worker.
+	late    int           // So many orders get no answer and are carried out late.
+	lateBy  time.Duration // How late that is.
+	refuse  bool          // Takes no starts.
+	belated bool          // It carries out an order late just now.
+	mute    int           // So many orders are carried out at once and get no answer.
 }
 
 // activity is a run on a worker.
@@ -69,12 +71,12 @@
 	return math.Floor(100*float64(a.done)/float64(a.work)) / 100
 }
 
+// lateBy is how late a delayed order is carried out where nothing else is said.
+const lateBy = 2 * time.Second
+
 // endsMost is how many ends a report lists at most, as real workers do.
 const endsMost = 500
 
-// lateBy is how late a delayed order is carried out.
-const lateBy = 2 * time.Second
-
 const (
 	// tick is how often a worker looks at its runs.
 	tick = 10 * time.Millisecond
@@ -82,7 +84,15 @@
 	idleTick = time.Second
 )
 
-func (w *worker) clock() int64 { return time.Since(w.born).Milliseconds() + 1 }
+// clock is the time that the worker's clock shows.
+func (w *worker) clock() int64 {
+	return time.Duration(float64(time.Since(w.born))*(1-w.drift)).Milliseconds() + 1
+}
+
+// within is how long the worker's clock takes to show that a time has passed.
+func (w *worker) within(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / (1 - w.drift))
+}
 
 func (w *worker) isDead() bool {
 	w.mu.Lock()
@@ -198,8 +208,8 @@
 }
 
 func (w *worker) extend(until int64) {
-	end := w.born.Add(time.Duration(until) * time.Millisecond)
-	if most := time.Now().Add(w.fleet.MaxLease); end.After(most) {
+	end := w.born.Add(w.within(time.Duration(until) * time.Millisecond))
+	if most := time.Now().Add(w.within(w.fleet.MaxLease)); end.After(most) {
 		end = most
 	}
 	if end.After(w.lease) {
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -44,6 +44,7 @@
 //	                                   ones find nobody listening, and the worker runs on
 //	sound                              all of this is over, for all workers
 //	hold_back WORKER D                 the next answer to a look comes so much later, after newer ones
+//	drift SHARE                        the clocks of workers are slow by that; before workers
 //	stop_time DURATION                 so long a stop takes
 //	ends_with ID [lost] [crash] [due]  a few ms after the next end of a task of a job as done its worker's process ends: it leaves, or
 //	                                   crashes; what it answers in that time gets through, or is lost; "due": only if it has stayed as long as
@@ -56,7 +57,7 @@
 //	why ID TEXT                        fail where the box that schedules tells operators something else
 //	figure NAME N                      fail where a counter, over all boxes, is another number
 //	slow WORKER N                      all work there takes so many times as long
-//	late WORKER N                      so many orders are carried out late
+//	late WORKER N [D]                  so many orders are carried out late, by 2 s or by D
 //	mute WORKER N                      so many orders are carried out without an answer
 //	drain WORKER DURATION
 //	store busy|silent|up|compact|deaf|part_out|slow D|commits D|lose SHARE|cut BOX|refuse BOX|thin D
@@ -192,6 +193,8 @@
 		return w.nameWorker(words)
 	case "retain":
 		return w.retained(words[1])
+	case "drift":
+		return w.drift(words[1])
 	case "stop_time":
 		return w.stopsTake(words[1])
 	case "sound":
