Read the clock of a worker anew before the first start after it had nothing to do for long

Cause: found in review. Nobody looks at a worker without runs, and its clock, which may be 2% slow, was reckoned from its last answer: after 20 minutes a lease was named 24 s further ahead than meant, cut by the worker alone, and what is known of it lay 36 s behind; a successor's bound, which rests on the longest lease, left no room for an order that is carried out more than 8 s late. Change: a start to a worker that has not told its clock for 30 s follows a look. Looks beside those in turn are one function. Figures: TestAnIdleWorkersClockIsReadAnew fails before (the lease named 30 s ahead, over counted 36 s late), passes now; scripts and tests of the scheduler pass.

--- /dev/null
+++ b/internal/scheduler/clock_test.go
@@ -0,0 +1,59 @@
+package scheduler
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pulleyring/pulleyring/internal/fleet"
+	"github.com/pulleyring/pulleyring/internal/job"
+	"github.com/pulleyring/pulleyring/internal/ledger"
+)
+
+// slowClock is a worker whose clock is 2% slow; it takes starts and answers none of them.
+type slowClock struct {
+	fleet.Orders
+	born  time.Time
+	looks int
+	lease int64 // As the last start named it.
+}
+
+func (s *slowClock) clock() int64 { return 1 + int64(0.98*float64(time.Since(s.born).Milliseconds())) }
+
+func (s *slowClock) Look(context.Context, *fleet.Worker, *fleet.Look) (fleet.Report, error) {
+	s.looks++
+	return fleet.Report{Clock: s.clock()}, nil
+}
+
+func (s *slowClock) Start(_ context.Context, _ *fleet.Worker, o *fleet.Start) (int64, error) {
+	s.lease = o.Lease
+	return s.clock(), nil
+}
+
+// TestAnIdleWorkersClockIsReadAnew: a worker had nothing to do for long, and its clock was reckoned from its last answer. The first lease there was named by a clock that had run ahead, and
+// counted as over half a minute after it was.
+func TestAnIdleWorkersClockIsReadAnew(t *testing.T) {
+	for _, c := range []struct {
+		idle  time.Duration
+		looks int
+	}{{5 * time.Second, 0}, {20 * time.Minute, 1}} {
+		synctest.Test(t, func(t *testing.T) {
+			h, w := silentShard()
+			s := &slowClock{born: time.Now()}
+			h.Orders, h.tenure = s, &ledger.Tenure{}
+			time.Sleep(c.idle)
+			h.held = time.Now()
+			r := w.runs[job.Task{Job: "j"}]
+			w.leases.over = time.Time{}
+			h.start(w, r)
+			quicktest.Check(t, s.looks, quicktest.Equals, c.looks)
+			quicktest.Check(t, r.confirmed.IsZero(), quicktest.IsFalse)
+			named := milliseconds(s.lease - s.clock())
+			quicktest.Check(t, named < h.Bounds.lease(false)+200*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%s", named))
+			late := time.Until(w.leases.over) - slowed(h.Bounds.lease(false)) - h.Bounds.endsWithin()
+			quicktest.Check(t, late < 200*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%s", late))
+		})
+	}
+}
--- a/internal/scheduler/leaving.go
+++ b/internal/scheduler/leaving.go
@@ -1,10 +1,8 @@
 package scheduler
 
 import (
-	"context"
 	"time"
 
-	"github.com/pulleyring/pulleyring/internal/fleet"
 	"github.com/pulleyring/pulleyring/internal/interval"
 	"go.uber.org/zap"
 )
@@ -42,21 +40,6 @@
 	return rest > d.left+time.Duration(leavingSlack*float64(rest))
 }
 
-// lookAtLeaving asks a worker that has just said that it leaves how far its runs are: what was told last is up to 1.5 s old.
-func (h *shard) lookAtLeaving(w *workerState) {
-	h.mu.Lock()
-	look, target := &fleet.Look{Token: h.tenure.Epoch(), Acknowledged: w.acknowledged}, w.Worker
-	h.mu.Unlock()
-	ctx, cancel := context.WithTimeout(h.ctx, answerTimeout)
-	defer cancel()
-	sent := time.Now()
-	report, err := h.Orders.Look(ctx, &target, look)
-	if err != nil {
-		return // The looks in turn find out why.
-	}
-	h.takeReport(w, &report, sent, look.Acknowledged)
-}
-
 // endLeaving has work begin anew at once that is surely lost when a worker leaves: less is thrown away, and urgent gangs of 2.5 s with a
 // goal of 1.5 times that may still be in time. On days on which a tenth of the workers leaves twice at 1.8 s notice, 5% to 7% of
 // the worth of urgent work was lost by waiting until they had left.
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -34,6 +34,7 @@
 
 // start sends the start of a run and takes in the answer.
 func (h *shard) start(w *workerState, r *run) {
+	h.setClock(w)
 	for try := 1; ; try++ {
 		order, target := h.nextStart(w, r, try)
 		if order == nil {
--- a/internal/scheduler/talk.go
+++ b/internal/scheduler/talk.go
@@ -48,6 +48,34 @@
 	}
 }
 
+// lookOnce looks at a worker beside the looks in turn, which find out why if there is no answer.
+func (h *shard) lookOnce(w *workerState) {
+	h.mu.Lock()
+	look, target := &fleet.Look{Token: h.tenure.Epoch(), Acknowledged: w.acknowledged}, w.Worker
+	h.mu.Unlock()
+	ctx, cancel := context.WithTimeout(h.ctx, answerTimeout)
+	defer cancel()
+	sent := time.Now()
+	report, err := h.Orders.Look(ctx, &target, look)
+	if err == nil {
+		h.takeReport(w, &report, sent, look.Acknowledged)
+	}
+}
+
+// clockFresh is how long a worker's clock is reckoned with before it is asked anew: at 2% it is 0.6 s off by then.
+const clockFresh = 30 * time.Second
+
+// setClock asks a worker for its clock where it has not told it for long. Of one that has had nothing to do for 20 minutes the clock may be 24 s off: the
+// first lease there would be counted as over 36 s late, and renewed for longer than meant.
+func (h *shard) setClock(w *workerState) {
+	h.mu.Lock()
+	fresh := time.Since(w.clockAt) < clockFresh
+	h.mu.Unlock()
+	if !fresh {
+		h.lookOnce(w)
+	}
+}
+
 // nextLook is what to do next about a worker.
 type nextLook struct {
 	look   fleet.Look
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -199,7 +199,7 @@
 		h.sendStops(w)
 	}
 	if leaves && len(w.runs) > 0 && w.clock != 0 {
-		h.ordering.Go(func() { h.lookAtLeaving(w) })
+		h.ordering.Go(func() { h.lookOnce(w) }) // What was told last of its runs is up to 1.5 s old.
 	}
 	w.signal()
 }
