Hear workers that answer slowly

Cause: looks and orders waited 0.7 s at most beyond their own wait, measured on workers that answer within some ms; a worker on a busy machine whose answers all took 0.9 s was never heard. Change: a silent worker is also looked at with a bound of 2.5 s, beside the quick looks; looks, starts and stops of one that answers slowly wait for twice as long as its last answer took. A try in which every second look in turn waited that long is reverted: done_out_of_reach and failed_beyond_lease need a worker that is back to be heard at once.

--- a/internal/emulator/signs.go
+++ b/internal/emulator/signs.go
@@ -14,6 +14,7 @@
 	cutFrom  map[string]bool // Boxes that it answers nothing, though it answers others.
 	shutFrom map[string]bool // Boxes whose connections to it are closed and refused; everyBox for all.
 	holdBack time.Duration   // The next answer to a look comes so much later.
+	answers  time.Duration   // All answers come so much later.
 	told     int64           // Number of the last end that a box has been told.
 	parting  bool            // Its process is about to end, and what it still answers is lost.
 	// leaseKept says that what it listed last counts for as long as its lease would have run.
@@ -66,11 +67,16 @@
 	return f.change(id, func(w *worker) { w.holdBack = d })
 }
 
-// heldBack is how much later an answer comes; the next one comes at once again.
+// AnswerLate makes all answers of a worker come later: it is busy, or its machine is.
+func (f *Fleet) AnswerLate(id string, d time.Duration) error {
+	return f.change(id, func(w *worker) { w.answers = d })
+}
+
+// heldBack is how much later an answer to a look comes; the next one comes as usual again.
 func (w *worker) heldBack() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	d := w.holdBack
+	d := max(w.holdBack, w.answers)
 	w.holdBack = 0
 	return d
 }
@@ -106,7 +112,7 @@
 			}
 		}
 	}
-	return w.cut || w.late > 0 || w.mute > 0 || w.holdBack > 0
+	return w.cut || w.late > 0 || w.mute > 0 || w.holdBack > 0 || w.answers > 0
 }
 
 // untilHangUp waits until a process ends that answers nothing any more.
--- a/internal/emulator/view.go
+++ b/internal/emulator/view.go
@@ -70,7 +70,7 @@
 		return 0, fleet.ErrNoAnswer
 	}
 	err = do(w)
-	clock := w.clock()
+	clock, late := w.clock(), w.answers
 	if w.mute > 0 {
 		w.mute--
 		err = fleet.ErrNoAnswer
@@ -80,7 +80,7 @@
 		<-ctx.Done()
 		return 0, err
 	}
-	if !v.gate.pass(ctx) {
+	if late > 0 && !interval.Sleep(ctx, late) || !v.gate.pass(ctx) {
 		return 0, fleet.ErrNoAnswer
 	}
 	return clock, err
--- a/internal/node/commands_test.go
+++ b/internal/node/commands_test.go
@@ -264,7 +264,7 @@
 	case "record":
 		w.fleet.Record(id)
 		return nil
-	case "cut", "heal", "shut", "open", "hold_back":
+	case "cut", "heal", "shut", "open", "hold_back", "answers":
 		return w.signCommand(words, id)
 	case "fail", "well":
 		return w.fleet.Fail(id, words[0] == "fail")
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -46,6 +46,7 @@
 //	hold_back WORKER D                 the next answer to a look comes so much later, after newer ones
 //	drift SHARE                        the clocks of workers are slow by that; before workers
 //	stop_time DURATION                 so long a stop takes
+//	answers WORKER D                   all its answers come so much later from now on
 //	ends_with ID [lost] [crash] [due]  a few ms after the next end of a task of a job as done its worker's process ends: it leaves, or
 //	                                   crashes; what it answers in that time gets through, or is lost; "due": only if it has stayed as long as
 //	                                   it said
--- a/internal/node/signs_test.go
+++ b/internal/node/signs_test.go
@@ -12,11 +12,14 @@
 
 // signCommand makes a worker look gone that lives, to all boxes or to one, or ends that.
 func (w *world) signCommand(words []string, id string) error {
-	if words[0] == "hold_back" {
+	if words[0] == "hold_back" || words[0] == "answers" {
 		d, err := time.ParseDuration(words[2])
 		if err != nil {
 			return err
 		}
+		if words[0] == "answers" {
+			return w.fleet.AnswerLate(id, d)
+		}
 		return w.fleet.HoldBack(id, d)
 	}
 	if words[0] == "heal" || len(words) == 2 && words[0] == "cut" {
--- a/internal/scheduler/answers.go
+++ b/internal/scheduler/answers.go
@@ -27,10 +27,37 @@
 }
 
 // startTimeout bounds the answer to a try of a start.
-func (h *shard) startTimeout(try int) time.Duration {
+func (h *shard) startTimeout(w *workerState, try int) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.answers.within(startTimeouts[try-1])
+	return max(h.answers.within(startTimeouts[try-1]), w.slowBound())
+}
+
+// patientTimeout bounds the answers of a worker that answers slowly, or that is silent and may. Without it a worker on a busy machine whose answers all took 0.9 s
+// was never heard, and what it had done ran again when its lease was over.
+const patientTimeout = 2500 * time.Millisecond
+
+// slowBound is how long to wait for an answer of a worker that answers slowly; 0 for a quick one.
+func (w *workerState) slowBound() time.Duration { return min(2*w.answerTime, patientTimeout) }
+
+// answerBound is how long to wait for an answer beyond the order's own wait.
+func (w *workerState) answerBound() time.Duration { return max(answerTimeout, w.slowBound()) }
+
+// lookPatiently looks at a silent worker that may only be slow, beside the quick looks, which find at once that it is back. One such look is under way at a time.
+func (h *shard) lookPatiently(w *workerState) {
+	h.mu.Lock()
+	begin := w.failures > 0 && !w.patient
+	w.patient = w.patient || begin
+	h.mu.Unlock()
+	if !begin {
+		return
+	}
+	h.ordering.Go(func() {
+		h.lookOnce(w, patientTimeout)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		w.patient = false
+	})
 }
 
 // noteAnswer takes in how long an answer took, or that none came.
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -41,7 +41,7 @@
 			return
 		}
 		sent := time.Now()
-		ctx, cancel := context.WithTimeout(h.ctx, h.startTimeout(try))
+		ctx, cancel := context.WithTimeout(h.ctx, h.startTimeout(w, try))
 		clock, err := h.Orders.Start(ctx, &target, order)
 		cancel()
 		if h.ctx.Err() != nil {
@@ -157,12 +157,12 @@
 func (h *shard) sendStop(w *workerState, r *run) {
 	for h.ctx.Err() == nil {
 		h.mu.Lock()
-		wanted, target := w.isStopWanted(r), w.Worker
+		wanted, target, bound := w.isStopWanted(r), w.Worker, w.answerBound()
 		h.mu.Unlock()
 		if !wanted {
 			return
 		}
-		ctx, cancel := context.WithTimeout(h.ctx, answerTimeout)
+		ctx, cancel := context.WithTimeout(h.ctx, bound)
 		clock, err := h.Orders.Stop(ctx, &target, &fleet.Stop{Task: r.task, Run: r.number, Token: h.tenure.Epoch()})
 		cancel()
 		if h.ctx.Err() != nil {
--- a/internal/scheduler/talk.go
+++ b/internal/scheduler/talk.go
@@ -35,11 +35,13 @@
 		}
 		if err != nil {
 			h.lookFailed(w, err)
+			h.lookPatiently(w)
 			interval.SleepOrWoken(h.ctx, h.untilOver(w, pause), nil)
 			pause = min(2*pause, lookRetryMost)
 			continue
 		}
 		pause = lookRetry
+		h.noteLook(w, time.Since(sent)-look.Wait)
 		if h.takeReport(w, &report, sent, look.Acknowledged) {
 			h.awaitCommit(w)
 		} else if look.Wait == 0 {
@@ -48,16 +50,24 @@
 	}
 }
 
-// lookOnce looks at a worker beside the looks in turn, which find out why if there is no answer.
-func (h *shard) lookOnce(w *workerState) {
+// noteLook takes in how much longer than it had to wait an answer to a look took.
+func (h *shard) noteLook(w *workerState, took time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	w.answerTime = max(took, w.answerTime/2) // One that ended early tells nothing.
+}
+
+// lookOnce looks at a worker beside the looks in turn, which find out why if there is no answer in time.
+func (h *shard) lookOnce(w *workerState, within time.Duration) {
 	h.mu.Lock()
 	look, target := &fleet.Look{Token: h.tenure.Epoch(), Acknowledged: w.acknowledged}, w.Worker
 	h.mu.Unlock()
-	ctx, cancel := context.WithTimeout(h.ctx, answerTimeout)
+	ctx, cancel := context.WithTimeout(h.ctx, within)
 	defer cancel()
 	sent := time.Now()
 	report, err := h.Orders.Look(ctx, &target, look)
 	if err == nil {
+		h.noteLook(w, time.Since(sent))
 		h.takeReport(w, &report, sent, look.Acknowledged)
 	}
 }
@@ -72,7 +82,7 @@
 	fresh := time.Since(w.clockAt) < clockFresh
 	h.mu.Unlock()
 	if !fresh {
-		h.lookOnce(w)
+		h.lookOnce(w, answerTimeout)
 	}
 }
 
@@ -107,7 +117,7 @@
 			look.Wait = w.lookWait()
 		}
 	}
-	return nextLook{look: look, target: w.Worker, within: w.untilOver(look.Wait + answerTimeout)}
+	return nextLook{look: look, target: w.Worker, within: w.untilOver(look.Wait + w.answerBound())}
 }
 
 // leastWait is how long an answer or a pause is waited for at least.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -76,10 +76,12 @@
 	laggedAt     time.Time     // When a gang's member last showed it to be slow.
 	overdue      float64       // How many times longer than others its runs took at its last report.
 	wake         chan struct{}
-	clock        int64     // Worker's clock at clockAt; 0 before the first answer.
-	clockAt      time.Time // When that answer came.
-	reported     int64     // Its clock in the newest report.
-	lookedAt     time.Time // When the last look was answered.
+	clock        int64         // Worker's clock at clockAt; 0 before the first answer.
+	clockAt      time.Time     // When that answer came.
+	reported     int64         // Its clock in the newest report.
+	lookedAt     time.Time     // When the last look was answered.
+	patient      bool          // A look is under way that waits for long.
+	answerTime   time.Duration // How much longer than it had to wait the answer to the last look took.
 	leases       leases
 	owed         map[*run]bool // Runs that were given up and may still begin: their stops are to be taken before leases are renewed.
 	home         string        // Where it took its first order of this tenure, or where the predecessor reached it.
@@ -199,7 +201,7 @@
 		h.sendStops(w)
 	}
 	if leaves && len(w.runs) > 0 && w.clock != 0 {
-		h.ordering.Go(func() { h.lookOnce(w) }) // What was told last of its runs is up to 1.5 s old.
+		h.ordering.Go(func() { h.lookOnce(w, answerTimeout) }) // What was told last of its runs is up to 1.5 s old.
 	}
 	w.signal()
 }
