Take out a worker's estimated clock, which nothing asks for any more

Cause: leases are reckoned from what a worker told (renew), so that workerState.now is dead; milliseconds serves tests alone. Change: the one is gone, the other stands beside the tests that use it. Behaviour is as it was.

--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -32,9 +32,6 @@
 // slowed is how long a worker's clock takes at most to show that a time has passed.
 func slowed(d time.Duration) time.Duration { return time.Duration(float64(d) * (1 + clockDrift)) }
 
-// milliseconds is a number of them on a worker's clock.
-func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
-
 // endsWithin is how long after its lease's end by its own clock a worker has surely ended all that ran.
 func (b *Bounds) endsWithin() time.Duration { return b.StopTime + killSlack }
 
--- a/internal/scheduler/lease_test.go
+++ b/internal/scheduler/lease_test.go
@@ -30,6 +30,9 @@
 	}
 }
 
+// milliseconds is a number of them on a worker's clock.
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
 // drawn is a time of up to a length.
 func drawn(r *rapid.T, name string, most time.Duration) time.Duration {
 	return milliseconds(rapid.Int64Range(0, most.Milliseconds()).Draw(r, name))
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -110,11 +110,6 @@
 	}
 }
 
-// now estimates the worker's clock.
-func (w *workerState) now() int64 {
-	return w.clock + time.Since(w.clockAt).Milliseconds()
-}
-
 // answered takes in the answer to an order. That of another life at the address says nothing of this one: taken for a sign of life, it made a
 // worker that had crashed at once, and was back after 4 s, one that had lived for those.
 func (w *workerState) answered(clock int64, err error) {
