--- a/internal/scheduler/leaving_test.go
+++ b/internal/scheduler/leaving_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/pulleyring/pulleyring/internal/fleet"
 	"github.com/pulleyring/pulleyring/internal/job"
 )
 
@@ -93,3 +94,36 @@
 		})
 	}
 }
+
+// TestALeaverIsClearedByItsWholeGang: a gang's member on a worker that leaves was about to be done, and another one elsewhere was far behind. By the member's own progress the gang was left to
+// run until the last moments of the worker; its stop came too late there to be heard of, and the gang began anew only when the worker's leases were over, 5 s later.
+func TestALeaverIsClearedByItsWholeGang(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		other   float64 // The share that the other member did in the second in which the leaver's did nine tenths.
+		stopsIn time.Duration
+	}{{0.9, 2850 * ms}, {0.2, 1800 * ms}, {0, 1800 * ms}} {
+		synctest.Test(t, func(t *testing.T) {
+			h, w := silentShard()
+			h.addJob(&job.Request{ID: "g", Steps: []job.Step{{Count: 2, Gang: true, Each: job.Resources{Accelerators: 1}}}, Terms: job.Terms{Attempts: 9}}, nil)
+			elsewhere := &workerState{Worker: fleet.Worker{ID: "o", Capacity: job.Resources{Accelerators: 8}}, listed: true, runs: map[job.Task]*run{}, wake: make(chan struct{}, 1)}
+			h.workers["o"] = elsewhere
+			d := h.demand(h.jobs["g"], job.Group{}, time.Now())
+			h.place(&d, map[int]string{0: "w", 1: "o"}, time.Now())
+			w.clock = 0 // Nobody looks there.
+			said := time.Now()
+			here, there := w.runs[job.Task{Job: "g"}], elsewhere.runs[job.Task{Job: "g", Index: 1}]
+			for r, share := range map[*run]float64{here: 0.9, there: c.other} {
+				r.confirmed, r.progress.at, r.progress.share = said.Add(-time.Second), said, share
+			}
+			record := w.Worker
+			record.Draining, record.Leaves = true, 3*time.Second
+			h.mu.Lock()
+			h.addWorker(&record, said)
+			h.mu.Unlock()
+			h.ordering.Wait()
+			quicktest.Check(t, here.stopAsked.Sub(said), quicktest.Equals, c.stopsIn)
+			quicktest.Check(t, there.stopAsked.Sub(said), quicktest.Equals, c.stopsIn)
+		})
+	}
+}
