--- a/internal/scheduler/follow_test.go
+++ b/internal/scheduler/follow_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/frankban/quicktest"
 	"github.com/pulleyring/pulleyring/internal/fleet"
+	"github.com/pulleyring/pulleyring/internal/job"
 )
 
 // fullDirectory has so many full answers before the last one, which comes after the others were taken in.
@@ -74,3 +75,44 @@
 		quicktest.Check(t, age.took(at(c.began), at(c.came), c.more), quicktest.Equals, at(c.want), quicktest.Commentf(c.name))
 	}
 }
+
+// lateDirectory answers its calls after so long each, without having waited, and tells in the last answer that the worker w leaves.
+type lateDirectory struct {
+	takes []time.Duration
+	asked []time.Time
+}
+
+func (d *lateDirectory) Workers(context.Context) (Listing, error) {
+	return Listing{}, fleet.ErrNoAnswer
+}
+
+func (d *lateDirectory) WatchWorkers(ctx context.Context, _ int64, _ time.Duration) (Listing, error) {
+	if d.asked = append(d.asked, time.Now()); len(d.asked) > len(d.takes) {
+		<-ctx.Done()
+		return Listing{}, fleet.ErrNoAnswer
+	}
+	time.Sleep(d.takes[len(d.asked)-1])
+	leaves := len(d.asked) == len(d.takes)
+	return Listing{Workers: []fleet.Worker{{ID: "w", Draining: leaves, Leaves: 3 * time.Second}}}, nil
+}
+
+// TestALateAnswerTellsOldNews: an answer that came 0.1 s after its call was taken for one that had waited for news, and its news for no older than that. With 1,100 workers, and a
+// store that turned some boxes away, it was a late answer to a call that had not waited: what workers had said 0.4 s before counted as said just then, and they were cleared so
+// late that the ends of 60 to 90 runs were not heard of, which then waited 5 s for the leases.
+func TestALateAnswerTellsOldNews(t *testing.T) {
+	for _, late := range []time.Duration{0, 110 * time.Millisecond, 400 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			h, w := silentShard()
+			w.clock = 0 // Nobody looks there.
+			d := &lateDirectory{takes: []time.Duration{0, late}}
+			h.Directory, h.ctx = d, ctx
+			h.ordering.Go(func() { h.followWorkers(0, feedAge{}) })
+			time.Sleep(5 * time.Second)
+			cancel()
+			h.ordering.Wait()
+			r := w.runs[job.Task{Job: "j"}]
+			quicktest.Check(t, r.stopAsked.Sub(d.asked[0]), quicktest.Equals, 3*time.Second-h.Bounds.StopTime-stopMargin)
+		})
+	}
+}
