--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -153,11 +153,15 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.put(f.records[id].worker, false)
+	record := f.records[id].worker
+	if due, said := f.dueAt[id]; said && record.Draining {
+		record.Leaves = max(time.Until(due), 0)
+	}
+	f.put(record, false)
 }
 
 // Heartbeat has every worker write its record anew at an interval, one worker after the other, until the fleet's context ends.
-// Nothing in the records changes.
+// Nothing in the records changes but the time that a leaving worker has left.
 func (f *Fleet) Heartbeat(every time.Duration) {
 	go func() {
 		for f.ctx.Err() == nil {
--- a/internal/scheduler/leaving_test.go
+++ b/internal/scheduler/leaving_test.go
@@ -127,3 +127,32 @@
 		})
 	}
 }
+
+// TestALeaverTellsAnew: a worker that leaves writes the time that is left with each heartbeat. Only the first record counted, which a successor takes for older than it is, and
+// what ran there was stopped seconds too early. A record that is read again without having been written is as old as before.
+func TestALeaverTellsAnew(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		leaves  time.Duration // By the second record, which was read a second after the first one and written at most 0.3 s before.
+		stopsIn time.Duration // From the first one, which was written at most 2 s before.
+	}{{6000 * ms, 2800 * ms}, {5500 * ms, 5000 * ms}, {3000 * ms, 2800 * ms}, {0, 2800 * ms}} {
+		synctest.Test(t, func(t *testing.T) {
+			h, w := silentShard()
+			r := w.runs[job.Task{Job: "j"}]
+			w.clock = 0 // Nobody looks there.
+			first := time.Now()
+			record := w.Worker
+			tell := func(leaves, age time.Duration) {
+				record.Draining, record.Leaves = true, leaves
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				h.addWorker(&record, time.Now().Add(-age))
+			}
+			tell(6*time.Second, 2*time.Second)
+			time.Sleep(time.Second)
+			tell(c.leaves, 300*ms)
+			h.ordering.Wait()
+			quicktest.Check(t, r.stopAsked.Sub(first), quicktest.Equals, c.stopsIn)
+		})
+	}
+}
