Clear a leaving worker by the newest time that it tells, and after a take-over not at once

A worker writes its record anew about every 1.5 s, with the time that is left then (PROTOCOL: remainingMs, the least time that is left). Change: the latest end by all records that were written anew counts; the first record that a successor reads counts as 2 s old.

--- a/internal/scheduler/leaving.go
+++ b/internal/scheduler/leaving.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/pulleyring/pulleyring/internal/fleet"
 	"github.com/pulleyring/pulleyring/internal/interval"
 	"go.uber.org/zap"
 )
@@ -62,25 +63,50 @@
 	}
 }
 
+// noteLeaving takes in what a worker's record, which was written after a time, says of its leaving. A record that is written anew tells the time that is left then, so that
+// the latest of the ends counts: a successor doesn't know how old the first one is that it reads.
+func (h *shard) noteLeaving(w *workerState, record *fleet.Worker, asOf time.Time) {
+	if !record.Draining {
+		w.leavesAt, w.stays = time.Time{}, time.Time{}
+		return
+	}
+	isNews := !w.Draining || record.Leaves != w.Leaves // A record that is read again tells nothing new.
+	if stays := asOf.Add(record.Leaves); isNews && stays.After(w.stays) {
+		w.stays = stays
+	}
+	if w.leavesAt.IsZero() {
+		w.leavesAt = time.Now().Add(record.Leaves)
+		said := w.leavesAt
+		h.ordering.Go(func() { h.clearLeaving(w, said) })
+	}
+}
+
 // clearLeaving stops what is left on a worker before it may be gone: a run that ended in the last moments of its process ends with nobody to hear of
 // it, and what is lost with the worker waits until its leases are over. First those that don't end in time, as late as their stops surely
 // take effect; then whatever is left all the same. Said is when it leaves by what it said, and stays so until it says otherwise.
-func (h *shard) clearLeaving(w *workerState, said, earliest time.Time) {
-	last := earliest.Add(-lastMoments)
-	h.stopLeft(w, said, earliest.Add(-h.Bounds.StopTime-stopMargin), func(r *run) bool { return !r.held.endsBefore(last) })
-	h.stopLeft(w, said, last, func(*run) bool { return true })
+func (h *shard) clearLeaving(w *workerState, said time.Time) {
+	h.stopLeft(w, said, h.Bounds.StopTime+stopMargin, func(r *run) bool { return !r.held.endsBefore(w.stays.Add(-lastMoments)) })
+	h.stopLeft(w, said, lastMoments, func(*run) bool { return true })
 }
 
-// stopLeft stops, at a time, those of a worker's runs that are to be stopped, each with its gang, unless the worker said meanwhile that it stays.
-func (h *shard) stopLeft(w *workerState, said, at time.Time, isLeft func(*run) bool) {
-	if !interval.Sleep(h.ctx, max(time.Until(at), 0)) {
-		return
-	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if !w.leavesAt.Equal(said) {
-		return
+// stopLeft stops, so long before a worker may be gone, those of its runs that are to be stopped, each with its gang, unless it said meanwhile that it stays.
+func (h *shard) stopLeft(w *workerState, said time.Time, ahead time.Duration, isLeft func(*run) bool) {
+	for {
+		h.mu.Lock()
+		stays, left := w.stays, w.leavesAt.Equal(said)
+		wait := time.Until(stays.Add(-ahead))
+		if left && wait <= 0 {
+			h.stopRuns(w, isLeft)
+		}
+		h.mu.Unlock()
+		if !left || wait <= 0 || !interval.Sleep(h.ctx, wait) {
+			return
+		}
 	}
+}
+
+// stopRuns stops those of a leaving worker's runs that are to be stopped, each with its gang.
+func (h *shard) stopRuns(w *workerState, isLeft func(*run) bool) {
 	for _, r := range w.runs {
 		if r.held.stopping || !isLeft(r) {
 			continue
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -15,6 +15,10 @@
 // for the rows of 700 jobs.
 const takeoverPatience = 8 * time.Second
 
+// recordAge is how old a worker's record is at most as a tenure begins: each writes it anew about every 1.5 s. Counted from no time at all, all that ran on leaving workers was stopped
+// at once: 717 runs of one day with 1,100 workers, of which 63 had 5 s left.
+const recordAge = 2 * time.Second
+
 // takeOver reads what the tenure begins with and renews the lease meanwhile. Without the renewals the other boxes take the
 // lease from a box with a thin link before it has read everything: at 41 boxes, 35 of them on 10 Mbit/s, ten
 // tenures in a row failed within 13 s after all had lost power.
@@ -79,7 +83,12 @@
 		func() (err error) { changes, err = h.Ledger.Jobs(ctx); return err },
 		func() (err error) { progress, err = h.Ledger.Progress(ctx); return err },
 		func() (err error) { reached, err = h.Ledger.Addresses(ctx); return err },
-		func() (err error) { listing, err = h.Directory.Workers(ctx); return err },
+		func() (err error) {
+			began := time.Now()
+			listing, err = h.Directory.Workers(ctx)
+			listing.AsOf = began.Add(-recordAge)
+			return err
+		},
 	}
 	for _, read := range reads {
 		if err := h.insist(ctx, read); err != nil {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -90,7 +90,8 @@
 	told         int64         // Number of the last end that the worker was told to forget.
 	failures     int           // Orders in a row without an answer.
 	hungUp       bool          // It closed a connection and has not answered since; for logs.
-	leavesAt     time.Time     // When the time that it said it had left is over; zero where it does not leave.
+	leavesAt     time.Time     // When the time is over that it first said it had left; zero where it does not leave.
+	stays        time.Time     // Until when it surely stays, by all that it said of the time left.
 	soundSince   time.Time     // When the newest run began there that has not failed at once.
 	failedAt     time.Time     // When a run last failed there as soon as it had begun.
 	unhealthy    time.Time     // Takes no new runs until then.
@@ -179,14 +180,7 @@
 		h.signal()
 	}
 	leaves := record.Draining && w.leavesAt.IsZero()
-	if leaves {
-		w.leavesAt = time.Now().Add(record.Leaves)
-		said, earliest := w.leavesAt, asOf.Add(record.Leaves)
-		h.ordering.Go(func() { h.clearLeaving(w, said, earliest) })
-	}
-	if !record.Draining {
-		w.leavesAt = time.Time{}
-	}
+	h.noteLeaving(w, record, asOf)
 	if w.Address != record.Address {
 		h.addresses.changed(record.ID)
 	}
