--- a/internal/scheduler/follow_test.go
+++ b/internal/scheduler/follow_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
 	"github.com/pulleyring/pulleyring/internal/fleet"
+	"github.com/pulleyring/pulleyring/internal/job"
 )
 
 // fullDirectory has so many full answers before the last one, which comes after the others were taken in.
@@ -59,18 +61,66 @@
 	for _, c := range []struct {
 		name        string
 		began, came time.Duration
+		news        int
 		more        bool
 		want        time.Duration
 	}{
-		{"answered at once: written since the last read began", 300 * ms, 305 * ms, false, 0},
-		{"answered when there was something", 600 * ms, 1600 * ms, false, 1500 * ms},
-		{"at once after that", 1900 * ms, 1905 * ms, false, 1500 * ms},
-		{"full", 2200 * ms, 2205 * ms, true, 1900 * ms},
-		{"what a full answer left out", 2205 * ms, 2210 * ms, false, 1900 * ms},
-		{"after all was read", 2510 * ms, 2515 * ms, false, 2205 * ms},
-		{"full, and long under way: it did not wait", 2900 * ms, 3600 * ms, true, 2510 * ms},
-		{"what that left out", 3600 * ms, 3610 * ms, false, 2510 * ms},
+		{"answered at once: written since the last read began", 300 * ms, 305 * ms, 9, false, 0},
+		{"answered when there was something", 600 * ms, 1600 * ms, 1, false, 1500 * ms},
+		{"at once after that", 1900 * ms, 1905 * ms, 9, false, 1500 * ms},
+		{"full", 2200 * ms, 2205 * ms, 500, true, 1900 * ms},
+		{"what a full answer left out", 2205 * ms, 2210 * ms, 9, false, 1900 * ms},
+		{"after all was read", 2510 * ms, 2515 * ms, 9, false, 2205 * ms},
+		{"full, and long under way: it did not wait", 2900 * ms, 3600 * ms, 500, true, 2510 * ms},
+		{"what that left out", 3600 * ms, 3610 * ms, 9, false, 2510 * ms},
+		{"much news, long under way: it did not wait", 3910 * ms, 4100 * ms, 200, false, 3600 * ms},
+		{"after that", 4400 * ms, 4405 * ms, 1, false, 3910 * ms},
 	} {
-		quicktest.Check(t, age.took(at(c.began), at(c.came), c.more), quicktest.Equals, at(c.want), quicktest.Commentf(c.name))
+		quicktest.Check(t, age.took(at(c.began), at(c.came), c.news, c.more), quicktest.Equals, at(c.want), quicktest.Commentf(c.name))
+	}
+}
+
+// lateDirectory answers its calls after so long each, without having waited, with the news of many workers, and tells in the last answer that one of them, w, leaves.
+type lateDirectory struct {
+	takes []time.Duration
+	asked []time.Time
+}
+
+func (d *lateDirectory) Workers(context.Context) (Listing, error) {
+	return Listing{}, fleet.ErrNoAnswer
+}
+
+func (d *lateDirectory) WatchWorkers(ctx context.Context, _ int64, _ time.Duration) (Listing, error) {
+	if d.asked = append(d.asked, time.Now()); len(d.asked) > len(d.takes) {
+		<-ctx.Done()
+		return Listing{}, fleet.ErrNoAnswer
+	}
+	time.Sleep(d.takes[len(d.asked)-1])
+	leaves := len(d.asked) == len(d.takes)
+	l := Listing{Workers: []fleet.Worker{{ID: "w", Draining: leaves, Leaves: 3 * time.Second}}}
+	for i := range fewNews {
+		l.Workers = append(l.Workers, fleet.Worker{ID: fmt.Sprint("v", i)})
+	}
+	return l, nil
+}
+
+// TestALateAnswerTellsOldNews: an answer that came 0.1 s after its call was taken for one that had waited for news, and its news for no older than that. With 1,100 workers, and a
+// store that turned some boxes away, it was a late answer to a call that had not waited: what workers had said 0.4 s before counted as said just then, and they were cleared so
+// late that the ends of 60 to 90 runs were not heard of, which then waited 5 s for the leases.
+func TestALateAnswerTellsOldNews(t *testing.T) {
+	for _, late := range []time.Duration{0, 110 * time.Millisecond, 400 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			h, w := silentShard()
+			w.clock = 0 // Nobody looks there.
+			d := &lateDirectory{takes: []time.Duration{0, late}}
+			h.Directory, h.ctx = d, ctx
+			h.ordering.Go(func() { h.followWorkers(0, feedAge{}) })
+			time.Sleep(5 * time.Second)
+			cancel()
+			h.ordering.Wait()
+			r := w.runs[job.Task{Job: "j"}]
+			quicktest.Check(t, r.stopAsked.Sub(d.asked[0]), quicktest.Equals, 3*time.Second-h.Bounds.StopTime-stopMargin)
+		})
 	}
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -82,7 +82,8 @@
 	listed   bool      // The record is there.
 	unlisted time.Time // Since when it is not.
 	beatAt   time.Time // When the worker surely lived last, by the record.
-	leavesAt time.Time // When the time that it said it had left is over; zero where it does not leave.
+	leavesAt time.Time // When the time is over that it first said it had left; zero where it does not leave.
+	stays    time.Time // Until when it surely stays, by all that it said of the time left.
 }
 
 // load is what runs on a worker.
@@ -156,14 +157,7 @@
 		h.signal()
 	}
 	leaves := record.Draining && w.leavesAt.IsZero()
-	if leaves {
-		w.leavesAt = time.Now().Add(record.Leaves)
-		said, earliest := w.leavesAt, asOf.Add(record.Leaves)
-		h.ordering.Go(func() { h.clearLeaving(w, said, earliest) })
-	}
-	if !record.Draining {
-		w.leavesAt = time.Time{}
-	}
+	h.noteLeaving(w, record, asOf)
 	if w.Address != record.Address {
 		h.addresses.changed(record.ID)
 	}
