Keep which runs of a task failed, for a successor that hears of one that was given up

Cause: the progress kept how many runs failed. A successor that heard of a failed run which its predecessor had given up could not tell it from one that was counted, and passed it over where another one had been: the task got an attempt more than its queue allows. Change: a row more in the table of faults, ID/failed, with the numbers of the failed runs by task, 4,096 at most; boxes of the version before pass over it (its name is no job's) and read their own rows as they were. Where such a box counted runs in between, or left a row behind, the inference by numbers holds as before.

--- a/internal/job/count_test.go
+++ b/internal/job/count_test.go
@@ -52,3 +52,47 @@
 		}
 	})
 }
+
+// TestFailedRunsFromElsewhere: what is kept of failed runs may be fewer than were counted, as a box of the version before counted the others, or a row that such a box
+// left behind when it forgot a job of the same name. Neither has a run count twice, nor one pass uncounted that surely failed anew.
+func TestFailedRunsFromElsewhere(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		kept  FailedRuns
+		heard []int // Runs that are heard of as failed, of four before a fifth.
+		want  int   // Counted then; two were before.
+	}{
+		{"kept whole", FailedRuns{0: {1, 3}}, []int{1, 3, 2}, 3},
+		{"one was counted by the version before", FailedRuns{0: {1}}, []int{1, 2}, 2},
+		{"one was counted by the version before, and two more failed", FailedRuns{0: {1}}, []int{1, 2, 3, 4}, 4},
+		{"none kept", nil, []int{1, 2, 3}, 3},
+		{"left behind by another job", FailedRuns{0: {2, 3, 4}, 7: {1}, -1: {1}}, []int{1, 2, 3}, 3},
+	} {
+		l := NewLife(&Request{ID: "j", Steps: []Step{{Count: 1}}, Terms: Terms{Attempts: 9}}, &Progress{
+			State: Running, GangRuns: []int{0}, Tasks: []TaskProgress{{State: Placed, Run: 5, Failures: 2}}, FailedRuns: c.kept,
+		})
+		for _, run := range c.heard {
+			l.End(Task{Job: "j"}, run, FailedRun, "", 1)
+		}
+		if got := l.Progress.Tasks[0].Failures; got != c.want {
+			t.Errorf("%s: %d counted, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+// TestFailedRunsAreBounded: what is kept of failed runs stays far below the room of a row, however many failures a queue allows, and each run still counts once.
+func TestFailedRunsAreBounded(t *testing.T) {
+	l := NewLife(&Request{ID: "j", Steps: []Step{{Count: 1}}, Terms: Terms{Attempts: 1 << 20}}, nil)
+	for run := 1; run <= 2*keptFailedRuns; run++ {
+		l.Place(Group{}, map[int]string{0: "w"})
+		for range 2 {
+			l.End(Task{Job: "j"}, run, FailedRun, "", 1)
+		}
+	}
+	if got := l.Progress.Tasks[0].Failures; got != 2*keptFailedRuns {
+		t.Errorf("%d counted", got)
+	}
+	if got := l.Progress.FailedRuns.Size(); got != keptFailedRuns {
+		t.Errorf("%d kept", got)
+	}
+}
--- a/internal/job/failures.go
+++ b/internal/job/failures.go
@@ -1,13 +1,17 @@
 package job
 
-// failures is which runs are known to have failed, so that each counts once, however often and whenever its end is heard of. The progress keeps
-// how many were counted, not which: of the runs before a take-over one more is counted only once more of them are known than were counted by then.
-// The zero value knows none.
+// failures is which runs are known to have failed, so that each counts once, however often and whenever its end is heard of, and whichever box
+// counted the others. Where a box of a version that doesn't keep them has counted some, the progress tells how many, not which: of the runs before a
+// take-over one more is counted only once more of them are known than were counted by then. The zero value knows none.
 type failures struct {
 	known   map[failedRun]bool
 	earlier []earlierRuns // By the task's place; nil for a job that nothing had happened to.
 }
 
+// keptFailedRuns bounds the runs whose numbers are kept for a successor: with the longest numbers they take 20 KB of a row of 64 KiB. A queue that allows so many
+// failures loses the others at a take-over, as where they are not kept at all.
+const keptFailedRuns = 4096
+
 // failedRun names a run by its task's place; the members of a gang share theirs, at the place of the first.
 type failedRun struct {
 	place, run int
@@ -30,6 +34,7 @@
 		}
 		l.failures.earlier[i] = earlierRuns{last, p.Failures}
 	}
+	l.takeFailedRuns()
 	for i, run := range l.Progress.GangRuns { // Of a gang the last one that was counted is known too.
 		g := Group{i / len(l.Request.Steps), i % len(l.Request.Steps)}
 		if !l.Request.Steps[g.Step].Gang {
@@ -43,6 +48,20 @@
 	}
 }
 
+// takeFailedRuns takes in which runs are known to have failed. A list that is longer than what was counted is none of this job's: it was left behind by
+// another one of its name.
+func (l *Life) takeFailedRuns() {
+	for place, runs := range l.Progress.FailedRuns {
+		if place < 0 || place >= len(l.Progress.Tasks) || len(runs) > l.Progress.Tasks[place].Failures {
+			delete(l.Progress.FailedRuns, place)
+			continue
+		}
+		for _, run := range runs {
+			l.failures.note(failedRun{place, run})
+		}
+	}
+}
+
 // firstOf is the place of a group's first task.
 func (l *Life) firstOf(g Group) int { return g.Occurrence*l.size + l.offsets[g.Step] }
 
@@ -92,6 +111,7 @@
 	if !l.failures.isNew(failedRun{place, run}) {
 		return false
 	}
+	l.keepFailedRun(place, run)
 	p := &l.Progress.Tasks[place]
 	p.Failures++
 	if p.Failures >= max(l.Request.Terms.Attempts, 1) && !l.Progress.State.Final() {
@@ -99,3 +119,14 @@
 	}
 	return true
 }
+
+// keepFailedRun keeps the number of a run that is counted.
+func (l *Life) keepFailedRun(place, run int) {
+	if l.Progress.FailedRuns.Size() >= keptFailedRuns {
+		return
+	}
+	if l.Progress.FailedRuns == nil {
+		l.Progress.FailedRuns = FailedRuns{}
+	}
+	l.Progress.FailedRuns[place] = append(l.Progress.FailedRuns[place], run)
+}
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -45,14 +45,28 @@
 	Saved    string // Newest saved state; a gang's stands at its first task.
 }
 
-// Progress is what has become of a job; it is one row of the store, and a second one where something is counted against it.
+// Progress is what has become of a job; it is one row of the store, a second one where something is counted against it, and a third one where runs of it failed.
 type Progress struct {
-	_        struct{} `cbor:",toarray"`
-	State    State
-	EndedAt  int64 // Unix time in milliseconds at which the state became final.
-	GangRuns []int // For each gang, by occurrence and step: the last run that was counted as failed.
-	Tasks    []TaskProgress
-	Faults   `cbor:"-"`
+	_          struct{} `cbor:",toarray"`
+	State      State
+	EndedAt    int64 // Unix time in milliseconds at which the state became final.
+	GangRuns   []int // For each gang, by occurrence and step: the last run that was counted as failed.
+	Tasks      []TaskProgress
+	Faults     `cbor:"-"`
+	FailedRuns FailedRuns `cbor:"-"`
+}
+
+// FailedRuns is the numbers of the runs that are known to have failed, by their task's place among all; those of a gang stand at its first task. It is kept in a
+// row of its own, which boxes that don't know it pass over.
+type FailedRuns map[int][]int
+
+// Size is how many runs there are.
+func (f FailedRuns) Size() int {
+	n := 0
+	for _, runs := range f {
+		n += len(runs)
+	}
+	return n
 }
 
 // Faults is what is counted against a job. Few jobs have any, so that it is kept in a row of its own; its zero value is none.
--- a/internal/ledger/faults_test.go
+++ b/internal/ledger/faults_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/pulleyring/pulleyring/internal/emulator"
 	"github.com/pulleyring/pulleyring/internal/job"
 	"github.com/pulleyring/pulleyring/internal/ledger"
@@ -68,11 +69,12 @@
 		for n := 0; n < ledger.MaxBatchRows; {
 			p := &job.Progress{Tasks: make([]job.TaskProgress, 1)}
 			p.Losses = map[int]job.Losses{0: {All: 1}}
+			p.FailedRuns = job.FailedRuns{0: {1}}
 			b.Progress[job.ID(fmt.Sprint(n))] = p
 			n += ledger.Rows(p)
 		}
 		for n := 0; n < ledger.MaxForgetRows; {
-			f := ledger.Forgotten{ID: job.ID(fmt.Sprint("old", n)), Faults: true}
+			f := ledger.Forgotten{ID: job.ID(fmt.Sprint("old", n)), Faults: true, FailedRuns: true}
 			b.Forget = append(b.Forget, f)
 			n += f.Rows()
 		}
@@ -83,3 +85,46 @@
 		quicktest.Assert(t, rows.most <= entriesMost, quicktest.IsTrue, quicktest.Commentf("%d", rows.most))
 	})
 }
+
+// TestFailedRunsAreKept: which runs of a job failed is in a row that a successor reads, and goes with the job. A successor knew only how many had failed, so that it
+// could not tell one that its predecessor had given up from one that was counted. A box of the version before reads all of the table, passes over rows of
+// jobs that it doesn't know, and finds the row of faults as it was.
+func TestFailedRunsAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		rows := emulator.NewStore(1).For("box-1", &emulator.Gate{})
+		l := &ledger.Ledger{Store: rows, Shard: "main"}
+		tenure, err := l.Claim(ctx, "box-1/a", ledger.Lease{}, time.Now())
+		quicktest.Assert(t, err, quicktest.IsNil)
+		p := &job.Progress{Tasks: make([]job.TaskProgress, 3), GangRuns: []int{0}, FailedRuns: job.FailedRuns{0: {1, 4}, 2: {300}}}
+		p.Failure = &job.Failure{Reason: job.FailedTooOften, Index: 2, Times: 1}
+		quicktest.Assert(t, tenure.Commit(ctx, &ledger.Batch{Progress: map[job.ID]*job.Progress{"a": p}}), quicktest.IsNil)
+		all, err := l.Progress(ctx)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, all, quicktest.HasLen, 1)
+		quicktest.Assert(t, all["a"].FailedRuns, quicktest.DeepEquals, p.FailedRuns)
+		quicktest.Assert(t, *all["a"].Failure, quicktest.Equals, *p.Failure)
+
+		page, err := store.ReadAll(ctx, rows, store.Range{Table: "faults", Part: "main"})
+		quicktest.Assert(t, err, quicktest.IsNil)
+		known := 0
+		for i := range page.Rows {
+			if all[job.ID(page.Rows[i].Name)] == nil {
+				continue // As the version before does.
+			}
+			known++
+			before := struct {
+				_       struct{} `cbor:",toarray"`
+				Losses  map[int]job.Losses
+				Failure *job.Failure
+			}{}
+			quicktest.Assert(t, cbor.Unmarshal(page.Rows[i].Value, &before), quicktest.IsNil)
+		}
+		quicktest.Assert(t, known, quicktest.Equals, 1)
+
+		quicktest.Assert(t, tenure.Commit(ctx, &ledger.Batch{Forget: []ledger.Forgotten{ledger.ForgottenAs("a", p)}}), quicktest.IsNil)
+		page, err = store.ReadAll(ctx, rows, store.Range{Table: "faults", Part: "main"})
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, page.Rows, quicktest.HasLen, 0)
+	})
+}
--- a/internal/ledger/lease.go
+++ b/internal/ledger/lease.go
@@ -88,26 +88,33 @@
 
 // Forgotten is a job whose rows are deleted.
 type Forgotten struct {
-	ID     job.ID
-	Faults bool // Something was counted against it, so that it has a second row.
+	ID         job.ID
+	Faults     bool // Something was counted against it, so that it has a row of that.
+	FailedRuns bool // Runs of it failed, so that it has a row of their numbers.
 }
 
-// Rows is how many rows that deletes.
-func (f Forgotten) Rows() int { return rowsOf(f.Faults) }
-
-// Rows is how many rows a job's progress takes.
-func Rows(p *job.Progress) int { return rowsOf(p.Any()) }
+// ForgottenAs is a job with its progress whose rows are to be deleted.
+func ForgottenAs(id job.ID, p *job.Progress) Forgotten {
+	return Forgotten{ID: id, Faults: p.Any(), FailedRuns: len(p.FailedRuns) > 0}
+}
 
-func rowsOf(faults bool) int {
-	if faults {
-		return 2
+// Rows is how many rows that deletes.
+func (f Forgotten) Rows() int {
+	rows := 1
+	for _, also := range []bool{f.Faults, f.FailedRuns} {
+		if also {
+			rows++
+		}
 	}
-	return 1
+	return rows
 }
 
+// Rows is how many rows a job's progress takes.
+func Rows(p *job.Progress) int { return ForgottenAs("", p).Rows() }
+
 // Limits of one batch, so that its transaction stays under the store's 100 entries and 1 MB.
 const (
-	MaxBatchRows  = 70 // Of progress and faults; the last job may add one more.
+	MaxBatchRows  = 70 // Of progress, faults and failed runs; the last job may add two more.
 	MaxForgetRows = 14
 	MaxBatchTasks = 15000 // About 45 bytes each.
 )
@@ -197,10 +204,7 @@
 		if err := add(tableProgress, string(id), p); err != nil {
 			return nil, err
 		}
-		if !p.Any() {
-			continue
-		}
-		if err := add(tableFaults, string(id), &p.Faults); err != nil {
+		if err := t.addFaults(id, p, add); err != nil {
 			return nil, err
 		}
 	}
@@ -224,6 +228,22 @@
 		if f.Faults {
 			tx.Deletes = append(tx.Deletes, t.ledger.key(tableFaults, string(f.ID)))
 		}
+		if f.FailedRuns {
+			tx.Deletes = append(tx.Deletes, t.ledger.key(tableFaults, string(f.ID)+failedSuffix))
+		}
 	}
 	return tx, nil
 }
+
+// addFaults adds the rows that few jobs have.
+func (t *Tenure) addFaults(id job.ID, p *job.Progress, add func(table, name string, value any) error) error {
+	if p.Any() {
+		if err := add(tableFaults, string(id), &p.Faults); err != nil {
+			return err
+		}
+	}
+	if len(p.FailedRuns) == 0 {
+		return nil
+	}
+	return add(tableFaults, string(id)+failedSuffix, p.FailedRuns)
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -19,7 +19,7 @@
 const (
 	tableJobs     = "jobs"     // Requests, and cancellations under the request's name with cancelSuffix.
 	tableProgress = "progress" // What has become of a job.
-	tableFaults   = "faults"   // What is counted against a job; few jobs have such a row.
+	tableFaults   = "faults"   // What is counted against a job, and under its name with failedSuffix its failed runs; few jobs have such rows.
 	tableLease    = "lease"    // Who schedules a shard.
 	tableRelease  = "release"  // Changes when a lease is given back, to wake the other boxes.
 	tableSummary  = "summary"  // Counts for each queue.
@@ -27,6 +27,10 @@
 
 const cancelSuffix = "/cancel"
 
+// failedSuffix names the row of a job's failed runs. Boxes that don't know it take it for that of a job that was forgotten, and pass over it; one more entry
+// in the row beside it would keep them from reading any.
+const failedSuffix = "/failed"
+
 // Ledger reads and writes one shard's rows.
 type Ledger struct {
 	Store store.Store
@@ -295,17 +299,26 @@
 		all[job.ID(page.Rows[i].Name)] = p
 	}
 	for i := range faults.Rows {
-		p := all[job.ID(faults.Rows[i].Name)]
-		if p == nil {
-			continue // Its job was forgotten between the two reads.
-		}
-		if err := decodeFaults(faults.Rows[i].Value, &p.Faults); err != nil {
+		if err := takeFaults(all, &faults.Rows[i]); err != nil {
 			return nil, err
 		}
 	}
 	return all, nil
 }
 
+// takeFaults takes in a row of what is counted against a job, or of its failed runs; its job may have been forgotten between the two reads.
+func takeFaults(all map[job.ID]*job.Progress, row *store.Row) error {
+	id, failed := strings.CutSuffix(row.Name, failedSuffix)
+	p := all[job.ID(id)]
+	switch {
+	case p == nil:
+		return nil
+	case failed:
+		return errors.Wrap(cbor.Unmarshal(row.Value, &p.FailedRuns), "ledger: unable to decode a job's failed runs")
+	}
+	return decodeFaults(row.Value, &p.Faults)
+}
+
 // Failure reads why a job has failed, nil where nothing tells.
 func (l *Ledger) Failure(ctx context.Context, id job.ID) (*job.Failure, error) {
 	f, err := l.faultsOf(ctx, id)
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -125,7 +125,7 @@
 	c := *p
 	c.Tasks = append([]job.TaskProgress(nil), p.Tasks...)
 	c.GangRuns = append([]int(nil), p.GangRuns...)
-	c.Losses = maps.Clone(p.Losses)
+	c.Losses, c.FailedRuns = maps.Clone(p.Losses), maps.Clone(p.FailedRuns)
 	return &c
 }
 
--- a/internal/scheduler/forget.go
+++ b/internal/scheduler/forget.go
@@ -34,7 +34,7 @@
 		}
 		h.mu.Lock()
 		for _, id := range old {
-			h.dropped = append(h.dropped, ledger.Forgotten{ID: id, Faults: h.hasFaults(id)})
+			h.dropped = append(h.dropped, h.forgottenAs(id))
 			h.forget(id)
 		}
 		h.mu.Unlock()
@@ -51,10 +51,12 @@
 // forgottenFor is how long that is remembered; reads end within two seconds.
 const forgottenFor = time.Minute
 
-// hasFaults reports whether a job has a row of faults.
-func (h *shard) hasFaults(id job.ID) bool {
-	j := h.jobs[id]
-	return j != nil && j.Progress.Any()
+// forgottenAs is the rows of a job, or of a cancellation without one, that are to be deleted.
+func (h *shard) forgottenAs(id job.ID) ledger.Forgotten {
+	if j := h.jobs[id]; j != nil {
+		return ledger.ForgottenAs(id, &j.Progress)
+	}
+	return ledger.Forgotten{ID: id}
 }
 
 // forget drops what is remembered of a job.
