Hold that nothing ends unheard on a worker that leaves without a word; the tests fail

The emulator's workers may leave without a word and stay for a time that a script says (leave_unsaid). A run that ends in the last ms of such a worker's process, its answer lost, is told to nobody and counts as known 100 ms later: last_moments_unsaid fails with 'a.0.0.0 on w2 after it was done', leaves_unsaid_saved as its work waits for the leases to be over. record_lapses_and_is_back passes, and holds what a mend may not cost: records that lapse with the store, or with a cut, stop nothing that is back in time.

--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -37,7 +37,7 @@
 	crash   Crash
 	lives   int // Lives that came back after a crash.
 	lasts   map[job.ID]LastMoments
-	dueAt   map[string]time.Time // By worker that said it leaves: until when it surely stays.
+	dueAt   map[string]time.Time // By worker that leaves, whether it said so or not: until when it surely stays.
 	stops   time.Duration        // How long a stop takes.
 	drift   float64              // Share by which the clocks of workers are slow that are added.
 }
@@ -200,6 +200,14 @@
 	f.put(w, false)
 }
 
+// LeaveUnsaid removes the record of a worker that leaves without a word and stays for a time.
+func (f *Fleet) LeaveUnsaid(id string, stays time.Duration) {
+	f.Forget(id)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dueAt[id] = time.Now().Add(stays)
+}
+
 // isDraining reports whether a worker's last record says that it leaves.
 func (f *Fleet) isDraining(id string) bool {
 	f.mu.Lock()
--- a/internal/emulator/signs.go
+++ b/internal/emulator/signs.go
@@ -20,7 +20,7 @@
 	// leaseKept says that what it listed last counts for as long as its lease would have run.
 	leaseKept bool
 	disturbed time.Time // When a condition of it last changed.
-	// leftAsSaid says that its process has ended once the time was over for which it had said that it stays.
+	// leftAsSaid says that its process has ended once the time was over for which it had said that it stays, or for which one stays that doesn't say so.
 	leftAsSaid bool
 }
 
--- a/internal/node/commands_test.go
+++ b/internal/node/commands_test.go
@@ -287,9 +287,9 @@
 			return w.fleet.LateBy(id, n, by)
 		}
 		return map[string]func(string, int) error{"late": w.fleet.Late, "mute": w.fleet.Mute, "slow": w.fleet.Slow}[words[0]](id, n)
-	case "drain":
+	case "drain", "leave_unsaid":
 		d, err := time.ParseDuration(words[2])
-		w.fleet.Drain(id, d)
+		map[string]func(string, time.Duration){"drain": w.fleet.Drain, "leave_unsaid": w.fleet.LeaveUnsaid}[words[0]](id, d)
 		return err
 	}
 	return fmt.Errorf("unknown command")
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -61,6 +61,7 @@
 //	late WORKER N [D]                  so many orders are carried out late, by 2 s or by D
 //	mute WORKER N                      so many orders are carried out without an answer
 //	drain WORKER DURATION
+//	leave_unsaid WORKER DURATION       its record goes without a word, and it stays for so long
 //	store busy|silent|up|compact|deaf|part_out|slow D|commits D|lose SHARE|cut BOX|refuse BOX|thin D
 //	part BOX                           the other boxes and it don't reach each other; "store up" ends that too
 //	holder                             fail where another box has the lease than the one that the store turned away last
