Clear workers that leave without a word before they may be gone

Cause: some workers never say that they leave: their record goes, and they serve on for as long as those that say it (at least bounds.drainMs). Runs were left there until the process ended; one that ended in its last ms was heard of by nobody, counts as known 100 ms later while nothing else is wrong, and ran again when the leases were over. Change (unsaid.go): a record that is gone, of a worker that answers after it went, beside a store that has failed no call for 3 s, where the worker itself did not fall silent within 3 s (the about two seconds in which a lapsed one is back, and the feed's pause), and where not most workers with runs lack theirs, means that it leaves: it gets nothing new, as before, and is cleared like one that said so, counted from the earliest time at which the record can have gone. A record in whose place another writer left one tells nothing. Records that were gone at a take-over are not judged.

--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -26,6 +26,7 @@
 	testMaxLease      = 6 * time.Second
 	testGangWait      = 3 * time.Second
 	testStopTime      = 400 * time.Millisecond
+	testStays         = 2 * time.Second
 	testConfiguration = 3 * time.Second
 	// testEmptied is the time after a hall was emptied within which work may still start there.
 	testEmptied = 5 * time.Second
@@ -139,7 +140,7 @@
 		Directory:      func(store.Store, *measure.Figures) scheduler.Directory { return view },
 	}
 	s := &Settings{Box: name, Hall: name[:strings.LastIndex(name, "-")], Relay: name, Halls: w.halls, ConfigurationWithin: testConfiguration, StopAfter: 6 * time.Second, Bounds: scheduler.Bounds{
-		MaxLease: testMaxLease, StopTime: testStopTime, GangWait: testGangWait, Retain: w.retain, Emptied: testEmptied,
+		MaxLease: testMaxLease, StopTime: testStopTime, Stays: testStays, GangWait: testGangWait, Retain: w.retain, Emptied: testEmptied,
 		Policy: placement.Policy{FarFactor: 3, Reclaim: 3 * time.Second, StopTime: testStopTime, WasteCost: 0.0015},
 	}}
 	n := New(s, p, w.log.With(zap.String("box", name)))
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -139,6 +139,7 @@
 	defer h.mu.Unlock()
 	if err != nil {
 		h.restore(f)
+		h.storeOut = time.Now()
 		if !errors.Is(err, ledger.ErrReplaced) {
 			h.Log.Warn("scheduler: unable to commit", logsink.Error(err), zap.Int("rows", len(f.batch.Progress)))
 		}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -259,7 +259,7 @@
 		return !w.gone && w.applied > w.acknowledged
 	}
 	if w.failures > 0 || w.clock == 0 {
-		h.changed = true
+		w.backAt, h.changed = time.Now(), true
 		h.signal()
 	}
 	w.heard(report.Clock)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -31,6 +31,7 @@
 type Listing struct {
 	Workers []fleet.Worker
 	Gone    []string
+	Foreign []string // Of those, the names where another writer's record is in its place.
 	Version int64
 	More    bool      // More has changed since: the answer was full.
 	AsOf    time.Time // Changes in it were made after that; zero where that is not known. The scheduler sets it.
@@ -40,6 +41,7 @@
 type Bounds struct {
 	MaxLease time.Duration // Longest lease that a worker grants.
 	StopTime time.Duration // Longest time that a stop takes.
+	Stays    time.Duration // How long a worker at least stays whose record goes as it leaves; 0 where nothing promises it.
 	GangWait time.Duration // How long a gang's member waits for the others.
 	Retain   time.Duration // How long a job is shown after its end.
 	Emptied  time.Duration // Time after a hall was emptied within which work may still start there; 0 for no bound.
@@ -108,6 +110,7 @@
 	replaced   bool                   // Another box holds the lease.
 	lastPass   time.Time
 	held       time.Time // When the last commit that succeeded was begun: the lease was surely held at some time after.
+	storeOut   time.Time // When a call to the store failed last.
 	quiet      time.Time // No predecessor committed anything after that.
 	learned    estimates
 	outbreak   outbreak
@@ -273,4 +276,7 @@
 // noteStore takes in that the store failed a call.
 func (h *shard) noteStore(err error, call string) {
 	h.Log.Warn("scheduler: the store failed a call", zap.String("call", call), logsink.Error(err))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.storeOut = time.Now()
 }
--- a/internal/scheduler/silence_test.go
+++ b/internal/scheduler/silence_test.go
@@ -36,7 +36,7 @@
 	start := func(h *shard, w *workerState) { h.noteFailure(w, fleet.ErrHungUp, "start") }
 	refused := func(h *shard, w *workerState) { h.noteFailure(w, fleet.ErrNotListening, "look") }
 	silent := func(h *shard, w *workerState) { h.lookFailed(w, fleet.ErrNoAnswer) }
-	unlisted := func(h *shard, w *workerState) { h.unlist(w.ID) }
+	unlisted := func(h *shard, w *workerState) { h.unlist(w.ID, false, time.Now()) }
 	due := func(_ *shard, w *workerState) { w.Draining, w.leavesAt = true, time.Now().Add(-time.Millisecond) }
 	moved := func(_ *shard, w *workerState) { w.home, w.Address = "10.0.0.1:80", "10.0.0.2:80" }
 	other := func(h *shard, w *workerState) { h.noteFailure(w, fleet.OtherLife, "look") }
--- /dev/null
+++ b/internal/scheduler/unsaid_test.go
@@ -0,0 +1,109 @@
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pulleyring/pulleyring/internal/fleet"
+	"github.com/pulleyring/pulleyring/internal/job"
+	"github.com/pulleyring/pulleyring/internal/ledger"
+)
+
+// TestWhatAMissingRecordMeans: some workers leave without a word, and their record goes. It goes as well while the store is away, or the worker is cut off, and is back about two seconds after.
+// A worker that answered on without a record was left alone, and a run that ended in the last ms of its process was heard of by nobody. One that can't be heard, or whose
+// record may have lapsed, must not be taken for one that leaves: its work is sound.
+func TestWhatAMissingRecordMeans(t *testing.T) {
+	const ms = time.Millisecond
+	others := func(h *shard, listed, lapsed int) {
+		for i := range listed + lapsed {
+			id := fmt.Sprint("o", i)
+			h.workers[id] = &workerState{listed: i < listed, runs: map[job.Task]*run{{Index: i}: nil}}
+		}
+	}
+	for _, c := range []struct {
+		name    string
+		bring   func(h *shard, w *workerState)
+		wait    time.Duration
+		missing bool
+	}{
+		{"it answers, and nothing is wrong", func(*shard, *workerState) {}, 0, true},
+		{"the store failed a call long ago", func(h *shard, _ *workerState) { h.storeOut = time.Now().Add(-3001 * ms) }, 0, true},
+		{"the store failed a call a second ago", func(h *shard, _ *workerState) { h.storeOut = time.Now().Add(-time.Second) }, 2 * time.Second, true},
+		{"it is back since a second", func(_ *shard, w *workerState) { w.backAt = time.Now().Add(-time.Second) }, 2 * time.Second, true},
+		{"it is back since a second, and the store since half of one", func(h *shard, w *workerState) {
+			w.backAt, h.storeOut = time.Now().Add(-time.Second), time.Now().Add(-500*ms)
+		}, 2500 * ms, true},
+		{"it does not answer", func(h *shard, w *workerState) { h.noteFailure(w, fleet.ErrNoAnswer, "look") }, unsaidCheck, true},
+		{"it has not answered since", func(_ *shard, w *workerState) { w.clockAt = w.unlisted.Add(-time.Millisecond) }, unsaidCheck, true},
+		{"most records are missing", func(h *shard, _ *workerState) { others(h, 2, 3) }, lapseCheck, true},
+		{"some records are missing", func(h *shard, _ *workerState) { others(h, 3, 2) }, 0, true},
+		{"its record is back", func(_ *shard, w *workerState) { w.listed = true }, 0, false},
+		{"its record was back and is gone anew", func(_ *shard, w *workerState) { w.unlisted = time.Now() }, 0, false},
+		{"it had said that it leaves", func(_ *shard, w *workerState) { w.Draining = true }, 0, false},
+		{"it is gone", func(_ *shard, w *workerState) { w.gone = true }, 0, false},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			h, w := silentShard()
+			others(h, 1, 0)
+			time.Sleep(10 * time.Second)
+			w.listed, w.unlisted = false, time.Now()
+			gone := w.unlisted
+			time.Sleep(10 * ms)
+			w.heard(2)
+			c.bring(h, w)
+			wait, missing := h.untilUnsaid(w, gone, time.Now())
+			quicktest.Check(t, missing, quicktest.Equals, c.missing, quicktest.Commentf(c.name))
+			quicktest.Check(t, max(wait, 0), quicktest.Equals, c.wait, quicktest.Commentf(c.name))
+		})
+	}
+}
+
+// silent answers nothing.
+type silent struct{ fleet.Orders }
+
+func (silent) Stop(context.Context, *fleet.Worker, *fleet.Stop) (int64, error) {
+	return 0, fleet.ErrNoAnswer
+}
+
+func (silent) Look(context.Context, *fleet.Worker, *fleet.Look) (fleet.Report, error) {
+	return fleet.Report{}, fleet.ErrNoAnswer
+}
+
+// TestAnotherWritersRecordIsNoLeave: a record that another writer left in place of a worker's tells nothing of the worker; its work goes on, until the record is
+// surely gone.
+func TestAnotherWritersRecordIsNoLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, w := silentShard()
+		h.workers["v"] = &workerState{listed: true}
+		ctx, cancel := context.WithCancel(context.Background())
+		h.ctx, h.Orders, h.tenure, w.Address = ctx, silent{}, &ledger.Tenure{}, "10.0.0.1:80"
+		r := w.runs[job.Task{Job: "j"}]
+		stopping := func() bool {
+			time.Sleep(time.Second)
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			w.heard(2)
+			return r.stopping
+		}
+		list := func(l Listing) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			l.AsOf = time.Now()
+			h.takeListing(l, false)
+		}
+		for range 3 {
+			list(Listing{Gone: []string{"w"}, Foreign: []string{"w"}})
+			quicktest.Check(t, w.listed, quicktest.IsFalse)
+			quicktest.Check(t, stopping(), quicktest.IsFalse)
+		}
+		list(Listing{Gone: []string{"w"}})
+		stopping()
+		quicktest.Check(t, stopping(), quicktest.IsTrue)
+		cancel()
+		h.ordering.Wait()
+	})
+}
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pulleyring/pulleyring/internal/fleet"
@@ -67,6 +68,8 @@
 	fleet.Worker
 	listed       bool      // Its record is in the store.
 	unlisted     time.Time // Since when it is not.
+	foreign      bool      // Another writer's record is in its place.
+	backAt       time.Time // When it answered again after it had not.
 	runs         map[job.Task]*run
 	used         job.Resources
 	freeing      job.Resources // Of what is used: by runs that are being stopped.
@@ -90,7 +93,7 @@
 	told         int64         // Number of the last end that the worker was told to forget.
 	failures     int           // Orders in a row without an answer.
 	hungUp       bool          // It closed a connection and has not answered since; for logs.
-	leavesAt     time.Time     // When the time that it said it had left is over; zero where it does not leave.
+	leavesAt     time.Time     // When the time that it said it had left is over, or that one stays without a word; zero where it does not leave.
 	soundSince   time.Time     // When the newest run began there that has not failed at once.
 	failedAt     time.Time     // When a run last failed there as soon as it had begun.
 	unhealthy    time.Time     // Takes no new runs until then.
@@ -142,12 +145,12 @@
 		}
 	}
 	for _, id := range l.Gone {
-		h.unlist(id)
+		h.unlist(id, slices.Contains(l.Foreign, id), l.AsOf)
 	}
 	if whole {
 		for id := range h.workers {
 			if !listed[id] {
-				h.unlist(id)
+				h.unlist(id, slices.Contains(l.Foreign, id), l.AsOf)
 			}
 		}
 	}
@@ -190,7 +193,7 @@
 	if w.Address != record.Address {
 		h.addresses.changed(record.ID)
 	}
-	w.Worker, w.listed = *record, true
+	w.Worker, w.listed, w.foreign = *record, true, false
 	w.lived(time.Now().Add(-recordStays))
 	if first {
 		h.sendStops(w)
@@ -243,12 +246,17 @@
 	return w
 }
 
-func (h *shard) unlist(id string) {
+// unlist takes in that a worker's record is gone, or that another writer's is in its place, which tells nothing of the worker; it went after a time.
+func (h *shard) unlist(id string, foreign bool, asOf time.Time) {
 	w := h.workers[id]
-	if w == nil || !w.listed {
+	if w == nil || !w.listed && (!w.foreign || foreign) {
 		return
 	}
-	w.listed, w.unlisted = false, time.Now()
+	w.listed, w.unlisted, w.foreign = false, time.Now(), foreign
+	if !foreign && !w.Draining && len(w.runs) > 0 && w.Address != "" {
+		gone := w.unlisted
+		h.ordering.Go(func() { h.clearUnsaid(w, gone, asOf) })
+	}
 	h.Log.Info("scheduler: worker's record is gone", zap.String("worker", id), zap.Int("runs", len(w.runs)))
 	w.signal()
 	h.changed = true
