--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -54,7 +54,9 @@
 	Directory     Directory
 	Orders        fleet.Orders
 	Configuration func() *queue.Configuration
-	Halls         func() queue.Halls // Which halls are emptied, as last heard.
+	Halls         func() queue.Halls   // Which halls are emptied, as last heard.
+	Slept         func() time.Duration // How long the machine has been suspended in all; nil where nothing tells.
+	SleptBefore   time.Duration        // The same, before the lease was claimed.
 	Bounds        Bounds
 	Log           *zap.Logger
 	Figures       *measure.Figures // nil for none.
--- /dev/null
+++ b/internal/scheduler/slept_test.go
@@ -0,0 +1,36 @@
+package scheduler
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// TestASuspendedBoxRenewsNoLonger: a tenure renews leases for a bounded time after its last commit, and its successor reckons with that. The machine of a box was suspended, and its
+// clock did not count that time: the box woke, took its last commit for fresh and renewed the leases of a worker that its successor could not reach, beyond what that one
+// reckoned with; what ran there was begun elsewhere while it ran on.
+func TestASuspendedBoxRenewsNoLonger(t *testing.T) {
+	for _, suspended := range []time.Duration{0, time.Second, 5 * time.Second, 7900 * time.Millisecond, 8 * time.Second, 20 * time.Second, time.Hour} {
+		synctest.Test(t, func(t *testing.T) {
+			before, w := silentShard()
+			slept := time.Duration(0)
+			before.Slept = func() time.Duration { return slept }
+			replacedAt := time.Now() // The successor's claim took effect right after the last commit.
+			bound := before.Bounds.longestLease(replacedAt.Add(renewedFor))
+			time.Sleep(100 * time.Millisecond)
+			slept = suspended
+			renewed := true
+			for ; renewed; time.Sleep(100 * time.Millisecond) {
+				w.heard((time.Since(replacedAt) + slept).Milliseconds() + 1) // The worker was not suspended.
+				until := before.renew(w)
+				renewed = until > 0
+				if ends := replacedAt.Add(slowed(milliseconds(until))); !ends.Before(bound) {
+					t.Fatalf("suspended for %s: leases run until %s after the last commit, a successor reckons with %s", suspended, ends.Sub(replacedAt), bound.Sub(replacedAt))
+				}
+			}
+			quicktest.Check(t, time.Since(replacedAt)+suspended > renewedFor, quicktest.IsTrue) // As long as without a suspension.
+		})
+	}
+}
