Count the time in which a box's machine is suspended, before it renews leases and starts work

Cause: the runtime's clock does not count suspensions. A box that woke took its last commit for fresh and renewed leases for 8 s more, which a successor that can't reach the worker does not reckon with (two runs of a task); and what it knew of emptied halls as well, so that work could start in one that was emptied meanwhile. Change: renew and Node.Halls count the time that internal/awake tells. Before: TestASuspendedBoxRenewsNoLonger failed on the parent; TestASuspendedBoxKnowsItsAge fails without the change of Node.Halls (1s, want 21s). After: they pass. No machine was suspended for this: not run.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -95,6 +95,7 @@
 
 // hold claims the lease and schedules until it is lost.
 func (n *Node) hold(ctx context.Context, lease ledger.Lease, since time.Time) {
+	slept := n.platform.Slept()
 	tenure, err := n.ledger.Claim(ctx, n.holder, lease, since)
 	if err != nil {
 		if !errors.Is(err, ledger.ErrReplaced) {
@@ -107,6 +108,7 @@
 	n.log.Info("node: lease claimed", zap.Int64("epoch", tenure.Epoch()), zap.String("from", lease.Holder))
 	s := &scheduler.Scheduler{
 		Ledger: n.ledger, Directory: n.platform.Directory(n.store, &n.Figures), Orders: n.platform.Orders, Configuration: n.Configuration, Halls: n.Halls,
+		Slept: n.platform.Slept, SleptBefore: slept,
 		Bounds: n.settings.Load().Bounds, Log: n.log, Figures: &n.Figures,
 	}
 	n.scheduler.Store(s)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-chi/chi/v5"
 	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/awake"
 	"github.com/pulleyring/pulleyring/internal/entry"
 	"github.com/pulleyring/pulleyring/internal/fleet"
 	"github.com/pulleyring/pulleyring/internal/ledger"
@@ -43,6 +44,7 @@
 	Configurations func(s store.Store) Configurations                          // Read from a store.
 	Directory      func(s store.Store, f *measure.Figures) scheduler.Directory // The same.
 	Orders         fleet.Orders
+	Slept          func() time.Duration       // How long the machine has been suspended in all; nil to ask the system.
 	Front          func(n *Node) http.Handler // Serves clients.
 	Readiness      func(n *Node) http.Handler // Serves the balancer.
 }
@@ -58,7 +60,7 @@
 	holder   string // The box with this start of it.
 	log      *zap.Logger
 	config   atomic.Pointer[queue.Configuration]
-	halls    atomic.Pointer[queue.Halls]
+	halls    atomic.Pointer[knownHalls]
 	relay    *relay.Store
 	store    *relay.Watched // The store over any path.
 	configs  Configurations
@@ -69,6 +71,9 @@
 
 // New returns a box that is not running yet.
 func New(s *Settings, p Platform, log *zap.Logger) *Node {
+	if p.Slept == nil {
+		p.Slept = awake.Slept
+	}
 	n := &Node{platform: p, log: log}
 	n.relay = &relay.Store{
 		Direct:  relay.Watched{Store: p.Store, Path: relay.PathDirect, Log: log, Figures: &n.Figures},
@@ -86,14 +91,6 @@
 // Configuration returns the configuration in force, nil before the first.
 func (n *Node) Configuration() *queue.Configuration { return n.config.Load() }
 
-// Halls returns which halls are emptied, as last heard.
-func (n *Node) Halls() queue.Halls {
-	if h := n.halls.Load(); h != nil {
-		return *h
-	}
-	return queue.Halls{}
-}
-
 // closed reports whether every hall of the site is emptied, so that nothing can start.
 func (n *Node) closed() bool {
 	h := n.Halls()
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -32,7 +32,7 @@
 	defer group.Wait()
 	watched := false
 	for ctx.Err() == nil {
-		asked := time.Now()
+		asked, slept := time.Now(), n.platform.Slept()
 		in, err := n.configs.Read(ctx)
 		if ctx.Err() != nil {
 			return
@@ -42,7 +42,7 @@
 			continue
 		}
 		n.takeConfiguration(in.Configuration)
-		n.takeHalls(&queue.Halls{Emptied: in.Emptied, AsOf: asked})
+		n.takeHalls(&knownHalls{queue.Halls{Emptied: in.Emptied, AsOf: asked}, slept})
 		if !watched {
 			watched = true
 			group.Go(func() { n.operatorFeed().watch(ctx, in.Version, changed) })
@@ -64,7 +64,7 @@
 
 // takeHalls takes in which halls are emptied. Reads follow each other, and each is of its own moment, so that none is older
 // than the one before.
-func (n *Node) takeHalls(halls *queue.Halls) {
+func (n *Node) takeHalls(halls *knownHalls) {
 	old := n.Halls()
 	n.halls.Store(halls)
 	n.Figures.Set("halls_emptied", int64(len(halls.Emptied)))
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -131,7 +131,7 @@
 
 // commit writes a batch and then sets off what had to wait for it.
 func (h *shard) commit(ctx context.Context, f *flight) error {
-	began := time.Now()
+	began, slept := time.Now(), h.sleptSoFar()
 	timed, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	err := h.tenure.Commit(timed, &f.batch)
@@ -145,7 +145,7 @@
 		}
 		return err
 	}
-	h.held = began
+	h.held, h.heldSlept = began, slept
 	for w, n := range f.applied {
 		w.acknowledged = max(w.acknowledged, n)
 		w.signal()
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -56,7 +56,7 @@
 func (h *shard) renew(w *workerState) int64 {
 	now := time.Now()
 	renewed := now
-	if last := h.held.Add(renewedFor); renewed.After(last) {
+	if last := h.held.Add(renewedFor - h.sleptSince(h.heldSlept)); renewed.After(last) {
 		renewed = last
 	}
 	until := renewed.Add(h.Bounds.lease(w.leaves()))
@@ -74,3 +74,14 @@
 		w.home = w.Address
 	}
 }
+
+// sleptSince is how long the machine has been suspended since it had been for so long in all: the clock has not counted it.
+func (h *shard) sleptSince(before time.Duration) time.Duration { return max(h.sleptSoFar()-before, 0) }
+
+// sleptSoFar is how long the machine has been suspended in all, as far as anything tells.
+func (h *shard) sleptSoFar() time.Duration {
+	if h.Slept == nil {
+		return 0
+	}
+	return h.Slept()
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -111,9 +111,10 @@
 	changed    bool                   // Something happened that a decision may depend on.
 	replaced   bool                   // Another box holds the lease.
 	lastPass   time.Time
-	held       time.Time // When the last commit that succeeded was begun: the lease was surely held at some time after.
-	storeOut   time.Time // When a call to the store failed last.
-	quiet      time.Time // No predecessor committed anything after that.
+	held       time.Time     // When the last commit that succeeded was begun: the lease was surely held at some time after.
+	heldSlept  time.Duration // How long the machine had been suspended in all by then.
+	storeOut   time.Time     // When a call to the store failed last.
+	quiet      time.Time     // No predecessor committed anything after that.
 	learned    estimates
 	outbreak   outbreak
 	addresses  addresses
@@ -144,7 +145,7 @@
 func (s *Scheduler) Run(ctx context.Context, tenure *ledger.Tenure) error {
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	h := newShard(inner, s, tenure)
-	h.held, h.quiet = tenure.Claimed, tenure.Quiet
+	h.held, h.heldSlept, h.quiet = tenure.Claimed, s.SleptBefore, tenure.Quiet
 	defer h.ordering.Wait()
 	defer cancel()
 	began := time.Now()
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -53,14 +53,14 @@
 			return nil
 		default:
 		}
-		began := time.Now()
+		began, slept := time.Now(), h.sleptSoFar()
 		err := h.tenure.Commit(ctx, &ledger.Batch{})
 		if errors.Is(err, ledger.ErrReplaced) {
 			return err
 		}
 		if err == nil {
 			h.mu.Lock()
-			h.held = began
+			h.held, h.heldSlept = began, slept
 			h.mu.Unlock()
 		}
 	}
