Delete the rows of forgotten jobs a few at a time

Cause: rows of forgotten jobs waited for the next commit, all of them. While the scheduler's own part of the store is out and those of the requests are not, jobs are forgotten every 5 s; then the next commit had more than the store's 100 entries, and each after it: nothing starts any more until another box takes over. Change: a batch takes as many as its limit says, the others wait.

--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -91,8 +91,7 @@
 	}
 	h.collect(f)
 	h.collectAddresses(&f.batch)
-	f.batch.Forget = h.dropped
-	h.dropped = nil
+	f.batch.Forget = h.takeDropped()
 	if !maps.Equal(pending, h.pending) {
 		f.batch.Summary = &ledger.Summary{Pending: pending}
 		h.pending = pending
--- a/internal/scheduler/forget.go
+++ b/internal/scheduler/forget.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/pulleyring/pulleyring/internal/interval"
@@ -92,3 +93,15 @@
 	}
 	return ids
 }
+
+// takeDropped takes out those of the forgotten jobs whose rows the next batch deletes: while commits fail, more gather than fit into one.
+func (h *shard) takeDropped() []ledger.Forgotten {
+	rows, n := 0, 0
+	for n < len(h.dropped) && rows < ledger.MaxForgetRows {
+		rows += h.dropped[n].Rows()
+		n++
+	}
+	taken := slices.Clone(h.dropped[:n])
+	h.dropped = slices.Delete(h.dropped, 0, n)
+	return taken
+}
