--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -99,8 +99,7 @@
 	}
 	h.collect(f)
 	h.collectAddresses(&f.batch)
-	f.batch.Forget = h.dropped
-	h.dropped = nil
+	f.batch.Forget = h.takeDropped()
 	if !maps.Equal(pending, h.pending) {
 		f.batch.Summary = &ledger.Summary{Pending: pending}
 		h.pending = pending
@@ -133,13 +132,13 @@
 	c := *p
 	c.Tasks = append([]job.TaskProgress(nil), p.Tasks...)
 	c.GangRuns = append([]int(nil), p.GangRuns...)
-	c.Losses = maps.Clone(p.Losses)
+	c.Losses, c.FailedRuns = maps.Clone(p.Losses), maps.Clone(p.FailedRuns)
 	return &c
 }
 
 // commit writes a batch and then sets off what had to wait for it.
 func (h *shard) commit(ctx context.Context, f *flight) error {
-	began := time.Now()
+	began, slept := time.Now(), h.sleptSoFar()
 	timed, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	err := h.tenure.Commit(timed, &f.batch)
@@ -147,12 +146,13 @@
 	defer h.mu.Unlock()
 	if err != nil {
 		h.restore(f)
+		h.storeOut = time.Now()
 		if !errors.Is(err, ledger.ErrReplaced) {
 			h.Log.Warn("scheduler: unable to commit", logsink.Error(err), zap.Int("rows", len(f.batch.Progress)))
 		}
 		return err
 	}
-	h.held = began
+	h.held, h.heldSlept = began, slept
 	for w, n := range f.applied {
 		w.acknowledged = max(w.acknowledged, n)
 		w.signal()
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -18,9 +18,11 @@
 
 // tenureTimes is what the tenure knows of itself, which bounds the leases that it renews and those that a predecessor may have.
 type tenureTimes struct {
-	held     time.Time // When the last commit that succeeded was begun: the lease was surely held at some time after.
-	quiet    time.Time // No predecessor committed anything after that.
-	replaced bool      // Another box holds the lease.
+	held      time.Time     // When the last commit that succeeded was begun: the lease was surely held at some time after.
+	heldSlept time.Duration // How long the machine had been suspended in all by then.
+	quiet     time.Time     // No predecessor committed anything after that.
+	storeOut  time.Time     // When a call to the store failed last.
+	replaced  bool          // Another box holds the lease.
 }
 
 // leases is what is known of the leases on a worker.
@@ -63,7 +65,7 @@
 func (h *shard) renew(w *workerState) int64 {
 	now := time.Now()
 	renewed := now
-	if last := h.held.Add(renewedFor); renewed.After(last) {
+	if last := h.held.Add(renewedFor - h.sleptSince(h.heldSlept)); renewed.After(last) {
 		renewed = last
 	}
 	until := renewed.Add(h.Bounds.lease(w.leaves()))
@@ -81,3 +83,14 @@
 		w.home = w.Address
 	}
 }
+
+// sleptSince is how long the machine has been suspended since it had been for so long in all: the clock has not counted it.
+func (h *shard) sleptSince(before time.Duration) time.Duration { return max(h.sleptSoFar()-before, 0) }
+
+// sleptSoFar is how long the machine has been suspended in all, as far as anything tells.
+func (h *shard) sleptSoFar() time.Duration {
+	if h.Slept == nil {
+		return 0
+	}
+	return h.Slept()
+}
--- a/internal/scheduler/leaving.go
+++ b/internal/scheduler/leaving.go
@@ -70,8 +70,9 @@
 		w.leavesAt, w.stays = time.Time{}, time.Time{}
 		return
 	}
-	isNews := !w.Draining || record.Leaves != w.Leaves // A record that is read again tells nothing new.
-	if stays := asOf.Add(record.Leaves); isNews && stays.After(w.stays) {
+	stays := asOf.Add(record.Leaves)
+	isNews := record.Leaves != w.Leaves // A record that is read again tells nothing new.
+	if !w.Draining || isNews && stays.After(w.stays) {
 		w.stays = stays
 	}
 	if w.leavesAt.IsZero() {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -31,6 +31,7 @@
 type Listing struct {
 	Workers []fleet.Worker
 	Gone    []string
+	Foreign []string // Of those, the names where another writer's record is in its place.
 	Version int64
 	More    bool      // More has changed since: the answer was full.
 	AsOf    time.Time // Changes in it were made after that; zero where that is not known. The scheduler sets it.
@@ -40,6 +41,7 @@
 type Bounds struct {
 	MaxLease time.Duration // Longest lease that a worker grants.
 	StopTime time.Duration // Longest time that a stop takes.
+	Stays    time.Duration // How long a worker at least stays whose record goes as it leaves; 0 where nothing promises it.
 	GangWait time.Duration // How long a gang's member waits for the others.
 	Retain   time.Duration // How long a job is shown after its end.
 	Emptied  time.Duration // Time after a hall was emptied within which work may still start there; 0 for no bound.
@@ -52,7 +54,9 @@
 	Directory     Directory
 	Orders        fleet.Orders
 	Configuration func() *queue.Configuration
-	Halls         func() queue.Halls // Which halls are emptied, as last heard.
+	Halls         func() queue.Halls   // Which halls are emptied, as last heard.
+	Slept         func() time.Duration // How long the machine has been suspended in all; nil where nothing tells.
+	SleptBefore   time.Duration        // The same, before the lease was claimed.
 	Bounds        Bounds
 	Log           *zap.Logger
 	Figures       *measure.Figures // nil for none.
@@ -128,7 +132,7 @@
 func (s *Scheduler) Run(ctx context.Context, tenure *ledger.Tenure) error {
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	h := newShard(inner, s, tenure)
-	h.held, h.quiet = tenure.Claimed, tenure.Quiet
+	h.held, h.heldSlept, h.quiet = tenure.Claimed, s.SleptBefore, tenure.Quiet
 	defer h.ordering.Wait()
 	defer cancel()
 	began := time.Now()
@@ -263,4 +267,7 @@
 // noteStore takes in that the store failed a call.
 func (h *shard) noteStore(err error, call string) {
 	h.Log.Warn("scheduler: the store failed a call", zap.String("call", call), logsink.Error(err))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.storeOut = time.Now()
 }
--- a/internal/scheduler/talk.go
+++ b/internal/scheduler/talk.go
@@ -22,6 +22,7 @@
 	answerTime  time.Duration // How much longer than it had to wait the answer to the last look took.
 	home        string        // Where it took its first order of this tenure, or where the predecessor reached it.
 	failures    int           // Orders in a row without an answer.
+	backAt      time.Time     // When it answered again after it had not.
 	hungUp      bool          // It closed a connection and has not answered since; for logs.
 	silentSince time.Time     // When its leases were found to be over.
 }
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pulleyring/pulleyring/internal/fleet"
@@ -81,8 +82,9 @@
 type registration struct {
 	listed   bool      // The record is there.
 	unlisted time.Time // Since when it is not.
+	foreign  bool      // Another writer's record is in its place.
 	beatAt   time.Time // When the worker surely lived last, by the record.
-	leavesAt time.Time // When the time is over that it first said it had left; zero where it does not leave.
+	leavesAt time.Time // When the time is over that it first said it had left, or that one stays without a word; zero where it does not leave.
 	stays    time.Time // Until when it surely stays, by all that it said of the time left.
 }
 
@@ -120,12 +122,12 @@
 		}
 	}
 	for _, id := range l.Gone {
-		h.unlist(id)
+		h.unlist(id, slices.Contains(l.Foreign, id), l.AsOf)
 	}
 	if whole {
 		for id := range h.workers {
 			if !listed[id] {
-				h.unlist(id)
+				h.unlist(id, slices.Contains(l.Foreign, id), l.AsOf)
 			}
 		}
 	}
@@ -161,7 +163,7 @@
 	if w.Address != record.Address {
 		h.addresses.changed(record.ID)
 	}
-	w.Worker, w.listed = *record, true
+	w.Worker, w.listed, w.foreign = *record, true, false
 	w.lived(time.Now().Add(-recordStays))
 	if first {
 		h.sendStops(w)
@@ -220,12 +222,17 @@
 	return w
 }
 
-func (h *shard) unlist(id string) {
+// unlist takes in that a worker's record is gone, or that another writer's is in its place, which tells nothing of the worker; it went after a time.
+func (h *shard) unlist(id string, foreign bool, asOf time.Time) {
 	w := h.workers[id]
-	if w == nil || !w.listed {
+	if w == nil || !w.listed && (!w.foreign || foreign) {
 		return
 	}
-	w.listed, w.unlisted = false, time.Now()
+	w.listed, w.unlisted, w.foreign = false, time.Now(), foreign
+	if !foreign && !w.Draining && len(w.runs) > 0 && w.Address != "" {
+		gone := w.unlisted
+		h.ordering.Go(func() { h.clearUnsaid(w, gone, asOf) })
+	}
 	h.Log.Info("scheduler: worker's record is gone", zap.String("worker", id), zap.Int("runs", len(w.runs)))
 	w.signal()
 	h.changed = true
