Add a soak: drawn faults of boxes, workers, store and paths, played with real processes

The rig plays boxes that end as planned, are killed and start again, other lives of workers at the same address, a store that fails in parts, changes of the configuration, gangs over several workers, jobs of two steps. Clients keep a connection for as long as it is open, cancel, and ask for states; what they and the workers saw is judged. Ports of the rig lie below those of outgoing connections.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -52,6 +52,7 @@
 		{"load", "load -box URL -key FILE -workspace NAME [options]", "send small requests and measure them, against calling the executors directly", runLoad},
 		{"trial", "trial [-sites NAMES] [-bursts NAMES] [-seeds FIRST-LAST]", "compare the decider with its baselines on bursts", runTrial},
 		{"rig", "rig play [-keep DIR] FILE", "play a scenario with real processes over loopback, and judge it", runRig},
+		{"soak", "soak [-seed N] [-seeds K] [-for TIME] [-keep] [-dir DIR]", "play drawn faults with real processes over loopback, and judge what workers and clients saw", runSoak},
 		{"options", "options", "print every option of the settings and the site configuration", runOptions},
 	}
 }
--- a/internal/emulator/event.go
+++ b/internal/emulator/event.go
@@ -26,6 +26,19 @@
 	Outcome job.Outcome // Of an end.
 	Number  int64       // Of an end, or of the last end that was acknowledged.
 	Until   time.Time   // Of a lease.
+	Gang    int         // Members of the gang that the run is one of; 0 for a single task.
+}
+
+// Tell takes in what has become of a member of a gang on a worker of another fleet: that it has begun or ended.
+func (f *Fleet) Tell(e Event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g := f.gangOf(&activity{task: e.Task, number: e.Run, gang: e.Gang})
+	if e.Kind == Began {
+		g.present[e.Task.Index] = true
+		return
+	}
+	g.end(e.Outcome)
 }
 
 // tell tells the observer, if there is one, of something that has just happened. It is called with locks held.
--- a/internal/emulator/judge.go
+++ b/internal/emulator/judge.go
@@ -110,7 +110,7 @@
 func (f *Fleet) started(w *worker, a *activity) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.tell(Event{Kind: Began, Task: a.task, Run: a.number})
+	f.tell(Event{Kind: Began, Task: a.task, Run: a.number, Gang: a.gang})
 	c := &f.judge.counts
 	c.Starts++
 	if at := f.judge.running[a.task]; at != "" {
@@ -127,12 +127,23 @@
 	if a.gang == 0 {
 		return
 	}
+	f.gangOf(a).present[a.task.Index] = true
+}
+
+// gangOf returns the gang that a run is a member of. The caller holds the lock.
+func (f *Fleet) gangOf(a *activity) *gang {
 	g := f.gangs[a.gangRun()]
 	if g == nil {
 		g = &gang{size: a.gang, present: map[int]bool{}}
 		f.gangs[a.gangRun()] = g
 	}
-	g.present[a.task.Index] = true
+	return g
+}
+
+// end notes how a member has ended.
+func (g *gang) end(outcome job.Outcome) {
+	g.over = g.over || outcome != job.Succeeded
+	g.done = g.done || outcome == job.Succeeded
 }
 
 func (f *Fleet) judgeOrder(a *activity) {
@@ -174,7 +185,7 @@
 func (f *Fleet) ended(w *worker, a *activity, outcome job.Outcome) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.tell(Event{Kind: Ended, At: w.endedAt(outcome), Task: a.task, Run: a.number, Outcome: outcome, Number: w.count})
+	f.tell(Event{Kind: Ended, At: w.endedAt(outcome), Task: a.task, Run: a.number, Outcome: outcome, Number: w.count, Gang: a.gang})
 	if f.judge.running[a.task] == w.record.ID {
 		delete(f.judge.running, a.task)
 	}
@@ -187,8 +198,7 @@
 	if g == nil {
 		return
 	}
-	g.over = g.over || outcome != job.Succeeded
-	g.done = g.done || outcome == job.Succeeded
+	g.end(outcome)
 }
 
 // gangState tells a member where its gang stands.
--- a/internal/rig/judge.go
+++ b/internal/rig/judge.go
@@ -3,41 +3,78 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/pulleyring/pulleyring/internal/job"
 	"github.com/pulleyring/pulleyring/platform/standin"
 )
 
-// Verdict is what the workers did, and what of that must never happen.
+// Verdict is what the workers did and clients were told, and what of that must never happen.
 type Verdict struct {
-	Starts, Ends, Jobs int
-	Twice              []string // Two runs of a task at a time, or one after it was done.
-	Budget             []string // Starts after the attempts were used up.
-	Unended            []string // Jobs that were not accepted, or have not ended as completed.
+	Starts, Ends, Jobs, Calls int
+	Faults                    map[string]int // That struck, by kind.
+	Checked                   int            // How often a promise was held against what was seen.
+	Twice                     []string       // Two runs of a task at a time, or one after it was done.
+	Budget                    []string       // Starts after the attempts were used up.
+	Order                     []string       // Starts before an earlier step was done.
+	Gangs                     []string       // Members of gangs that waited for the others in vain, with nothing wrong nearby.
+	Unended                   []string       // Jobs that were not accepted, or have not ended as they should.
+	Refused                   []string       // Jobs that were refused and ran.
+	States                    []string       // States that were not so.
+	Cancels                   []string       // Tasks of cancelled jobs that were started or ran on.
+	Cuts                      []string       // Calls that a planned end of a box broke off.
+	Exits                     []string       // Boxes that ended by themselves.
+	Config                    []string       // Keys that were taken or refused against the configuration in force.
+}
+
+// kind is one kind of what must never happen, with what was found.
+type kind struct {
+	name  string
+	found []string
+}
+
+func (v *Verdict) kinds() []kind {
+	return []kind{
+		{"twice", v.Twice},
+		{"beyond attempts", v.Budget},
+		{"before its step", v.Order},
+		{"gangs not whole", v.Gangs},
+		{"not ended", v.Unended},
+		{"ran though refused", v.Refused},
+		{"wrong states", v.States},
+		{"ran though cancelled", v.Cancels},
+		{"cut by a planned end", v.Cuts},
+		{"ended by itself", v.Exits},
+		{"configuration", v.Config},
+	}
 }
 
 // Broken lists what must never happen.
-func (v *Verdict) Broken() []string { return slices.Concat(v.Twice, v.Budget, v.Unended) }
+func (v *Verdict) Broken() []string {
+	var all []string
+	for _, k := range v.kinds() {
+		for _, text := range k.found {
+			all = append(all, k.name+": "+text)
+		}
+	}
+	return all
+}
 
 // String is the verdict in one line.
 func (v *Verdict) String() string {
-	return fmt.Sprintf("starts %d, ends %d, twice %d, beyond attempts %d; jobs %d, not completed %d",
-		v.Starts, v.Ends, len(v.Twice), len(v.Budget), v.Jobs, len(v.Unended))
-}
-
-// verdict judges the play, when all processes have ended.
-func (p *play) verdict() *Verdict {
-	v := Judge(p.lines)
-	v.Jobs = len(p.jobs)
-	for _, j := range p.jobs {
-		if j.state != standin.Completed {
-			v.Unended = append(v.Unended, fmt.Sprintf("job %s is %q, accepted: %t", j.id, j.state, j.accepted))
+	text := fmt.Sprintf("starts %d, ends %d, jobs %d, calls %d, checked %d, broken %d", v.Starts, v.Ends, v.Jobs, v.Calls, v.Checked, len(v.Broken()))
+	for _, k := range v.kinds() {
+		if len(k.found) > 0 {
+			text += fmt.Sprintf(", %s %d", k.name, len(k.found))
 		}
 	}
-	return v
+	return text
 }
 
+// clock is how times are written for people.
+const clock = "15:04:05.000"
+
 // listedFor is how long after a worker has listed an end it counts as taken note of (the users' rules).
 const listedFor = 100 * time.Millisecond
 
@@ -48,6 +85,16 @@
 	began, ended time.Time
 	outcome      string // Empty where the worker did not live to tell it.
 	number       int64
+	gang         bool
+	members      int // Of the gang.
+}
+
+// whole is what an end counts for: a task, or all members of a gang.
+func (s *span) whole() string {
+	if s.gang {
+		return s.task[:strings.LastIndex(s.task, ".")]
+	}
+	return s.task
 }
 
 // trace is the lines of a play in order, with the runs that they tell.
@@ -58,36 +105,41 @@
 
 // Judge judges what the workers' lines tell.
 func Judge(lines []Line) *Verdict {
-	t, v := newTrace(lines), &Verdict{}
+	v := &Verdict{}
+	v.judgeRuns(newTrace(lines))
+	return v
+}
+
+// judgeRuns judges which runs were started, and when.
+func (v *Verdict) judgeRuns(t *trace) {
 	for i, s := range t.spans {
 		v.Starts++
+		v.Checked += 2 // Twice, beyond attempts.
 		if s.outcome != "" {
 			v.Ends++
 		}
-		failed := 0
+		failed := map[int]bool{}
 		for _, before := range t.spans[:i] {
-			if before.task != s.task {
+			if before.whole() != s.whole() {
 				continue
 			}
-			noted := t.noted(before, s.began)
-			if s.began.Before(before.ended) || noted && before.outcome == job.Succeeded.String() {
+			noted := !before.ended.After(s.began) && t.noted(before, s.began)
+			if before.task == s.task && s.began.Before(before.ended) || noted && before.outcome == job.Succeeded.String() {
 				v.Twice = append(v.Twice, fmt.Sprintf("%s, started though %s", s, before))
 			}
 			if noted && before.outcome == job.FailedRun.String() {
-				failed++
+				failed[before.run] = true
 			}
 		}
-		if failed >= standin.Attempts {
-			v.Budget = append(v.Budget, fmt.Sprintf("%s, started after %d failed runs", s, failed))
+		if len(failed) >= standin.Attempts {
+			v.Budget = append(v.Budget, fmt.Sprintf("%s, started after %d failed runs", s, len(failed)))
 		}
 	}
-	return v
 }
 
 // String tells a run for a verdict.
 func (s *span) String() string {
-	const format = "15:04:05.000"
-	return fmt.Sprintf("%s run %d on %s from %s to %s %s", s.task, s.run, s.worker, s.began.Format(format), s.ended.Format(format), s.outcome)
+	return fmt.Sprintf("%s run %d on %s from %s to %s %s", s.task, s.run, s.worker, s.began.Format(clock), s.ended.Format(clock), s.outcome)
 }
 
 func newTrace(lines []Line) *trace {
@@ -96,7 +148,7 @@
 	for i := range t.lines {
 		l := &t.lines[i]
 		if l.Event == eventBegan {
-			t.spans = append(t.spans, &span{worker: l.Worker, task: l.Task, run: l.Run, began: l.At})
+			t.spans = append(t.spans, &span{worker: l.Worker, task: l.Task, run: l.Run, began: l.At, gang: l.Gang > 0, members: l.Gang})
 			continue
 		}
 		for _, s := range t.spans {
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -1,8 +1,10 @@
 package rig
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -21,17 +23,21 @@
 	out     io.ReadCloser
 	log     *os.File
 	address string // Where it listens, for the rig's own.
+	ended   chan struct{}
+	// isWorker says that it hears of the members of gangs on other workers.
+	isWorker bool
+	asked    bool // The rig has ended it, or told it to end.
 }
 
 // startProcess starts a program whose log goes to a file.
 func startProcess(program string, args, env []string, log string) (*process, error) {
-	p := &process{name: filepath.Base(log), command: exec.Command(program, args...)}
+	p := &process{name: filepath.Base(log), command: exec.Command(program, args...), ended: make(chan struct{})}
 	p.command.Env = append(os.Environ(), env...)
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	var err, outErr, logErr error
 	p.in, err = p.command.StdinPipe()
 	p.out, outErr = p.command.StdoutPipe()
-	p.log, logErr = os.Create(log + ".log")
+	p.log, logErr = os.OpenFile(log+".log", os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	for _, e := range []error{err, outErr, logErr} {
 		if e != nil {
 			return nil, errors.Wrap(e, "rig: no pipe or log for a process")
@@ -47,20 +53,49 @@
 	return errors.Wrapf(err, "rig: unable to tell %s", p.name)
 }
 
+// follow passes on each line of its output, which goes to its log too, until it has ended.
+func (p *process) follow(seen func(text string)) {
+	defer close(p.ended)
+	defer p.log.Close()
+	for lines := bufio.NewScanner(p.out); lines.Scan(); {
+		fmt.Fprintln(p.log, lines.Text())
+		seen(lines.Text())
+	}
+	_, _ = p.command.Process.Wait()
+}
+
 // kill ends the process and waits for its end.
 func (p *process) kill() {
+	p.asked = true
 	_ = p.command.Process.Kill() // One that has ended is waited for all the same.
-	_, _ = p.command.Process.Wait()
+	<-p.ended
 	_ = p.in.Close()
+	_ = p.out.Close()
+}
+
+// hasEnded reports whether the process is over.
+func (p *process) hasEnded() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
 }
 
 func loopback(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
 
+// Ports of the rig lie below those that the kernel gives to connections, so that one that is closed for a while is free when it opens again.
+const portLeast, portMost, portTries = 10240, 32000, 100
+
+// freePort is a port that nobody listens on.
 func freePort() (int, error) {
-	l, err := net.Listen("tcp", loopback(0))
-	if err != nil {
-		return 0, errors.Wrap(err, "rig: no free port")
+	for range portTries {
+		port := portLeast + rand.IntN(portMost-portLeast)
+		l, err := net.Listen("tcp", loopback(port))
+		if err == nil {
+			return port, errors.Wrap(l.Close(), "rig: unable to close a port")
+		}
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return 0, errors.New("rig: no free port")
 }
--- a/internal/rig/proxy.go
+++ b/internal/rig/proxy.go
@@ -1,7 +1,11 @@
 package rig
 
 import (
+	"bufio"
+	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -18,6 +22,8 @@
 	modeOneWay = "oneway" // The answers are held back.
 	modeSlow   = "slow"   // Answers come late, by the time after it.
 	modeKeep   = "keep"   // Open connections go on, new ones are silent.
+	modeRefuse = "refuse" // Open connections are ended in order, calls on new ones are answered that nothing was done.
+	modeTo     = "to"     // It passes on to another address from now on.
 )
 
 // proxy passes connections on to a target. Make it with newProxy.
@@ -39,18 +45,22 @@
 }
 
 func newProxy(target string) (*proxy, error) {
-	p := &proxy{target: target, address: loopback(0), mode: modePass, pairs: map[*pair]bool{}}
+	port, err := freePort()
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{target: target, address: loopback(port), mode: modePass, pairs: map[*pair]bool{}}
 	p.changed = sync.NewCond(&p.mu)
 	return p, p.listen()
 }
 
-// listen opens the proxy's address, at first any free one and from then on the same.
+// listen opens the proxy's address.
 func (p *proxy) listen() error {
 	l, err := net.Listen("tcp", p.address)
 	if err != nil {
 		return errors.Wrap(err, "rig: a proxy is unable to listen")
 	}
-	p.listener, p.address = l, l.Addr().String()
+	p.listener = l
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -65,7 +75,14 @@
 
 // connect passes one connection on until its end.
 func (p *proxy) connect(client *net.TCPConn) {
-	target, err := net.Dial("tcp", p.target)
+	p.mu.Lock()
+	to, refuse := p.target, p.mode == modeRefuse
+	p.mu.Unlock()
+	if refuse {
+		refuseCall(client)
+		return
+	}
+	target, err := net.Dial("tcp", to)
 	if err != nil { // The process behind has ended: nobody listens from now on.
 		_ = client.Close()
 		_ = p.set(modeClose)
@@ -87,6 +104,15 @@
 	p.finish(c)
 }
 
+// refuseCall answers the first call of a connection that nothing was done.
+func refuseCall(client *net.TCPConn) {
+	defer client.Close()
+	if r, err := http.ReadRequest(bufio.NewReader(client)); err == nil {
+		_, _ = io.Copy(io.Discard, r.Body) // What is refused is read, so that the answer is seen.
+		fmt.Fprint(client, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+	}
+}
+
 // finish ends a pair, by the mode in order or with a reset. The caller holds the lock.
 func (p *proxy) finish(c *pair) {
 	delete(p.pairs, c)
@@ -137,7 +163,9 @@
 	word, argument, _ := strings.Cut(line, " ")
 	p.mode = word
 	switch p.mode {
-	case modeClose, modeReset:
+	case modeTo:
+		p.target, p.mode = argument, modePass
+	case modeClose, modeReset, modeRefuse:
 		if p.mode == modeClose {
 			_ = p.listener.Close()
 		}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -3,7 +3,6 @@
 package rig
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -12,14 +11,11 @@
 	"os"
 	"path/filepath"
 	"runtime"
-	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/pulleyring/pulleyring/internal/interval"
-	"github.com/pulleyring/pulleyring/internal/job"
 	"github.com/pulleyring/pulleyring/platform"
 	"github.com/pulleyring/pulleyring/platform/standin"
 )
@@ -38,7 +34,7 @@
 	// pollEvery is how often a state is asked for.
 	pollEvery = 250 * time.Millisecond
 	// untilMost is the longest scenario.
-	untilMost = 2 * time.Minute
+	untilMost = 10 * time.Minute
 	// roleLimit ends a process of the rig's own that nobody has ended.
 	roleLimit = untilMost + time.Minute
 )
@@ -48,26 +44,33 @@
 	*Scenario
 	Options
 
-	processes map[string]*process
+	processes map[string]*process // By the names that steps use; those of boxes and workers stand for their last life.
 	order     []*process
 	store     *process
 	client    http.Client
-	ready     []string          // Where boxes tell whether they are ready.
-	fronts    []string          // Where they serve clients.
+	boxes     []*boxAt
+	lives     map[string]int    // By worker.
 	fixed     map[string]string // What a target that was looked up stands for.
 	group     sync.WaitGroup
+	began     time.Time // Steps are due from here.
+	troubles  troubles
+	exits     []string // Boxes that ended by themselves.
 
-	mu     sync.Mutex
-	lines  []Line
-	holder string // The box that took over last.
-	jobs   []*handedIn
+	mu      sync.Mutex
+	lines   []Line
+	holder  string // The box that took over last.
+	jobs    []*handedIn
+	calls   []call
+	probes  []probe
+	version int // Of the configuration.
 }
 
-// handedIn is a job and what its client knows of it.
-type handedIn struct {
-	id       job.ID
-	accepted bool
-	state    string
+// boxAt is a box and where it is found.
+type boxAt struct {
+	name, front, ready, file string
+	// in says that new connections come to it; missed is how often in a row it was not ready.
+	in     bool
+	missed int
 }
 
 // Play plays a scenario and judges it. Every process that it starts has ended when it returns.
@@ -76,7 +79,7 @@
 	runtime.LockOSThread()
 	defer runtime.UnlockOSThread()
 	ctx, cancel := context.WithTimeout(ctx, startsWithin+s.Until)
-	p := &play{Scenario: s, Options: o, processes: map[string]*process{}, fixed: map[string]string{}}
+	p := &play{Scenario: s, troubles: troubles{lease: s.Lease}, Options: o, processes: map[string]*process{}, fixed: map[string]string{}, lives: map[string]int{}, version: 1}
 	err := p.begin(ctx)
 	if err == nil {
 		err = p.carryOutAll(ctx)
@@ -117,8 +120,8 @@
 }
 
 func (p *play) allReady() bool {
-	for _, address := range p.ready {
-		if !standin.Ready(&p.client, address) {
+	for _, b := range p.boxes {
+		if b.in = standin.Ready(&p.client, b.ready); !b.in {
 			return false
 		}
 	}
@@ -128,7 +131,7 @@
 }
 
 func (p *play) beginWorker(ctx context.Context, name string) error {
-	w, err := p.role(ctx, name, Role{Kind: "worker", Worker: name, Slots: int64(p.Slots), Lease: p.Lease, Heartbeat: p.Heartbeat})
+	w, err := p.role(ctx, name, p.worker(name))
 	if err != nil {
 		return err
 	}
@@ -139,6 +142,49 @@
 	return w.tell("record " + before.address)
 }
 
+func (p *play) worker(name string) Role {
+	return Role{Kind: "worker", Worker: name, Slots: int64(p.Slots), Lease: p.Lease, Heartbeat: p.Heartbeat, Drift: p.Drift}
+}
+
+// returnWorker starts another life of a worker, at the same address; the one before ends, if it still lives.
+func (p *play) returnWorker(ctx context.Context, name string) error {
+	before, proxy := p.processes[name], p.processes[name+".proxy"]
+	if before == nil || proxy == nil {
+		return errors.Errorf("there is no worker %q", name)
+	}
+	p.noteKilled(before)
+	before.kill()
+	p.lives[name]++
+	life := fmt.Sprintf("%s-%d", name, p.lives[name]+1)
+	w, err := p.role(ctx, life, p.worker(life))
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	p.processes[name], p.processes[life+".proxy"] = w, proxy
+	p.mu.Unlock()
+	if err := proxy.tell(modeTo + " " + w.address); err != nil {
+		return err
+	}
+	return w.tell("record " + proxy.address)
+}
+
+// restartBox starts a box again; the process before ends, if it still lives.
+func (p *play) restartBox(name string) error {
+	before := p.processes[name]
+	if before == nil {
+		return errors.Errorf("there is no box %q", name)
+	}
+	before.kill()
+	for _, b := range p.boxes {
+		if b.name == name {
+			_, err := p.start(name, []string{"box"}, platform.EnvSettings+"="+b.file, p.noteHolder)
+			return err
+		}
+	}
+	return nil
+}
+
 func (p *play) beginBox(ctx context.Context, name string) error {
 	before, err := p.role(ctx, name+".store", Role{Kind: "proxy", To: p.store.address})
 	if err != nil {
@@ -154,8 +200,8 @@
 	if p.Alone != 0 {
 		b.Relay = 0
 	}
-	p.fronts, p.ready = append(p.fronts, b.Front), append(p.ready, b.Ready)
 	file := filepath.Join(p.Dir, name+".conf")
+	p.boxes = append(p.boxes, &boxAt{name: name, front: b.Front, ready: b.Ready, file: file})
 	if err := os.WriteFile(file, b.Settings(), 0o600); err != nil {
 		return errors.Wrap(err, "rig: unable to write settings")
 	}
@@ -176,6 +222,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, startsWithin)
 	defer cancel()
+	p.mu.Lock()
+	pr.isWorker = r.Kind == "worker"
+	p.mu.Unlock()
 	select {
 	case pr.address = <-address:
 		return pr, nil
@@ -195,11 +244,19 @@
 		address <- l.Address
 		return
 	case eventRecord, eventLeft: // The platform knows of a worker that has left.
-		_ = p.store.tell(l.Worker + " " + string(l.Record)) // The store ends only with the rig.
+		_ = p.store.tell("record " + l.Worker + " " + string(l.Record)) // The store ends only with the rig.
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lines = append(p.lines, l)
+	if l.Gang == 0 {
+		return
+	}
+	for _, pr := range p.order {
+		if pr.isWorker && pr.name != l.Worker {
+			_ = pr.tell("member " + text) // One that has ended has no members.
+		}
+	}
 }
 
 // noteHolder takes in from a box's log that it schedules.
@@ -222,130 +279,10 @@
 	if err != nil {
 		return nil, err
 	}
+	p.mu.Lock()
 	p.processes[name] = pr
 	p.order = append(p.order, pr)
-	p.group.Go(func() {
-		defer pr.log.Close()
-		defer pr.out.Close()
-		for lines := bufio.NewScanner(pr.out); lines.Scan(); {
-			fmt.Fprintln(pr.log, lines.Text())
-			seen(lines.Text())
-		}
-	})
-	return pr, nil
-}
-
-// carryOutAll carries out the steps and waits until all jobs have ended, as their clients know.
-func (p *play) carryOutAll(ctx context.Context) error {
-	began := time.Now()
-	for _, step := range p.Steps {
-		interval.Sleep(ctx, time.Until(began.Add(step.At)))
-		began = began.Add(p.awaitLoaded(ctx, &step))
-		if err := p.carryOut(ctx, &step); err != nil {
-			return errors.WithMessagef(err, "rig: line %d", step.Line)
-		}
-	}
-	for time.Since(began) < p.Until && ctx.Err() == nil && !p.settled() {
-		interval.Sleep(ctx, pollEvery)
-	}
-	return errors.Wrap(ctx.Err(), "rig: interrupted")
-}
-
-// awaitLoaded waits until a worker has runs, if a step names the one with the most, and returns how much later the steps come for that:
-// on a busy machine a job's tasks begin late.
-func (p *play) awaitLoaded(ctx context.Context, s *Step) time.Duration {
-	began := time.Now()
-	for strings.HasPrefix(s.Target, "loaded") && time.Since(began) < startsWithin && ctx.Err() == nil {
-		if _, err := p.find(s.Target); err == nil {
-			break
-		}
-		interval.Sleep(ctx, pollEvery)
-	}
-	return time.Since(began)
-}
-
-func (p *play) settled() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, j := range p.jobs {
-		if !standin.Final(j.state) {
-			return false
-		}
-	}
-	return true
-}
-
-// signals are the verbs that are signals.
-var signals = map[string]syscall.Signal{"stop": syscall.SIGSTOP, "continue": syscall.SIGCONT, "kill": syscall.SIGKILL, "terminate": syscall.SIGTERM}
-
-func (p *play) carryOut(ctx context.Context, s *Step) error {
-	fmt.Fprintf(p.Out, "%6.1fs %s %s %s\n", s.At.Seconds(), s.Target, s.Verb, strings.Join(s.Args, " "))
-	switch s.Target {
-	case "client":
-		p.submit(ctx, s)
-		return nil
-	case "machine":
-		for i := range s.Count {
-			if _, err := p.role(ctx, fmt.Sprintf("busy-%d", i+1), Role{Kind: "busy"}); err != nil {
-				return err
-			}
-		}
-		return nil
-	}
-	pr, err := p.find(s.Target)
-	if err != nil {
-		return err
-	}
-	sig, isSignal := signals[s.Verb]
-	if !isSignal {
-		return pr.tell(strings.Join(append([]string{s.Verb}, s.Args...), " "))
-	}
-	if sig == syscall.SIGKILL {
-		p.mu.Lock()
-		p.lines = append(p.lines, Line{At: time.Now(), Worker: pr.name, Event: eventKilled})
-		p.mu.Unlock()
-	}
-	return errors.Wrap(pr.command.Process.Signal(sig), "rig: unable to signal")
-}
-
-// find returns the process that a target names. One that is looked up by what it does stays the same from then on.
-func (p *play) find(target string) (*process, error) {
-	who, part, isPart := strings.Cut(target, ".")
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.fixed[who] == "" {
-		p.fixed[who] = map[string]string{"holder": p.holder, "loaded": mostLoaded(p.lines)}[who]
-	}
-	if p.fixed[who] != "" {
-		who = p.fixed[who]
-	}
-	if isPart {
-		who += "." + part
-	}
-	pr := p.processes[who]
-	if pr == nil {
-		return nil, errors.Errorf("there is no process %q", who)
-	}
-	return pr, nil
-}
-
-// submit has a client hand a job in until it is accepted, and follow it to its end.
-func (p *play) submit(ctx context.Context, s *Step) {
-	p.mu.Lock()
-	j := &handedIn{id: job.ID(fmt.Sprintf("%016x", len(p.jobs)+1))}
-	p.jobs = append(p.jobs, j)
 	p.mu.Unlock()
-	c := &standin.Client{Fronts: p.fronts, HTTP: &p.client}
-	p.group.Go(func() {
-		for accepted, state := false, ""; ctx.Err() == nil && !standin.Final(state); interval.Sleep(ctx, pollEvery) {
-			if accepted {
-				state = c.State(ctx, j.id)
-			} else {
-				accepted = c.Submit(ctx, j.id, s.Count, standin.Payload{Work: s.Work, Each: slot}) == nil
-			}
-			p.mu.Lock()
-			j.accepted, j.state = accepted, state
-			p.mu.Unlock()
-		}
-	})
+	p.group.Go(func() { pr.follow(seen) })
+	return pr, nil
 }
--- a/internal/rig/role.go
+++ b/internal/rig/role.go
@@ -45,6 +45,7 @@
 	Outcome string          `json:"outcome,omitempty"`
 	Number  int64           `json:"number,omitempty"` // Of an end, or of the last end listed or acknowledged.
 	Until   time.Time       `json:"until,omitzero"`   // Of a lease.
+	Gang    int             `json:"gang,omitempty"`   // Members of the gang of a run.
 }
 
 // Role is what one of the rig's own processes is told at its start.
@@ -55,6 +56,7 @@
 	Slots     int64
 	Lease     time.Duration
 	Heartbeat time.Duration
+	Drift     float64 // Share by which a worker's clock is slow.
 }
 
 // printer prints lines.
@@ -105,9 +107,13 @@
 		s := standin.NewStore(r.Heartbeat)
 		go s.Run(ctx)
 		obey = func(line string) error {
-			id, record, _ := strings.Cut(line, " ")
-			s.Record(id, []byte(record))
-			return nil
+			word, rest, _ := strings.Cut(line, " ")
+			first, more, _ := strings.Cut(rest, " ")
+			if word == "record" {
+				s.Record(first, []byte(more))
+				return nil
+			}
+			return s.Disturb(word, first)
 		}
 		return obey, serve(s.Handler(), out)
 	case "worker":
@@ -170,6 +176,7 @@
 	w.face.Fleet = emulator.NewFleet(ctx, r.Lease, time.Second)
 	w.face.Fleet.Observe = w.observe
 	w.face.Listed = func(n int64) { out.print(Line{Worker: r.Worker, Event: eventListed, Number: n}) }
+	w.face.Fleet.SetDrift(r.Drift)
 	w.face.Fleet.Add(*record)
 	return w
 }
@@ -181,7 +188,7 @@
 
 // observe prints an event, and ends the process of a worker that leaves with its last run.
 func (w *worker) observe(e emulator.Event) {
-	l := Line{At: e.At, Worker: w.face.Record.ID, Event: kinds[e.Kind], Run: e.Run, Number: e.Number, Until: e.Until}
+	l := Line{At: e.At, Worker: w.face.Record.ID, Event: kinds[e.Kind], Run: e.Run, Number: e.Number, Until: e.Until, Gang: e.Gang}
 	if e.Run > 0 {
 		l.Task = e.Task.String()
 	}
@@ -246,6 +253,8 @@
 		return w.face.Fleet.Mute(id, number)
 	case "late": // So many orders get no answer and are carried out late.
 		return w.face.Fleet.Late(id, number)
+	case "member":
+		return w.hear(argument)
 	case "fail":
 		return w.face.Fleet.Fail(id, argument == "on")
 	default:
@@ -254,6 +263,24 @@
 	return err
 }
 
+// hear takes in what a member of a gang on another worker has done.
+func (w *worker) hear(raw string) error {
+	var l Line
+	if err := json.Unmarshal([]byte(raw), &l); err != nil {
+		return errors.Wrap(err, "rig: unable to read of a member")
+	}
+	task, err := job.ParseTask(l.Task)
+	e := emulator.Event{Kind: emulator.Began, Task: task, Run: l.Run, Gang: l.Gang, Outcome: job.GangBroken}
+	if l.Event == eventEnded {
+		e.Kind = emulator.Ended
+	}
+	if l.Outcome == job.Succeeded.String() {
+		e.Outcome = job.Succeeded
+	}
+	w.face.Fleet.Tell(e)
+	return err
+}
+
 func (w *worker) change(do func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -11,8 +12,10 @@
 // Scenario is what is played.
 type Scenario struct {
 	Boxes, Workers int
-	Slots          int // Tasks that fit on a worker.
-	Alone          int // 1 where boxes don't call the store through each other.
+	Slots          int     // Tasks that fit on a worker.
+	Alone          int     // 1 where boxes don't call the store through each other.
+	MayFail        int     // 1 where jobs may fail once their attempts are used up.
+	Drift          float64 // Share by which the clocks of workers are slow.
 	Heartbeat      time.Duration
 	Lease          time.Duration
 	Until          time.Duration // When it ends at the latest.
@@ -29,9 +32,13 @@
 	Work         time.Duration // Of a task.
 }
 
+// The most boxes and workers of a scenario, each with a proxy: a few hundred processes.
+const boxesMost, workersMost = 12, 100
+
 // Parse reads a scenario: lines of a key with its value, and of "at TIME TARGET VERB ARGS". Targets are box-N, wN, "holder" (the box that
 // schedules) and "loaded" (the worker with the most runs); with ".store" the path of a box to the store, with ".proxy" what stands before a
-// worker; "client submit TASKS WORK"; and "machine busy PROCESSES".
+// worker; "store"; "operator configure next"; "client submit TASKS WORK", with "gang", "ordered" (two steps), "once" (not again after a
+// refusal) and a time after which it is cancelled; and "machine busy PROCESSES".
 func Parse(text string) (*Scenario, error) {
 	s := &Scenario{Boxes: 2, Workers: 3, Slots: 4, Heartbeat: 1500 * time.Millisecond, Lease: 10 * time.Second, Until: 30 * time.Second}
 	for i, line := range strings.Split(text, "\n") {
@@ -44,14 +51,14 @@
 			return nil, errors.WithMessagef(err, "rig: line %d", i+1)
 		}
 	}
-	if s.Boxes < 1 || s.Boxes > 3 || s.Workers < 1 || s.Workers > 12 || s.Until > untilMost {
-		return nil, errors.Errorf("rig: 1 to 3 boxes, 1 to 12 workers, at most %s", untilMost)
+	if s.Boxes < 1 || s.Boxes > boxesMost || s.Workers < 1 || s.Workers > workersMost || s.Until > untilMost {
+		return nil, errors.Errorf("rig: 1 to %d boxes, 1 to %d workers, at most %s", boxesMost, workersMost, untilMost)
 	}
 	return s, nil
 }
 
 func (s *Scenario) take(fields []string, line int) (err error) {
-	numbers := map[string]*int{"boxes": &s.Boxes, "workers": &s.Workers, "slots": &s.Slots, "alone": &s.Alone}
+	numbers := map[string]*int{"boxes": &s.Boxes, "workers": &s.Workers, "slots": &s.Slots, "alone": &s.Alone, "may_fail": &s.MayFail}
 	times := map[string]*time.Duration{"heartbeat": &s.Heartbeat, "lease": &s.Lease, "until": &s.Until}
 	key, values := fields[0], fields[1:]
 	switch {
@@ -61,6 +68,8 @@
 		*numbers[key], err = strconv.Atoi(values[0])
 	case times[key] != nil && len(values) == 1:
 		*times[key], err = time.ParseDuration(values[0])
+	case key == "drift" && len(values) == 1:
+		s.Drift, err = strconv.ParseFloat(values[0], 64)
 	default:
 		return errors.Errorf("%q is not understood", strings.Join(fields, " "))
 	}
@@ -84,7 +93,30 @@
 	}
 	if want > 1 && err == nil {
 		step.Work, err = time.ParseDuration(step.Args[1])
+		err = firstOf(err, checkOptions(step.Args[2:]))
 	}
 	s.Steps = append(s.Steps, step)
 	return err
 }
+
+// checkOptions checks the words after a job's tasks and work.
+func checkOptions(words []string) error {
+	for _, word := range words {
+		if slices.Contains([]string{"gang", "ordered", "once"}, word) {
+			continue
+		}
+		if _, err := time.ParseDuration(word); err != nil {
+			return errors.Wrap(err, "an option of a job")
+		}
+	}
+	return nil
+}
+
+func firstOf(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rig/steps.go
@@ -0,0 +1,154 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/interval"
+)
+
+// carryOutAll carries out the steps and waits until all jobs have ended, as their clients know.
+func (p *play) carryOutAll(ctx context.Context) error {
+	p.began = time.Now()
+	balancing, stop := context.WithCancel(ctx)
+	p.group.Go(func() { p.balance(balancing) })
+	defer stop()
+	for _, step := range p.Steps {
+		interval.Sleep(ctx, time.Until(p.began.Add(step.At)))
+		p.noteExits()
+		p.began = p.began.Add(p.awaitLoaded(ctx, &step))
+		if ctx.Err() != nil {
+			break
+		}
+		if err := p.carryOut(ctx, &step); err != nil {
+			return errors.WithMessagef(err, "rig: line %d", step.Line)
+		}
+	}
+	for time.Since(p.began) < p.Until && ctx.Err() == nil && !p.settled() {
+		interval.Sleep(ctx, pollEvery)
+	}
+	p.noteExits()
+	return errors.Wrap(ctx.Err(), "rig: interrupted")
+}
+
+// awaitLoaded waits until a worker has runs, if a step names the one with the most, and returns how much later the steps come for that:
+// on a busy machine a job's tasks begin late.
+func (p *play) awaitLoaded(ctx context.Context, s *Step) time.Duration {
+	began := time.Now()
+	for strings.HasPrefix(s.Target, "loaded") && time.Since(began) < startsWithin && ctx.Err() == nil {
+		if _, err := p.find(s.Target); err == nil {
+			break
+		}
+		interval.Sleep(ctx, pollEvery)
+	}
+	return time.Since(began)
+}
+
+func (p *play) settled() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, j := range p.jobs {
+		if !j.settled {
+			return false
+		}
+	}
+	return true
+}
+
+// signals are the verbs that are signals.
+var signals = map[string]syscall.Signal{"stop": syscall.SIGSTOP, "continue": syscall.SIGCONT, "kill": syscall.SIGKILL, "terminate": syscall.SIGTERM, "reload": syscall.SIGHUP}
+
+func (p *play) carryOut(ctx context.Context, s *Step) error {
+	fmt.Fprintf(p.Out, "%6.1fs %s %s %s\n", s.At.Seconds(), s.Target, s.Verb, strings.Join(s.Args, " "))
+	switch s.Target {
+	case "client":
+		p.submit(ctx, s)
+		return nil
+	case "operator":
+		return p.configure()
+	case "machine":
+		for i := range s.Count {
+			if _, err := p.role(ctx, fmt.Sprintf("busy-%d", i+1), Role{Kind: "busy"}); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	pr, err := p.find(s.Target)
+	if err != nil {
+		return err
+	}
+	p.troubles.note(s, time.Now())
+	switch s.Verb {
+	case "restart":
+		return p.restartBox(s.Target)
+	case "return":
+		return p.returnWorker(ctx, s.Target)
+	}
+	if pr.hasEnded() {
+		return nil // What strikes a process that is over does nothing.
+	}
+	sig, isSignal := signals[s.Verb]
+	if !isSignal {
+		return pr.tell(strings.Join(append([]string{s.Verb}, s.Args...), " "))
+	}
+	if sig == syscall.SIGKILL {
+		p.noteKilled(pr)
+	}
+	pr.asked = pr.asked || sig == syscall.SIGKILL || sig == syscall.SIGTERM
+	return errors.Wrap(pr.command.Process.Signal(sig), "rig: unable to signal")
+}
+
+// noteKilled notes that a process is about to be killed, if it still lives.
+func (p *play) noteKilled(pr *process) {
+	if pr.hasEnded() {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lines = append(p.lines, Line{At: time.Now(), Worker: pr.name, Event: eventKilled})
+}
+
+// noteExits notes which boxes have ended by themselves.
+func (p *play) noteExits() {
+	for _, b := range p.boxes {
+		if pr := p.processes[b.name]; pr.hasEnded() && !pr.asked {
+			pr.asked = true
+			p.exits = append(p.exits, fmt.Sprintf("%s ended by itself before %s", b.name, time.Now().Format(clock)))
+		}
+	}
+}
+
+// configure puts the next version of the configuration in force.
+func (p *play) configure() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.version++
+	p.troubles.configured = append(p.troubles.configured, time.Now())
+	return p.store.tell(fmt.Sprintf("configure %d", p.version))
+}
+
+// find returns the process that a target names. One that is looked up by what it does stays the same from then on.
+func (p *play) find(target string) (*process, error) {
+	who, part, isPart := strings.Cut(target, ".")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fixed[who] == "" {
+		p.fixed[who] = map[string]string{"holder": p.holder, "loaded": mostLoaded(p.lines)}[who]
+	}
+	if p.fixed[who] != "" {
+		who = p.fixed[who]
+	}
+	if isPart {
+		who += "." + part
+	}
+	pr := p.processes[who]
+	if pr == nil {
+		return nil, errors.Errorf("there is no process %q", who)
+	}
+	return pr, nil
+}
--- /dev/null
+++ b/internal/rig/trouble.go
@@ -0,0 +1,83 @@
+package rig
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Bounds of the users' pages that a box is held to where nothing is wrong nearby, as long before as contact.
+const (
+	contact       = 3 * time.Second
+	cancelWithin  = 3 * time.Second
+	visibleWithin = 3 * time.Second
+	configWithin  = 2 * time.Second
+	stopWithin    = 400 * time.Millisecond
+	lossSlack     = 200 * time.Millisecond
+	// grace is how long a box that is told to end may take, and graceSlack how long after it a connection may still be cut by that.
+	grace, graceSlack = 6 * time.Second, time.Second
+)
+
+// trouble is something that is wrong with a process or its connections.
+type trouble struct {
+	target, verb string
+	from, to     time.Time // Without an end it lasts.
+}
+
+// troubles is what is and was wrong, and when the configuration was changed.
+type troubles struct {
+	list       []*trouble
+	configured []time.Time
+	lease      time.Duration
+	kinds      map[string]int // How many have struck, by kind.
+}
+
+// heals are the verbs that end what is wrong with a target.
+var heals = []string{"pass", "continue", "beat", "up", "restart", "return"}
+
+// brief are the verbs after which a target is as it should be without another step, once all leases that it had are over.
+var brief = []string{"mute", "late", "unrecord", "drain", "leave", "leave_after_end", "reload", "forget"}
+
+// note takes in a step that concerns a process.
+func (t *troubles) note(s *Step, now time.Time) {
+	heal := slices.Contains(heals, s.Verb) || s.Verb == "fail" && s.Args[0] == "off"
+	if heal {
+		t.heal(s, now)
+		return
+	}
+	kind := strings.TrimRight(s.Target, "0123456789")
+	if before, part, isPart := strings.Cut(s.Target, "."); isPart {
+		kind = strings.TrimRight(before, "0123456789") + "." + part
+	}
+	if t.kinds == nil {
+		t.kinds = map[string]int{}
+	}
+	t.kinds[strings.ReplaceAll(kind, "-", "")+" "+s.Verb]++
+	x := &trouble{target: s.Target, verb: s.Verb, from: now}
+	if slices.Contains(brief, s.Verb) {
+		x.to = now.Add(t.lease)
+	}
+	t.list = append(t.list, x)
+}
+
+// heal ends what is wrong with a target. Starting a process is a trouble too, and what a worker ran is known to be over when its lease is.
+func (t *troubles) heal(s *Step, now time.Time) {
+	for _, x := range t.list {
+		if x.target == s.Target && x.to.IsZero() {
+			x.to = now.Add(t.lease)
+		}
+	}
+}
+
+// calm reports whether nothing was wrong from contact before a time until another, but for planned ends of a box.
+func (t *troubles) calm(from, to time.Time, planned string) bool {
+	for _, x := range t.list {
+		if x.target == planned && x.verb == "terminate" {
+			continue
+		}
+		if x.from.Before(to) && (x.to.IsZero() || x.to.After(from.Add(-contact))) {
+			return false
+		}
+	}
+	return true
+}
