--- a/internal/rig/judge.go
+++ b/internal/rig/judge.go
@@ -156,8 +156,8 @@
 			case s.worker != l.Worker || !s.ended.IsZero():
 			case l.Event == eventEnded && s.task == l.Task && s.run == l.Run:
 				s.ended, s.outcome, s.number = l.At, l.Outcome, l.Number
-			case l.Event == eventKilled || l.Event == eventLeft:
-				s.ended = l.At
+			case l.Event == eventKilled || l.Event == eventLeft: // It stood still where its lease was over before.
+				s.ended = earlier(l.At, t.leaseAt(s.worker, l.At))
 			}
 		}
 	}
@@ -169,6 +169,13 @@
 	return t
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // noted reports whether an end counts for what starts at a time: it was acknowledged, then or later, while the lease ran on since the
 // end; or it had been listed by a worker whose lease ran on until then, and which was not killed.
 func (t *trace) noted(s *span, start time.Time) bool {
--- a/internal/rig/soak.go
+++ b/internal/rig/soak.go
@@ -58,7 +58,11 @@
 	}
 	options := s.Options
 	options.Dir = filepath.Join(s.Dir, fmt.Sprintf("seed-%d", seed))
-	if err := os.MkdirAll(options.Dir, 0o700); err != nil {
+	err = os.RemoveAll(options.Dir) // Of an earlier play.
+	if err == nil {
+		err = os.MkdirAll(options.Dir, 0o700)
+	}
+	if err != nil {
 		return errors.Wrap(err, "rig: no directory for logs")
 	}
 	if err := os.WriteFile(filepath.Join(options.Dir, "scenario.txt"), []byte(text), 0o600); err != nil {
