--- a/internal/rig/role.go
+++ b/internal/rig/role.go
@@ -53,6 +53,7 @@
 	Kind      string // store, worker, proxy or busy.
 	Worker    string
 	To        string // Where a proxy passes connections on.
+	Port      int    // Where it listens.
 	Slots     int64
 	Lease     time.Duration
 	Heartbeat time.Duration
@@ -120,7 +121,7 @@
 		w := newWorker(ctx, r, out)
 		return func(line string) error { return w.obey(ctx, line) }, serve(w.face.Handler(), out)
 	case "proxy":
-		p, err := newProxy(r.To)
+		p, err := newProxy(r.To, r.Port)
 		if err == nil {
 			out.print(Line{Event: eventListening, Address: p.address})
 		}
