--- a/internal/rig/draw.go
+++ b/internal/rig/draw.go
@@ -189,6 +189,10 @@
 
 // impair has a proxy treat connections badly.
 func impair(d *drawing, at time.Duration, proxy string) {
+	if d.IntN(8) == 0 {
+		d.add(at, proxy+" "+modeStale)
+		return
+	}
 	modes := []string{modeClose, modeReset, modeSilent, modeOneWay, modeKeep, modeSlow + " " + d.between(50*time.Millisecond, 900*time.Millisecond).Round(time.Millisecond).String()}
 	if strings.HasSuffix(proxy, ".store") {
 		modes = append(modes, modeRefuse)
--- a/internal/rig/proxy.go
+++ b/internal/rig/proxy.go
@@ -23,6 +23,7 @@
 	modeSlow   = "slow"   // Answers come late, by the time after it.
 	modeKeep   = "keep"   // Open connections go on, new ones are silent.
 	modeRefuse = "refuse" // Open connections are ended in order, calls on new ones are answered that nothing was done.
+	modeStale  = "stale"  // Open connections are silent for good, new ones go on.
 	modeTo     = "to"     // It passes on to another address from now on.
 )
 
@@ -42,6 +43,7 @@
 type pair struct {
 	client, target *net.TCPConn
 	silent         bool // It was opened while new ones were held back.
+	stale          bool // It is silent for good.
 }
 
 func newProxy(target string, port int) (*proxy, error) {
@@ -145,7 +147,7 @@
 		time.Sleep(delay)
 		p.mu.Lock()
 	}
-	for p.pairs[c] && (c.silent || p.mode == modeSilent || p.mode == modeOneWay && !request) {
+	for p.pairs[c] && (c.stale || c.silent || p.mode == modeSilent || p.mode == modeOneWay && !request) {
 		p.changed.Wait()
 	}
 	return p.pairs[c]
@@ -159,6 +161,11 @@
 	word, argument, _ := strings.Cut(line, " ")
 	p.mode = word
 	switch p.mode {
+	case modeStale:
+		p.mode = modePass
+		for c := range p.pairs {
+			c.stale = true
+		}
 	case modeTo:
 		p.target, p.mode = argument, modePass
 	case modeClose, modeReset, modeRefuse:
--- a/internal/rig/trouble.go
+++ b/internal/rig/trouble.go
@@ -42,7 +42,7 @@
 var leaving = []string{"drain", "leave", "leave_after_end"}
 
 // brief are the verbs after which a target is as it should be without another step, once all leases that it had are over.
-var brief = append([]string{"mute", "late", "unrecord"}, leaving...)
+var brief = append([]string{"mute", "late", "unrecord", modeStale}, leaving...)
 
 // note takes in a step that concerns a process.
 func (t *troubles) note(s *Step, now time.Time) {
