--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -69,6 +69,8 @@
 // boxAt is a box and where it is found.
 type boxAt struct {
 	name, front, ready, file string
+	settings                 standin.Box
+	reloads                  int
 	// in says that new connections come to it; missed is how often in a row it was not ready.
 	in     bool
 	missed int
@@ -207,7 +209,7 @@
 		b.Relay = 0
 	}
 	file := filepath.Join(p.Dir, name+".conf")
-	p.boxes = append(p.boxes, &boxAt{name: name, front: b.Front, ready: b.Ready, file: file})
+	p.boxes = append(p.boxes, &boxAt{name: name, front: b.Front, ready: b.Ready, file: file, settings: b})
 	if err := os.WriteFile(file, b.Settings(), 0o600); err != nil {
 		return errors.Wrap(err, "rig: unable to write settings")
 	}
--- a/internal/rig/steps.go
+++ b/internal/rig/steps.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"strings"
 	"syscall"
 	"time"
@@ -88,6 +89,10 @@
 		return p.restartBox(s.Target)
 	case "return":
 		return p.returnWorker(ctx, s.Target)
+	case "reload":
+		if err := p.resettle(s.Target); err != nil {
+			return err
+		}
 	}
 	if pr.hasEnded() {
 		return nil // What strikes a process that is over does nothing.
@@ -103,6 +108,24 @@
 	return errors.Wrap(pr.command.Process.Signal(sig), "rig: unable to signal")
 }
 
+// resettle changes a box's settings file: stops may take longer from then on, or as long as before.
+func (p *play) resettle(name string) error {
+	for _, b := range p.boxes {
+		if b.name != name {
+			continue
+		}
+		if b.settings.StopTime = longerStops; b.reloads%2 == 1 {
+			b.settings.StopTime = 0
+		}
+		b.reloads++
+		return errors.Wrap(os.WriteFile(b.file, b.settings.Settings(), 0o600), "rig: unable to change settings")
+	}
+	return errors.Errorf("there is no box %q", name)
+}
+
+// longerStops is how long a stop may take by settings that were changed.
+const longerStops = 600 * time.Millisecond
+
 // noteKilled notes that a process is about to be killed, if it still lives.
 func (p *play) noteKilled(pr *process) {
 	if pr.hasEnded() {
