--- a/internal/rig/draw.go
+++ b/internal/rig/draw.go
@@ -84,7 +84,7 @@
 func (d *drawing) strike() {
 	most := 1800 * time.Millisecond
 	if d.planned {
-		most = 6 * time.Second
+		most = 5 * time.Second
 	}
 	for at := d.upTo(most); at < d.faults; at += d.between(most/10, most) {
 		times, fault := 1, d.fault()
@@ -115,7 +115,7 @@
 func (d *drawing) fault() fault {
 	box, worker := fmt.Sprintf("box-%d", 1+d.IntN(d.boxes)), fmt.Sprintf("w%d", 1+d.IntN(d.workers))
 	if d.planned {
-		return []fault{{box, endBox}, {worker, leaveWorker}, {"operator", configure}, {box, reload}}[d.IntN(4)]
+		return []fault{{box, endBox}, {worker, leaveWorker}, {"operator", configure}, {box, reload}, {"store", slowStore}}[d.IntN(5)]
 	}
 	return d.faultsOf(box, worker)[d.kinds[d.IntN(len(d.kinds))]]
 }
@@ -234,15 +234,20 @@
 func disobey(d *drawing, at time.Duration, worker string) {
 	switch d.IntN(3) {
 	case 0:
-		d.add(at, fmt.Sprintf("%s mute %d", worker, 1+d.IntN(4)))
+		d.add(at, fmt.Sprintf("%s mute %d", worker, 1+d.IntN(12)))
 	case 1:
-		d.add(at, fmt.Sprintf("%s late %d", worker, 1+d.IntN(4)))
+		d.add(at, fmt.Sprintf("%s late %d", worker, 1+d.IntN(12)))
 	default:
 		d.add(at, worker+" fail on")
 		d.add(at+d.lasts(), worker+" fail off")
 	}
 }
 
+// slowStore has calls take so long that some are under way when a box is told to end.
+func slowStore(d *drawing, at time.Duration, store string) {
+	d.wrong(at, d.between(3*time.Second, 6*time.Second), store, "slow "+d.between(250*time.Millisecond, 450*time.Millisecond).Round(time.Millisecond).String(), "up")
+}
+
 // disturbStore has the store fail.
 func disturbStore(d *drawing, at time.Duration, target string) {
 	how := d.one("slow "+d.between(20*time.Millisecond, 600*time.Millisecond).Round(time.Millisecond).String(), "lose "+d.one("0.1", "0.5"), "busy", "silent", "part_out "+d.one(partsOut...), "forget")
--- a/internal/rig/promises.go
+++ b/internal/rig/promises.go
@@ -187,12 +187,12 @@
 	return false
 }
 
-// judgeCut holds that a planned end of a box breaks off no call whose request it has read.
+// judgeCut holds that a planned end of a box breaks off no call whose request it has read. A store that is slow is no reason for it.
 func (v *Verdict) judgeCut(p *play, c *call) {
 	for _, x := range p.troubles.list {
 		near := x.target == c.box && x.verb == "terminate" && c.ended.After(x.from) && c.ended.Before(x.from.Add(grace+graceSlack))
 		if !near || !p.troubles.calm(c.sent, c.ended, func(y *trouble) bool {
-			return y.target == c.box && y.verb == "terminate" || strings.HasPrefix(y.target, "w")
+			return y.verb == "terminate" || strings.HasPrefix(y.target, "w") || y.target == "store" && strings.HasPrefix(y.verb, "slow")
 		}) {
 			continue
 		}
--- a/internal/rig/steps.go
+++ b/internal/rig/steps.go
@@ -83,6 +83,10 @@
 	if err != nil {
 		return err
 	}
+	starts := s.Verb == "restart" || s.Verb == "return"
+	if pr.hasEnded() && !starts {
+		return nil // What strikes a process that is over does nothing.
+	}
 	p.troubles.note(s, time.Now())
 	switch s.Verb {
 	case "restart":
@@ -94,9 +98,6 @@
 			return err
 		}
 	}
-	if pr.hasEnded() {
-		return nil // What strikes a process that is over does nothing.
-	}
 	sig, isSignal := signals[s.Verb]
 	if !isSignal {
 		return pr.tell(strings.Join(append([]string{s.Verb}, s.Args...), " "))
