--- a/internal/rig/draw.go
+++ b/internal/rig/draw.go
@@ -250,7 +250,7 @@
 
 // disturbStore has the store fail.
 func disturbStore(d *drawing, at time.Duration, target string) {
-	how := d.one("slow "+d.between(20*time.Millisecond, 600*time.Millisecond).Round(time.Millisecond).String(), "lose "+d.one("0.1", "0.5"), "busy", "silent", "part_out "+d.one(partsOut...), "forget")
+	how := d.one("slow "+d.between(20*time.Millisecond, 600*time.Millisecond).Round(time.Millisecond).String(), "lose "+d.one("0.2", "0.8"), "busy", "silent", "part_out "+d.one(partsOut...), "forget")
 	if how == "forget" {
 		d.add(at, "store forget")
 		return
