--- a/internal/rig/proxy.go
+++ b/internal/rig/proxy.go
@@ -1,7 +1,11 @@
 package rig
 
 import (
+	"bufio"
+	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -18,6 +22,9 @@
 	modeOneWay = "oneway" // The answers are held back.
 	modeSlow   = "slow"   // Answers come late, by the time after it.
 	modeKeep   = "keep"   // Open connections go on, new ones are silent.
+	modeRefuse = "refuse" // Open connections are ended in order, calls on new ones are answered that nothing was done.
+	modeStale  = "stale"  // Open connections are silent for good, new ones go on.
+	modeTo     = "to"     // It passes on to another address from now on.
 )
 
 // proxy passes connections on to a target. Make it with newProxy.
@@ -36,21 +43,22 @@
 type pair struct {
 	client, target *net.TCPConn
 	silent         bool // It was opened while new ones were held back.
+	stale          bool // It is silent for good.
 }
 
-func newProxy(target string) (*proxy, error) {
-	p := &proxy{target: target, address: loopback(0), mode: modePass, pairs: map[*pair]bool{}}
+func newProxy(target string, port int) (*proxy, error) {
+	p := &proxy{target: target, address: loopback(port), mode: modePass, pairs: map[*pair]bool{}}
 	p.changed = sync.NewCond(&p.mu)
 	return p, p.listen()
 }
 
-// listen opens the proxy's address, at first any free one and from then on the same.
+// listen opens the proxy's address.
 func (p *proxy) listen() error {
 	l, err := net.Listen("tcp", p.address)
 	if err != nil {
 		return errors.Wrap(err, "rig: a proxy is unable to listen")
 	}
-	p.listener, p.address = l, l.Addr().String()
+	p.listener = l
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -65,7 +73,14 @@
 
 // connect passes one connection on until its end.
 func (p *proxy) connect(client *net.TCPConn) {
-	target, err := net.Dial("tcp", p.target)
+	p.mu.Lock()
+	to, refuse := p.target, p.mode == modeRefuse
+	p.mu.Unlock()
+	if refuse {
+		refuseCall(client)
+		return
+	}
+	target, err := net.Dial("tcp", to)
 	if err != nil { // The process behind has ended: nobody listens from now on.
 		_ = client.Close()
 		_ = p.set(modeClose)
@@ -87,6 +102,15 @@
 	p.finish(c)
 }
 
+// refuseCall answers the first call of a connection that nothing was done.
+func refuseCall(client *net.TCPConn) {
+	defer client.Close()
+	if r, err := http.ReadRequest(bufio.NewReader(client)); err == nil {
+		_, _ = io.Copy(io.Discard, r.Body) // What is refused is read, so that the answer is seen.
+		fmt.Fprint(client, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+	}
+}
+
 // finish ends a pair, by the mode in order or with a reset. The caller holds the lock.
 func (p *proxy) finish(c *pair) {
 	delete(p.pairs, c)
@@ -123,7 +147,7 @@
 		time.Sleep(delay)
 		p.mu.Lock()
 	}
-	for p.pairs[c] && (c.silent || p.mode == modeSilent || p.mode == modeOneWay && !request) {
+	for p.pairs[c] && (c.stale || c.silent || p.mode == modeSilent || p.mode == modeOneWay && !request) {
 		p.changed.Wait()
 	}
 	return p.pairs[c]
@@ -137,7 +161,14 @@
 	word, argument, _ := strings.Cut(line, " ")
 	p.mode = word
 	switch p.mode {
-	case modeClose, modeReset:
+	case modeStale:
+		p.mode = modePass
+		for c := range p.pairs {
+			c.stale = true
+		}
+	case modeTo:
+		p.target, p.mode = argument, modePass
+	case modeClose, modeReset, modeRefuse:
 		if p.mode == modeClose {
 			_ = p.listener.Close()
 		}
