Take a worker for lost by the time when it left orders unanswered, not when its loss is known

After a take-over three workers that the new holder never heard of are known to be lost 14 s later, as their leases are over. Until then they had been "lost at the same time" as every worker that was ever lost, as the time between the last sign of life and that news is what counts: three losses of a task that crashes its workers after 2.5 s were excused by them at once, and it was started six times and more after it had crashed three.

Change: a worker that leaves two orders in a row unanswered is lost by then, if it is lost; one that answers or renews its record after that is not. One order alone may be lost. Workers with nothing to do that nobody looks at keep their wide times.

--- a/internal/loss/judge.go
+++ b/internal/loss/judge.go
@@ -239,9 +239,19 @@
 // with reports whether two workers may have been lost at the same time.
 func (e *event) with(o *event) bool { return !e.refuted && !o.refuted && e.overlaps(o) }
 
-// overlaps reports whether the times overlap in which two workers were lost: between the time when one was heard of last and the time when it was
-// known to be lost.
-func (e *event) overlaps(o *event) bool { return !e.Heard.After(o.at) && !o.Heard.After(e.at) }
+// overlaps reports whether the times overlap in which two workers were lost.
+func (e *event) overlaps(o *event) bool {
+	return !e.Heard.After(o.until()) && !o.Heard.After(e.until())
+}
+
+// until is when a worker was lost at the latest: once it had left orders unanswered, or where it had none, as it was known to be lost. One that nobody had heard of
+// since a take-over seemed to be lost together with every other one for 14 s.
+func (e *event) until() time.Time {
+	if e.Missed.After(e.Heard) {
+		return e.Missed
+	}
+	return e.at
+}
 
 // lostWithGroup reports whether a worker was lost with its hall or rack. That excuses a task once for each such loss: one that has crashed
 // another worker meanwhile is not excused for that.
--- a/internal/loss/kept_test.go
+++ b/internal/loss/kept_test.go
@@ -51,6 +51,9 @@
 		ID: fmt.Sprint("w", n), Address: fmt.Sprint("w", n), Heard: now.Add(-time.Duration(pick("heard", 6000)) * time.Millisecond), Proven: pick("proven", 1) == 0,
 		Hall: Group{fmt.Sprint("hall-", pick("hall", 1)), 4}, Rack: Group{fmt.Sprint("rack-", pick("rack", 2)), 4},
 	}
+	if pick("missed", 1) == 0 {
+		w.Missed = now.Add(-time.Duration(pick("ms", 6000)) * time.Millisecond)
+	}
 	for range pick("runs", 3) {
 		task := job.Task{Job: job.ID(fmt.Sprint(pick("job", 3))), Index: pick("task", 1)}
 		w.Runs = append(w.Runs, Run{Task: task, Before: tally[task], Seen: time.Duration(pick("seen", 1500)) * time.Millisecond})
--- a/internal/loss/loss.go
+++ b/internal/loss/loss.go
@@ -70,7 +70,8 @@
 	Address string
 	Hall    Group
 	Rack    Group
-	Heard   time.Time // When it was heard of last: it was lost between then and now.
+	Heard   time.Time // When it was heard of last: it was lost between then and now, or
+	Missed  time.Time // before this, when it had left orders unanswered after that; zero where it had not.
 	Proven  bool      // Its process has surely ended; otherwise it may be cut off and run on.
 	Runs    []Run
 }
--- a/internal/loss/script_test.go
+++ b/internal/loss/script_test.go
@@ -19,7 +19,7 @@
 
 // TestLosses plays the cases of testdata. A case is a list of lines; times are counted from its begin:
 //
-//	lose WORKER at T [heard T] [hall H] [rack R] [silent] [runs TASK:SEEN ...]   SEEN is a time, or "adopted"; heard is 100ms before by default
+//	lose WORKER at T [heard T] [missed T] [hall H] [rack R] [silent] [runs TASK:SEEN ...]   SEEN is a time, or "adopted"; heard is 100ms before by default
 //	return WORKER                                 it runs on
 //	never WORKER TASK                             it never ran there
 //	replace WORKER                                another life has come at its address
@@ -112,6 +112,8 @@
 			at, err = c.time(words[i])
 		case "heard":
 			heard, err = c.time(words[i])
+		case "missed":
+			w.Missed, err = c.time(words[i])
 		case "hall":
 			w.Hall.Name = words[i]
 		case "rack":
--- a/internal/scheduler/loss.go
+++ b/internal/scheduler/loss.go
@@ -85,7 +85,8 @@
 // lostWorker is a worker's loss as it is judged. Runs that were never ordered can't have done it.
 func (h *shard) lostWorker(w *workerState, cause lossCause) loss.Worker {
 	lost := loss.Worker{
-		ID: w.ID, Address: w.Address, Heard: w.heardOf(), Proven: cause.proves(), Hall: loss.Group{Name: w.Hall}, Rack: loss.Group{Name: w.Rack},
+		ID: w.ID, Address: w.Address, Heard: w.heardOf(), Missed: w.missedAt, Proven: cause.proves(),
+		Hall: loss.Group{Name: w.Hall}, Rack: loss.Group{Name: w.Rack},
 	}
 	for _, o := range h.workers {
 		if o.Hall == w.Hall {
@@ -143,6 +144,16 @@
 	return w.clockAt
 }
 
+// missedMost is how many orders in a row without an answer show that a worker has gone, or is out of reach: one alone may be lost.
+const missedMost = 2
+
+// noteMissed notes since when a worker answers nothing. It is lost by then, if it is.
+func (w *workerState) noteMissed() {
+	if w.failures >= missedMost && !w.missedAt.After(w.heardOf()) {
+		w.missedAt = time.Now()
+	}
+}
+
 // newestOrder is when the last of a worker's runs was ordered.
 func (w *workerState) newestOrder() time.Time {
 	var newest time.Time
--- a/internal/scheduler/loss_test.go
+++ b/internal/scheduler/loss_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
@@ -29,3 +30,30 @@
 		quicktest.Check(t, w.clockAt.After(before), quicktest.Equals, c.heard, quicktest.Commentf(c.name))
 	}
 }
+
+// TestMissed: a worker that nobody had heard of since a take-over was known to be lost 14 s later, and seemed to be lost together with every worker that a task had crashed
+// meanwhile. It is lost by the time when it has left two orders in a row unanswered, and one that was heard of after that is not.
+func TestMissed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &workerState{failures: 1}
+		fail := func() {
+			time.Sleep(time.Second)
+			w.failures++
+			w.noteMissed()
+		}
+		fail()
+		first := w.missedAt
+		fail()
+		quicktest.Check(t, time.Since(first), quicktest.Equals, time.Second)
+		quicktest.Check(t, w.missedAt, quicktest.Equals, first)
+		w.heard(7)
+		w.failures = 0
+		fail()
+		quicktest.Check(t, w.missedAt, quicktest.Equals, first, quicktest.Commentf("one answer may be lost"))
+		fail()
+		quicktest.Check(t, time.Since(w.missedAt), quicktest.Equals, time.Duration(0))
+		w.lived(time.Now())
+		fail()
+		quicktest.Check(t, time.Since(w.missedAt), quicktest.Equals, time.Duration(0), quicktest.Commentf("its record was renewed after that"))
+	})
+}
--- a/internal/scheduler/talk.go
+++ b/internal/scheduler/talk.go
@@ -190,6 +190,7 @@
 		w.hungUp = w.hungUp || errors.Is(err, fleet.ErrHungUp)
 		h.Figures.Count("orders_unanswered")
 		w.failures++
+		w.noteMissed()
 		if w.failures == 1 {
 			h.Log.Warn("scheduler: worker does not answer", zap.String("worker", w.ID), zap.String("order", order), logsink.Error(err))
 			h.changed = true
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -89,6 +89,7 @@
 	acknowledged int64         // Number of the last end whose effect is committed.
 	told         int64         // Number of the last end that the worker was told to forget.
 	failures     int           // Orders in a row without an answer.
+	missedAt     time.Time     // When it had left missedMost orders in a row unanswered.
 	hungUp       bool          // It closed a connection and has not answered since; for logs.
 	leavesAt     time.Time     // When the time that it said it had left is over; zero where it does not leave.
 	soundSince   time.Time     // When the newest run began there that has not failed at once.
