--- a/internal/scheduler/talk.go
+++ b/internal/scheduler/talk.go
@@ -22,6 +22,7 @@
 	answerTime  time.Duration // How much longer than it had to wait the answer to the last look took.
 	home        string        // Where it took its first order of this tenure, or where the predecessor reached it.
 	failures    int           // Orders in a row without an answer.
+	missedAt    time.Time     // When it had left missedMost orders in a row unanswered.
 	backAt      time.Time     // When it answered again after it had not.
 	hungUp      bool          // It closed a connection and has not answered since; for logs.
 	silentSince time.Time     // When its leases were found to be over.
@@ -221,6 +222,7 @@
 		w.hungUp = w.hungUp || errors.Is(err, fleet.ErrHungUp)
 		h.Figures.Count("orders_unanswered")
 		w.failures++
+		w.noteMissed()
 		if w.failures == 1 {
 			h.Log.Warn("scheduler: worker does not answer", zap.String("worker", w.ID), zap.String("order", order), logsink.Error(err))
 			h.changed = true
