--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -48,6 +48,7 @@
 	News      func(prefix string)   // Tells boxes that rows changed.
 	Alive     func(box string) bool // Whether a box is believed alive.
 	Sweeps    func() bool           // Whether this box looks after requests that others left open.
+	Slept     func() time.Duration  // How long the machine has been suspended in all; nil where nothing tells.
 	Metrics   Metrics
 
 	waiters waiters
