Tell an executor the age of a call as it hears it, suspensions counted

Cause: an at-most-once call ran, its answer was lost, and the executor was replaced behind its address. Asked after it, one that has kept all calls for longer than the call is old says that it never came. The age was told as of the sending of the question, by a clock that stands still with a suspended machine: a question that came late, or after a suspension, made the caller be told not_run. Change: the age has the time added for which an answer is waited for (1 s), and the suspensions since the row was written. Cost: an executor that is up to 1 s older than the call counts as one that may have lost it (unresolved, where it was not_run).

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/pulleyring/pulleyring/internal/api"
+	"github.com/pulleyring/pulleyring/internal/awake"
 	"github.com/pulleyring/pulleyring/internal/config"
 	"github.com/pulleyring/pulleyring/internal/decider"
 	"github.com/pulleyring/pulleyring/internal/hall"
@@ -101,7 +102,7 @@
 		Upstreams: b.platform.Upstreams, Router: router, Admission: &intake.Admission{Most: b.Settings.Limits.InFlight},
 		Config: b.Config, Recorder: b.Recorder, Log: b.Log, Loads: b.loads, News: b.news, Alive: b.Members.Alive,
 		Sweeps:  func() bool { return b.Members.PreferredFor("open").Name == b.Settings.Name },
-		Metrics: b.intakeMetrics(),
+		Metrics: b.intakeMetrics(), Slept: awake.Slept,
 	}
 }
 
--- a/internal/intake/once.go
+++ b/internal/intake/once.go
@@ -31,6 +31,8 @@
 	record      settlement.Record
 	version     int64 // Of its request row.
 	openVersion int64 // Of its open row.
+	// slept is how long the machine had been suspended in all by the instant in its row, or, where that is read from the row, by then: the time of day goes on.
+	slept time.Duration
 }
 
 // settleOnce records where a request will be sent, sends it once, and settles it.
@@ -100,6 +102,7 @@
 
 // recordSending commits the row that must stand before an at-most-once request is sent.
 func (in *Intake) recordSending(ctx context.Context, o Order, record settlement.Record, version int64) (*sent, error) {
+	slept := in.slept() // It is not sent before.
 	requestKey, openKey := settlement.RequestKey(o.Identity), settlement.OpenKey(o.Identity)
 	open := settlement.Open{Identity: o.Identity, Box: in.Box, Expires: time.Now().Add(in.Settings.Limits.UpstreamTimeout + sweepMargin)}
 	limit := acceptWithin
@@ -113,7 +116,7 @@
 		Checks:   []table.Check{{Key: requestKey, Version: version}, {Key: openKey}},
 		Writes:   []table.Write{table.Put(requestKey, record), table.Put(openKey, open)},
 	})
-	return &sent{record: record, version: revision, openVersion: revision}, err
+	return &sent{record: record, version: revision, openVersion: revision, slept: slept}, err
 }
 
 // settleSent turns what came back from the only sending into an outcome.
@@ -167,15 +170,24 @@
 	return request.Reply{}, false
 }
 
-// age returns how long ago a request was sent at the most; the instant in its row is by the clock of the box that took it.
+// age returns how long ago a request was sent at the most, as the upstream hears it; the instant in its row is by the clock of the box that took it. A question that comes later
+// than fenceTimeout is not waited for any more.
 func (in *Intake) age(s *sent) time.Duration {
-	age := time.Since(s.record.Received)
+	age := time.Since(s.record.Received) + max(in.slept()-s.slept, 0) + fenceTimeout
 	if s.record.Sending.Box != in.Box {
 		age += clockMargin
 	}
 	return age
 }
 
+// slept is how long the machine has been suspended in all, as far as anything tells.
+func (in *Intake) slept() time.Duration {
+	if in.Slept == nil {
+		return 0
+	}
+	return in.Slept()
+}
+
 // settleRow commits the outcome of an at-most-once request; its caller is told only what the table holds.
 func (in *Intake) settleRow(ctx context.Context, s *sent, outcome request.Outcome, answer json.RawMessage, reason string) request.Reply {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleWithin)
@@ -265,7 +277,7 @@
 	if err != nil || record.Sending == nil {
 		return
 	}
-	s := &sent{record: *record, version: version, openVersion: row.Version}
+	s := &sent{record: *record, version: version, openVersion: row.Version, slept: in.slept()}
 	if reply, known := in.tryFindOut(ctx, s); known {
 		in.note(open.Identity, record.Sending.Attempt, "finished for "+strings.TrimSpace(open.Box)+": "+string(reply.Outcome))
 	}
