--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -144,6 +144,12 @@
 		}
 		return err
 	}
+	h.committed(f, began, slept)
+	return nil
+}
+
+// committed sets off what had to wait for a batch.
+func (h *shard) committed(f *flight, began time.Time, slept time.Duration) {
 	h.held, h.heldSlept = began, slept
 	for w, n := range f.applied {
 		w.acknowledged = max(w.acknowledged, n)
@@ -152,7 +158,6 @@
 	for _, r := range f.launches {
 		h.launch(r)
 	}
-	return nil
 }
 
 // restore puts back what a failed commit had taken.
--- a/internal/scheduler/forget_test.go
+++ b/internal/scheduler/forget_test.go
@@ -52,3 +52,28 @@
 	quicktest.Check(t, deleted, quicktest.HasLen, forgotten)
 	quicktest.Check(t, h.dropped, quicktest.HasLen, 0)
 }
+
+// TestNothingIsForgottenBeforeItIsCommitted: the scheduler's own part of the store was out for longer than jobs are shown after their end, those of the requests were not. While a commit was under way the
+// jobs in it counted as committed, so that one was forgotten whose end no row told; its request was deleted, and as the commit failed it was to be committed again, though it was not known any more: the
+// scheduler ended with a nil pointer.
+func TestNothingIsForgottenBeforeItIsCommitted(t *testing.T) {
+	h := keptShard()
+	h.Bounds.Retain = time.Second
+	h.addJob(request("a", time.Second), nil)
+	ended := time.Now().Add(-time.Minute)
+	h.jobs["a"].Cancel(ended.UnixMilli())
+	h.touch("a")
+	quicktest.Check(t, h.old(), quicktest.HasLen, 0)
+	f := h.prepare(false)
+	quicktest.Check(t, f.batch.Progress, quicktest.HasLen, 1)
+	quicktest.Check(t, h.old(), quicktest.HasLen, 0) // It is under way.
+	h.restore(f)
+	quicktest.Check(t, h.old(), quicktest.HasLen, 0)
+	f = h.prepare(false)
+	h.committed(f, time.Now(), 0)
+	quicktest.Check(t, h.old(), quicktest.DeepEquals, []job.ID{"a"})
+	h.touch("a") // While its request is being deleted.
+	h.forget("a")
+	f = h.prepare(false)
+	quicktest.Check(t, f == nil || len(f.batch.Progress) == 0, quicktest.IsTrue)
+}
