Forget no job before its end is committed

Cause: while a commit is under way its jobs were not dirty, so that one whose time to be shown was over could be forgotten with its end in no row; its request was deleted. When that commit failed the job was to be committed again, and prepare ended the process with a nil pointer. It takes the scheduler's own part of the store to be out for longer than jobs are shown, and those of the requests not. Change: what is being committed is not forgotten, and what was forgotten is not put back. Before: TestNothingIsForgottenBeforeItIsCommitted failed (parent, nil pointer); after: it passes.

--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -89,6 +89,7 @@
 		f.batch.Progress[id] = copyProgress(&j.Progress)
 		delete(h.dirty, id)
 	}
+	h.underWay = f.batch.Progress
 	h.collect(f)
 	h.collectAddresses(&f.batch)
 	f.batch.Forget = h.takeDropped()
@@ -150,7 +151,7 @@
 
 // committed sets off what had to wait for a batch.
 func (h *shard) committed(f *flight, began time.Time, slept time.Duration) {
-	h.held, h.heldSlept = began, slept
+	h.held, h.heldSlept, h.underWay = began, slept, nil
 	for w, n := range f.applied {
 		w.acknowledged = max(w.acknowledged, n)
 		w.signal()
@@ -162,8 +163,11 @@
 
 // restore puts back what a failed commit had taken.
 func (h *shard) restore(f *flight) {
+	h.underWay = nil
 	for id := range f.batch.Progress {
-		h.dirty[id] = true
+		if h.jobs[id] != nil { // Else it was forgotten, and its rows are deleted.
+			h.dirty[id] = true
+		}
 	}
 	h.launches = append(f.launches, h.launches...)
 	h.dropped = append(h.dropped, f.batch.Forget...)
--- a/internal/scheduler/forget.go
+++ b/internal/scheduler/forget.go
@@ -70,6 +70,7 @@
 		h.learned.forget(j.Request)
 	}
 	delete(h.jobs, id)
+	delete(h.dirty, id)
 	delete(h.early, id)
 	delete(h.away, id)
 }
@@ -80,7 +81,7 @@
 	var ids []job.ID
 	rows := 0
 	for id, j := range h.jobs {
-		if rows < ledger.MaxForgetRows && j.Progress.State.Final() && j.Progress.EndedAt < oldest.UnixMilli() && len(j.Running()) == 0 && !h.dirty[id] {
+		if rows < ledger.MaxForgetRows && j.Progress.State.Final() && j.Progress.EndedAt < oldest.UnixMilli() && len(j.Running()) == 0 && h.isCommitted(id) {
 			ids = append(ids, id)
 			rows += ledger.Rows(&j.Progress)
 		}
@@ -105,3 +106,6 @@
 	h.dropped = slices.Delete(h.dropped, 0, n)
 	return taken
 }
+
+// isCommitted reports whether a job's progress is committed as it is.
+func (h *shard) isCommitted(id job.ID) bool { return !h.dirty[id] && h.underWay[id] == nil }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -100,6 +100,7 @@
 	holdings   holdings
 	view       placement.View           // Of the last decision; its lists are used again.
 	dirty      map[job.ID]bool          // Jobs whose progress is to be committed.
+	underWay   map[job.ID]*job.Progress // What is being committed.
 	launches   []*run                   // Placed runs to be ordered once they are committed.
 	lives      map[string]time.Time     // Of workers that another life has followed, by when that was found.
 	givenUp    map[string]*givenUp      // Workers whose runs were taken for over.
