--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -15,10 +15,11 @@
 
 // uncommitted is what the next batches are collected from.
 type uncommitted struct {
-	dirty    map[job.ID]bool    // Jobs whose progress is to be committed.
-	launches []*run             // Placed runs to be ordered once they are committed.
-	dropped  []ledger.Forgotten // Jobs whose requests are deleted and whose progress is to be.
-	pending  map[string]int     // Jobs by queue of which nothing was started, as last committed.
+	dirty    map[job.ID]bool          // Jobs whose progress is to be committed.
+	underWay map[job.ID]*job.Progress // What is being committed.
+	launches []*run                   // Placed runs to be ordered once they are committed.
+	dropped  []ledger.Forgotten       // Jobs whose requests are deleted and whose progress is to be.
+	pending  map[string]int           // Jobs by queue of which nothing was started, as last committed.
 }
 
 // commitLoop decides and commits until the tenure is over.
@@ -97,6 +98,7 @@
 		f.batch.Progress[id] = copyProgress(&j.Progress)
 		delete(h.dirty, id)
 	}
+	h.underWay = f.batch.Progress
 	h.collect(f)
 	h.collectAddresses(&f.batch)
 	f.batch.Forget = h.takeDropped()
@@ -152,7 +154,13 @@
 		}
 		return err
 	}
-	h.held, h.heldSlept = began, slept
+	h.committed(f, began, slept)
+	return nil
+}
+
+// committed sets off what had to wait for a batch.
+func (h *shard) committed(f *flight, began time.Time, slept time.Duration) {
+	h.held, h.heldSlept, h.underWay = began, slept, nil
 	for w, n := range f.applied {
 		w.acknowledged = max(w.acknowledged, n)
 		w.signal()
@@ -160,13 +168,15 @@
 	for _, r := range f.launches {
 		h.launch(r)
 	}
-	return nil
 }
 
 // restore puts back what a failed commit had taken.
 func (h *shard) restore(f *flight) {
+	h.underWay = nil
 	for id := range f.batch.Progress {
-		h.dirty[id] = true
+		if h.jobs[id] != nil { // Else it was forgotten, and its rows are deleted.
+			h.dirty[id] = true
+		}
 	}
 	h.launches = append(f.launches, h.launches...)
 	h.dropped = append(h.dropped, f.batch.Forget...)
