Tell by the store's versions when a leaving worker said so

Cause: the feed of workers is read every 0.3 s, and news counts as that old. Change: versions come from one counter that rises with every transaction (PROTOCOL, the platform's metadata store), so that a record with a higher version than a commit of the tenure was written after that commit was begun; the tenure commits every 15 to 300 ms.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,6 +21,7 @@
 	Labels   []string
 	Rack     string
 	Capacity job.Resources
+	Version  int64 // Of its record in the store; 0 where that is not known.
 }
 
 // What an order without an answer has come to.
--- a/internal/ledger/lease.go
+++ b/internal/ledger/lease.go
@@ -112,6 +112,9 @@
 	MaxBatchTasks = 15000 // About 45 bytes each.
 )
 
+// Version is the version of the lease's row: that of the tenure's last commit. What the store gives a higher one was written later.
+func (t *Tenure) Version() int64 { return t.lease.Version }
+
 // Commit writes a batch if the lease is still held. An attempt without an answer is looked for on the lease, where
 // it leaves its mark, and is repeated until ctx ends. After ErrReplaced nothing was written and nothing will be. After any
 // other error the batch may have been written; committing it again, whole and possibly with more, is always right:
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -145,6 +145,7 @@
 		return err
 	}
 	h.held = began
+	h.marks.add(h.tenure.Version(), began)
 	for w, n := range f.applied {
 		w.acknowledged = max(w.acknowledged, n)
 		w.signal()
--- a/internal/scheduler/leaving.go
+++ b/internal/scheduler/leaving.go
@@ -70,8 +70,11 @@
 		w.leavesAt, w.stays = time.Time{}, time.Time{}
 		return
 	}
-	isNews := !w.Draining || record.Leaves != w.Leaves // A record that is read again tells nothing new.
-	if stays := asOf.Add(record.Leaves); isNews && stays.After(w.stays) {
+	written := h.marks.before(record.Version)
+	if isNews := !w.Draining || record.Leaves != w.Leaves; isNews && asOf.After(written) { // One that is read again was not written since.
+		written = asOf
+	}
+	if stays := written.Add(record.Leaves); stays.After(w.stays) {
 		w.stays = stays
 	}
 	if w.leavesAt.IsZero() {
--- /dev/null
+++ b/internal/scheduler/marks_test.go
@@ -0,0 +1,58 @@
+package scheduler
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pulleyring/pulleyring/internal/job"
+)
+
+// TestVersionsTellWhenARecordWasWritten: the feed of workers is read every 0.3 s, so that a worker that leaves may have said so that long before, and what ran there was stopped that
+// much too early: with 1.8 s of notice 26 gangs of one day would have ended in time. The store's versions say which of the tenure's commits came before the record.
+func TestVersionsTellWhenARecordWasWritten(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		name    string
+		version int64
+		stopsIn time.Duration // After the commit of version 20; those of version 10 and 30 were begun 0.2 s before and after it.
+	}{
+		{"not known", 0, 1500 * ms},
+		{"before all", 9, 1500 * ms},
+		{"after the first", 11, 1600 * ms},
+		{"after the second", 21, 1800 * ms},
+		{"after the last", 31, 2000 * ms},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			h, w := silentShard()
+			w.clock = 0 // Nobody looks there.
+			r := w.runs[job.Task{Job: "j"}]
+			second := time.Now()
+			h.marks.add(10, second.Add(-200*ms))
+			h.marks.add(20, second)
+			h.marks.add(30, second.Add(200*ms))
+			time.Sleep(300 * ms)
+			record := w.Worker
+			record.Draining, record.Leaves, record.Version = true, 3*time.Second, c.version
+			h.mu.Lock()
+			h.addWorker(&record, second.Add(-300*ms))
+			h.mu.Unlock()
+			h.ordering.Wait()
+			quicktest.Check(t, r.stopAsked.Sub(second), quicktest.Equals, c.stopsIn, quicktest.Commentf(c.name))
+		})
+	}
+}
+
+// TestOldMarksAreForgotten: a tenure commits for hours.
+func TestOldMarksAreForgotten(t *testing.T) {
+	var m marks
+	begin := time.Now()
+	for n := range int64(3 * marksKept) {
+		m.add(n, begin.Add(time.Duration(n)))
+	}
+	quicktest.Check(t, m, quicktest.HasLen, marksKept)
+	quicktest.Check(t, m.before(2*marksKept), quicktest.Equals, time.Time{})
+	quicktest.Check(t, m.before(2*marksKept+1), quicktest.Equals, begin.Add(2*marksKept))
+	quicktest.Check(t, m.before(9*marksKept), quicktest.Equals, begin.Add(3*marksKept-1))
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -109,6 +109,7 @@
 	lastPass   time.Time
 	held       time.Time // When the last commit that succeeded was begun: the lease was surely held at some time after.
 	quiet      time.Time // No predecessor committed anything after that.
+	marks      marks
 	learned    estimates
 	outbreak   outbreak
 	addresses  addresses
@@ -140,6 +141,7 @@
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	h := newShard(inner, s, tenure)
 	h.held, h.quiet = tenure.Claimed, tenure.Quiet
+	h.marks.add(tenure.Version(), tenure.Claimed)
 	defer h.ordering.Wait()
 	defer cancel()
 	began := time.Now()
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -65,6 +65,7 @@
 		if err == nil {
 			h.mu.Lock()
 			h.held = began
+			h.marks.add(h.tenure.Version(), began)
 			h.mu.Unlock()
 		}
 	}
