--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -161,6 +161,7 @@
 // committed sets off what had to wait for a batch.
 func (h *shard) committed(f *flight, began time.Time, slept time.Duration) {
 	h.held, h.heldSlept, h.underWay = began, slept, nil
+	h.marks.add(h.tenure.Version(), began)
 	for w, n := range f.applied {
 		w.acknowledged = max(w.acknowledged, n)
 		w.signal()
--- a/internal/scheduler/forget_test.go
+++ b/internal/scheduler/forget_test.go
@@ -58,6 +58,7 @@
 // scheduler ended with a nil pointer.
 func TestNothingIsForgottenBeforeItIsCommitted(t *testing.T) {
 	h := keptShard()
+	h.tenure = &ledger.Tenure{}
 	h.Bounds.Retain = time.Second
 	h.addJob(request("a", time.Second), nil)
 	ended := time.Now().Add(-time.Minute)
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -20,6 +20,7 @@
 type tenureTimes struct {
 	held      time.Time     // When the last commit that succeeded was begun: the lease was surely held at some time after.
 	heldSlept time.Duration // How long the machine had been suspended in all by then.
+	marks     marks         // The last commits, by the store's versions.
 	quiet     time.Time     // No predecessor committed anything after that.
 	storeOut  time.Time     // When a call to the store failed last.
 	replaced  bool          // Another box holds the lease.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -133,6 +133,7 @@
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	h := newShard(inner, s, tenure)
 	h.held, h.heldSlept, h.quiet = tenure.Claimed, s.SleptBefore, tenure.Quiet
+	h.marks.add(tenure.Version(), tenure.Claimed)
 	defer h.ordering.Wait()
 	defer cancel()
 	began := time.Now()
