--- a/internal/rig/draw.go
+++ b/internal/rig/draw.go
@@ -19,7 +19,7 @@
 const endWithin = 45 * time.Second
 
 // partsOut are the parts of the store that can be out one by one.
-var partsOut = []string{"main", "main/0", "main/1", "main/2", "main/3", "main/4", "main/5", "main/6", "main/7"}
+var partsOut = []string{"main", "main", "main", "main/0", "main/1", "main/2", "main/3", "main/4", "main/5", "main/6", "main/7"}
 
 // drawing is a scenario that is being drawn.
 type drawing struct {
@@ -27,6 +27,8 @@
 	boxes, workers, slots int
 	planned               bool
 	kinds                 []int         // Of faults that strike: few in a seed, so that each comes often and they meet.
+	modes                 []string      // Of proxies, few in a seed too.
+	stores                []string      // How the store fails.
 	faults                time.Duration // Until when faults strike.
 	steps                 []drawn
 	used                  map[string]string // By target that something is wrong with: the step that heals it.
@@ -44,6 +46,8 @@
 	d.boxes, d.workers, d.slots = 2+d.IntN(3), 4+d.IntN(6), 3+d.IntN(3)
 	d.planned = seed%plannedEvery == 0
 	d.kinds = d.Perm(len(d.faultsOf("", "")))[:3+d.IntN(6)]
+	d.modes = d.some(2, modeClose, modeReset, modeSilent, modeOneWay, modeKeep, modeStale, modeSlow, modeRefuse)
+	d.stores = d.some(2, "slow", "lose", "busy", "silent", "part_out", "forget")
 	gap := 1200 * time.Millisecond
 	if seed%largeEvery == 0 {
 		d.boxes, d.workers, gap = 6, 50, 400*time.Millisecond
@@ -63,6 +67,12 @@
 
 func (d *drawing) one(words ...string) string { return words[d.IntN(len(words))] }
 
+// some are n of the words.
+func (d *drawing) some(n int, words ...string) []string {
+	d.Shuffle(len(words), func(i, j int) { words[i], words[j] = words[j], words[i] })
+	return words[:n]
+}
+
 func (d *drawing) upTo(t time.Duration) time.Duration { return time.Duration(d.Int64N(int64(t))) }
 
 func (d *drawing) between(least, most time.Duration) time.Duration { return least + d.upTo(most-least) }
@@ -158,7 +168,7 @@
 
 // lasts draws how long a fault does: mostly short, at times for longer than leases.
 func (d *drawing) lasts() time.Duration {
-	if d.IntN(4) == 0 {
+	if d.IntN(3) == 0 {
 		return d.between(4*time.Second, 12*time.Second)
 	}
 	return d.between(200*time.Millisecond, 4*time.Second)
@@ -167,6 +177,9 @@
 // endBox ends a box as planned, and starts it again when its time is over.
 func endBox(d *drawing, at time.Duration, box string) {
 	d.used[box] = "restart"
+	if d.planned && d.IntN(2) == 0 {
+		slowStore(d, max(at-time.Second, 0), "store")
+	}
 	d.add(at, box+" terminate")
 	d.add(at+grace, box+" kill")
 	d.add(at+grace+d.between(100*time.Millisecond, 2*time.Second), box+" restart")
@@ -189,15 +202,16 @@
 
 // impair has a proxy treat connections badly.
 func impair(d *drawing, at time.Duration, proxy string) {
-	if d.IntN(8) == 0 {
+	switch mode := d.one(d.modes...); {
+	case mode == modeStale:
 		d.add(at, proxy+" "+modeStale)
-		return
-	}
-	modes := []string{modeClose, modeReset, modeSilent, modeOneWay, modeKeep, modeSlow + " " + d.between(50*time.Millisecond, 900*time.Millisecond).Round(time.Millisecond).String()}
-	if strings.HasSuffix(proxy, ".store") {
-		modes = append(modes, modeRefuse)
+	case mode == modeSlow:
+		d.wrong(at, d.lasts(), proxy, modeSlow+" "+d.between(50*time.Millisecond, 900*time.Millisecond).Round(time.Millisecond).String(), modePass)
+	case mode == modeRefuse && strings.HasSuffix(proxy, ".proxy"):
+		d.wrong(at, d.lasts(), proxy, modeReset, modePass)
+	default:
+		d.wrong(at, d.lasts(), proxy, mode, modePass)
 	}
-	d.wrong(at, d.lasts(), proxy, d.one(modes...), modePass)
 }
 
 // leaveWorker has a worker say that it leaves, work its runs off and end; another life comes later.
@@ -250,10 +264,17 @@
 
 // disturbStore has the store fail.
 func disturbStore(d *drawing, at time.Duration, target string) {
-	how := d.one("slow "+d.between(20*time.Millisecond, 600*time.Millisecond).Round(time.Millisecond).String(), "lose "+d.one("0.2", "0.8"), "busy", "silent", "part_out "+d.one(partsOut...), "forget")
-	if how == "forget" {
+	how := d.one(d.stores...)
+	switch how {
+	case "forget":
 		d.add(at, "store forget")
 		return
+	case "slow":
+		how += " " + d.between(20*time.Millisecond, 600*time.Millisecond).Round(time.Millisecond).String()
+	case "lose":
+		how += " " + d.one("0.2", "0.8")
+	case "part_out":
+		how += " " + d.one(partsOut...)
 	}
 	d.wrong(at, d.lasts(), target, how, "up")
 }
