Let no work wait for long beside room for it twice over

Cause: patience that was bounded by the time to a goal, or by nothing. A single task waited for room near its data for a quarter of the time to its goal; workers on which a run of a group had failed were never tried again for it; a job to run alone waited for 3 s; bulk work of many tasks left the last idle workers to urgent work for ever; room that drained for one gang was closed to all others. The rule that nothing waits for more than 2 s beside plenty of room stood in three of these places and not in the others, counted only workers that the work did not shun, and asked for room for all tasks of a step twice over where room for one is enough.

Change: whether work has waited for too long beside plenty of room is found once, when its turn comes, over all workers of its service; all of these waits end by it, and what it shunned comes last.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -24,12 +24,16 @@
 	outcome  Outcome
 	served   []bool          // By demand: it has had its turn.
 	dropped  []bool          // By demand: its draining room was given up.
+	aside    []bool          // By demand: the room claimed for it is set aside.
 	stopped  []bool          // By holding: stopped by this decision.
 	soon     []job.Resources // By worker: comes free within the time that a stop takes.
 	suspects []job.ID        // By worker: the job that may crash it and has just begun there, or begins by this decision.
 	begun    []job.ID        // By worker: a job that has just begun there, or begins by this decision.
 	shared   []bool          // By worker: a job runs there that the considered demand is to begin apart from.
 	suitable []bool          // By worker: may run tasks of the demand that is being considered.
+	shunned  []bool          // By worker: that demand runs there only if it has to.
+	overdue  bool            // That demand has waited for too long beside plenty of room.
+	running  map[job.ID]bool // Jobs of which something runs; made when it is first asked for.
 	search   search          // Scratch of planRoom.
 }
 
@@ -86,7 +90,7 @@
 	workers, holdings := len(v.Workers), len(v.Holdings)
 	b := &board{
 		view: v, free: make([]job.Resources, workers), everyone: make([]int, workers), soon: make([]job.Resources, workers),
-		suitable: make([]bool, workers), suspects: make([]job.ID, workers), begun: make([]job.ID, workers), shared: make([]bool, workers), served: make([]bool, len(v.Demands)), dropped: make([]bool, len(v.Demands)),
+		suitable: make([]bool, workers), shunned: make([]bool, workers), suspects: make([]job.ID, workers), begun: make([]job.ID, workers), shared: make([]bool, workers), served: make([]bool, len(v.Demands)), dropped: make([]bool, len(v.Demands)), aside: make([]bool, len(v.Demands)),
 		stopped: make([]bool, holdings),
 	}
 	for k := range v.Workers {
@@ -190,6 +194,7 @@
 // unclaim gives the room claimed for a demand back to the board, for the demand itself.
 func (b *board) unclaim(i int) {
 	d := &b.view.Demands[i]
+	b.aside[i] = false
 	for _, worker := range b.claimOf(i) {
 		if k, ok := b.seat(worker); ok {
 			b.free[k] = b.free[k].Add(d.Step.Each)
@@ -200,6 +205,7 @@
 // reclaim sets the claimed room aside.
 func (b *board) reclaim(i int) {
 	d := &b.view.Demands[i]
+	b.aside[i] = !b.dropped[i]
 	for _, worker := range b.claimOf(i) {
 		if k, ok := b.seat(worker); ok {
 			b.free[k] = b.free[k].Sub(d.Step.Each)
@@ -314,7 +320,7 @@
 // keepsReserve reports whether a demand leaves the last idle workers to urgent work: work that still has time does, unless
 // it has waited beside plenty of room.
 func (b *board) keepsReserve(d *Demand) bool {
-	if d.Priority == 0 || b.impatient(d) || b.idleTooLong(d) {
+	if d.Priority == 0 || b.impatient(d) || b.overdue {
 		return false
 	}
 	patience := time.Duration(reservePatience * float64(d.Goal.Sub(d.Since)))
--- a/internal/placement/drain.go
+++ b/internal/placement/drain.go
@@ -41,33 +41,44 @@
 	b.outcome.Claims = append(b.outcome.Claims, Claim{Demand: i, Workers: best, Draining: true})
 }
 
-// placeOnDrained starts a gang on room that drains for gangs that are served after it too. With each gang left to its own
+// placeOnDrained starts a gang on room that drains for gangs that are served after it too, and other work that has waited for too long beside plenty of room. With each gang left to its own
 // room, a dozen gangs waited 10 to 40 s, each for the last few of its workers, while 160 to 330 of their tasks fitted
 // into the room of all of them.
 func (b *board) placeOnDrained(i int) bool {
-	d := &b.view.Demands[i]
-	if d.Priority == 0 || !d.Step.Gang {
+	if !b.mayTakeDrained(i) {
 		return false
 	}
 	later := b.drainingLater()
 	for _, j := range later {
 		b.unclaim(j)
 	}
-	placed := len(later) > 0 && b.place(i)
+	whole := len(later) > 0 && b.place(i)
 	for _, j := range later {
 		b.reclaim(j)
 	}
-	if placed {
+	if b.started(i) {
 		b.dropTaken(later)
 	}
-	return placed
+	return whole
+}
+
+// mayTakeDrained reports whether a demand may start on room that drains for others.
+func (b *board) mayTakeDrained(i int) bool {
+	d := &b.view.Demands[i]
+	return d.Priority > 0 && !b.started(i) && (d.Step.Gang || b.overdue)
+}
+
+// started reports whether something of the demand starts that has its turn.
+func (b *board) started(i int) bool {
+	n := len(b.outcome.Starts)
+	return n > 0 && b.outcome.Starts[n-1].Demand == i
 }
 
-// drainingLater lists the demands with draining room that have not had their turn.
+// drainingLater lists the demands with draining room that have not had their turn, and for one that has waited for too long those too that had theirs in vain.
 func (b *board) drainingLater() []int {
 	var later []int
 	for j := range b.view.Demands {
-		if b.view.Demands[j].Draining && !b.served[j] && !b.dropped[j] {
+		if b.view.Demands[j].Draining && b.aside[j] && (b.overdue || !b.served[j]) {
 			later = append(later, j)
 		}
 	}
--- a/internal/placement/layout.go
+++ b/internal/placement/layout.go
@@ -8,14 +8,23 @@
 	"github.com/pulleyring/pulleyring/internal/job"
 )
 
-// consider makes a demand the one that suits speaks of.
+// consider makes a demand the one that suits speaks of. Workers that it shuns are suitable only once it has waited for too long beside plenty of room: a
+// task that had failed on the only worker with its label was never tried again, and one that was to run alone waited for 3 s.
 func (b *board) consider(d *Demand) {
 	for k := range b.view.Workers {
 		w := &b.view.Workers[k]
-		b.suitable[k] = w.Usable && w.Service == d.Service && !d.Avoid[w.ID] && !b.isSuspected(d, k) &&
-			(d.Step.Label == "" || slices.Contains(w.Labels, d.Step.Label))
+		b.suitable[k] = w.Usable && w.Service == d.Service && (d.Step.Label == "" || slices.Contains(w.Labels, d.Step.Label))
+		b.shunned[k] = b.suitable[k] && (d.Avoid[w.ID] || b.isSuspected(d, k))
 		b.shared[k] = len(d.Apart) > 0 && b.sharesWith(d, k)
 	}
+	if b.overdue = b.idleTooLong(d); b.overdue {
+		return
+	}
+	for k, shunned := range b.shunned {
+		if shunned {
+			b.suitable[k] = false
+		}
+	}
 }
 
 // sharesWith reports whether a job runs on a worker, or begins there by this decision, that was lost together with a demand's: one of them may crash its
@@ -26,9 +35,12 @@
 		slices.ContainsFunc(b.onWorker[k], func(h int) bool { return d.Apart[b.view.Holdings[h].Job] })
 }
 
-// apart is 1 for a worker that the considered demand shares with a job that it is to begin apart from.
-func (b *board) apart(k int) int {
-	if b.shared[k] {
+// unwanted is 2 for a worker that the considered demand shuns, 1 for one that it shares with a job that it is to begin apart from.
+func (b *board) unwanted(k int) int {
+	switch {
+	case b.shunned[k]:
+		return 2
+	case b.shared[k]:
 		return 1
 	}
 	return 0
@@ -58,7 +70,7 @@
 // isCareful reports whether tasks of a demand with one attempt left are to run only on workers on which something has worked of
 // late: for as long as they can wait for them.
 func (b *board) isCareful(d *Demand) bool {
-	return len(d.LastAttempts) > 0 && b.view.Now.Sub(d.Since) < carefulPatience && !b.idleTooLong(d)
+	return len(d.LastAttempts) > 0 && b.view.Now.Sub(d.Since) < carefulPatience && !b.overdue
 }
 
 // avoidUnproven leaves a gang with one attempt left only proven workers.
@@ -141,11 +153,13 @@
 	return best
 }
 
-// hazard is how many tasks of a layout are on workers that may fail everything.
+// hazard is how many tasks of a layout are on workers that may fail everything, or that the demand shuns.
 func (b *board) hazard(workers map[int]string) int {
 	n := 0
 	for _, w := range workers {
-		n += unproven(&b.view.Workers[b.mustSeat(w)])
+		if k := b.mustSeat(w); b.view.Workers[k].Unproven || b.shunned[k] {
+			n++
+		}
 	}
 	return n
 }
@@ -239,7 +253,7 @@
 	return 0
 }
 
-// fullestFirst orders workers that fit at least one task: those without jobs to begin apart from first, then trusted ones, then all but very slow ones, then those with the least
+// fullestFirst orders workers that fit at least one task: those that are not shunned first, then those without jobs to begin apart from, then trusted ones, then all but very slow ones, then those with the least
 // room left.
 func (b *board) fullestFirst(d *Demand, among []int) []int {
 	var order []int
@@ -250,7 +264,7 @@
 	}
 	slices.SortStableFunc(order, func(x, y int) int {
 		return cmp.Or(
-			cmp.Compare(b.apart(x), b.apart(y)),
+			cmp.Compare(b.unwanted(x), b.unwanted(y)),
 			cmp.Compare(b.view.Workers[x].Doubt, b.view.Workers[y].Doubt),
 			cmp.Compare(unproven(&b.view.Workers[x]), unproven(&b.view.Workers[y])),
 			cmp.Compare(b.slowLevel(x), b.slowLevel(y)),
@@ -260,15 +274,20 @@
 	return order
 }
 
-// nearPatience is how long, as a share of the time to its goal, a task waits for room near its data.
+// nearPatience is how long, as a share of the time to its goal, a task waits for room near its data, unless there is plenty elsewhere.
 const nearPatience = 0.25
 
+// waitsNear reports whether the considered demand waits for room near its data.
+func (b *board) waitsNear(d *Demand) bool {
+	return d.Step.DataRack != "" && !b.overdue && b.view.Now.Sub(d.Since) < time.Duration(nearPatience*float64(d.Goal.Sub(d.Since)))
+}
+
 // laySingles lays as many tasks as fit, near their data where they have any. Tasks with one attempt left come first, and among
 // unproven workers only on proven ones: on a day with 9% of 350 workers failing all for 6 s jobs of 15 to 177 single tasks with two attempts each
 // lost both of one task 0.2 to 4.4 s after they came: 6 of the 8 jobs that failed for good on that day.
 func (b *board) laySingles(d *Demand) map[int]string {
 	among := b.everyone
-	if d.Step.DataRack != "" && b.view.Now.Sub(d.Since) < time.Duration(nearPatience*float64(d.Goal.Sub(d.Since))) {
+	if b.waitsNear(d) {
 		among = b.near(d.Step.DataRack)
 	}
 	l := &layout{board: b, demand: d, workers: map[int]string{}, taken: map[int]int{}}
--- a/internal/placement/patience.go
+++ b/internal/placement/patience.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/pulleyring/pulleyring/internal/job"
+)
 
 // lastMoment is how long before the last start that is in time a demand has work of lower priority stopped for it, with
 // what the stop itself takes.
@@ -41,29 +45,48 @@
 	if d.Covered {
 		return b.view.Now.Sub(d.Since) >= b.rackPatience()
 	}
-	return b.idleTooLong(d)
+	return b.overdue
 }
 
 // idlePatience is how long work waits for better room while there is plenty of room in all: less than the 3 s after which
 // it must not be left waiting beside idle workers (the users' rules).
 const idlePatience = 2 * time.Second
 
+// idleTooLong reports whether a demand has waited for longer than it should beside plenty of room.
 func (b *board) idleTooLong(d *Demand) bool {
 	return b.view.Now.Sub(d.Since) >= idlePatience && b.roomTwice(d)
 }
 
-// roomTwice reports whether the demand's workers are less than half in use, and all racks together have room for it twice
-// over.
+// roomTwice reports whether the demand's service is less than half in use, and all racks together have room for what must not wait twice over.
 func (b *board) roomTwice(d *Demand) bool {
-	room, free, all := 0, 0.0, 0.0
+	need, room, free, all := 2*b.leastStart(d), 0, 0.0, 0.0
 	for k := range b.view.Workers {
 		w := &b.view.Workers[k]
-		if !b.suits(k) {
+		if w.Service != d.Service {
 			continue
 		}
-		room += b.copiesOf(d, k, w.Free, 2*len(d.Waiting))
 		free += w.Free.Cores()
 		all += w.Capacity.Cores()
+		room += b.copiesOf(d, k, w.Free, need)
+	}
+	return room >= need && free > all/2
+}
+
+// leastStart is how many tasks of a demand must not wait beside plenty of room: of a job of which nothing runs a single one is enough.
+func (b *board) leastStart(d *Demand) int {
+	if d.Step.Gang || b.runs(d.Job) {
+		return len(d.Waiting)
+	}
+	return 1
+}
+
+// runs reports whether something of a job runs, as of the view.
+func (b *board) runs(id job.ID) bool {
+	if b.running == nil {
+		b.running = make(map[job.ID]bool, len(b.view.Holdings))
+		for h := range b.view.Holdings {
+			b.running[b.view.Holdings[h].Job] = true
+		}
 	}
-	return room >= 2*len(d.Waiting) && free > all/2
+	return b.running[id]
 }
--- a/internal/placement/waits_test.go
+++ b/internal/placement/waits_test.go
@@ -24,6 +24,7 @@
 			r.Skip("no room")
 		}
 		out := Decide(v)
+		checkStarts(r, v, &out)
 		for _, s := range out.Starts {
 			if s.Demand == 0 {
 				return
@@ -50,6 +51,27 @@
 	return room >= need && free > all/2
 }
 
+// checkStarts holds that every task starts once, and fits on a worker that takes new runs.
+func checkStarts(r *rapid.T, v *View, out *Outcome) {
+	type task struct{ demand, index int }
+	begun, used := map[task]bool{}, map[string]job.Resources{}
+	for _, s := range out.Starts {
+		for index, worker := range s.Workers {
+			if begun[task{s.Demand, index}] {
+				r.Fatalf("task %d of %d starts twice", index, s.Demand)
+			}
+			begun[task{s.Demand, index}] = true
+			used[worker] = used[worker].Add(v.Demands[s.Demand].Step.Each)
+		}
+	}
+	for k := range v.Workers {
+		w := &v.Workers[k]
+		if each, some := used[w.ID]; some && (!w.Usable || !w.Free.Fits(each)) {
+			r.Fatalf("too much starts on %s", w.ID)
+		}
+	}
+}
+
 // drawWaiting draws a site and work that has waited; the first demand is the one to look at.
 func drawWaiting(r *rapid.T) *View {
 	v := drawView(r)
@@ -90,7 +112,7 @@
 	if rare("lost with") {
 		d.Apart = map[job.ID]bool{job.ID(fmt.Sprint("h", pick("who", 3))): true}
 	}
-	d.Suspect, d.Alone = rare("suspect"), rare("alone")
+	d.Suspect, d.Alone, d.Covered = rare("suspect"), rare("alone"), d.Priority == 0 && rare("covered")
 	d.Since = v.Now.Add(-idlePatience)
 	d.Remaining = time.Duration(pick("takes", 20)) * time.Second
 	d.Goal = v.Now.Add(time.Duration(pick("goal", 60)) * time.Second)
