Hold in scripts that no job waits for 3 s in calm beside room for it twice over

The judge of the emulator follows, in every script, jobs of which nothing runs once nothing has happened to boxes, workers or the store for 20 s; TestRandomCalms draws lives of workers as TestRandomLives does and then hands jobs in.

What it does not see: waits within 20 s of a disturbance, and work that is bound to a label or to data, which scripts don't have.

--- a/internal/emulator/crash.go
+++ b/internal/emulator/crash.go
@@ -63,6 +63,7 @@
 // die ends a life, and its process where it is over.
 func (w *worker) die(over bool) {
 	w.dead, w.over = true, over
+	w.fleet.disturb()
 	if left := over && w.fleet.isDraining(w.record.ID); !left && !w.leaseKept {
 		w.fleet.leased(w, time.Time{})
 	}
--- a/internal/emulator/ends.go
+++ b/internal/emulator/ends.go
@@ -161,6 +161,11 @@
 func (f *Fleet) UsedUp(id job.ID) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.usedUp(id)
+}
+
+// usedUp is UsedUp for a caller that holds the lock.
+func (f *Fleet) usedUp(id job.ID) bool {
 	runs := map[job.Task]map[int]bool{}
 	for t, list := range f.judge.failed {
 		if t.Job != id {
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -119,6 +119,7 @@
 func (f *Fleet) change(id string, do func(w *worker)) error {
 	f.mu.Lock()
 	w := f.workers[id]
+	f.judge.disturbed = time.Now()
 	f.mu.Unlock()
 	if w == nil {
 		return fmt.Errorf("emulator: no worker %q", id)
@@ -140,6 +141,7 @@
 func (f *Fleet) Forget(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.judge.disturbed = time.Now()
 	f.put(f.records[id].worker, true)
 }
 
@@ -153,6 +155,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.records[id].gone {
+		f.judge.disturbed = time.Now()
+	}
 	f.put(f.records[id].worker, false)
 }
 
@@ -196,6 +201,7 @@
 	defer f.mu.Unlock()
 	w := f.records[id].worker
 	w.Draining, w.Leaves = true, leaves
+	f.judge.disturbed = time.Now()
 	f.dueAt[id] = time.Now().Add(leaves)
 	f.put(w, false)
 }
--- a/internal/emulator/judge.go
+++ b/internal/emulator/judge.go
@@ -12,6 +12,7 @@
 type judge struct {
 	running map[job.Task]string // Where a task runs now.
 	ends
+	waits
 	emptied map[string]time.Time // By hall: since when nothing more may start there.
 	crashed map[job.Task]int     // Workers that crashed under a task.
 	// restarted counts the starts of a task after that were too many.
@@ -26,6 +27,7 @@
 	TooEarly []string       // Starts before an earlier step was done.
 	Emptied  []string       // Starts in a hall that was emptied more than EmptyWithin before.
 	Budget   []string       // Starts of a task after too many workers had crashed under it, or after its attempts had failed.
+	Waits    []string       // Jobs of which nothing ran for too long beside room for them.
 	InHall   map[string]int // Starts by hall.
 	Starts   int
 	Fenced   int // Orders of a replaced box.
@@ -163,6 +165,7 @@
 func (f *Fleet) Empty(hall string, emptied bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.judge.disturbed = time.Now()
 	if !emptied {
 		delete(f.judge.emptied, hall)
 		return
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -162,6 +162,7 @@
 	broken = append(broken, v.Unasked...)
 	broken = append(broken, v.Emptied...)
 	broken = append(broken, v.Budget...)
+	broken = append(broken, v.Waits...)
 	return append(broken, v.TooEarly...)
 }
 
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -122,6 +122,7 @@
 	}
 	workers := emulator.NewFleet(ctx, testMaxLease, testGangWait)
 	workers.EmptyWithin = testEmptied
+	go workers.WatchWaits()
 	return &world{
 		ctx: ctx, store: emulator.NewStore(seed), fleet: workers, log: log,
 		operator: &operator{current: config}, boxes: map[string]*testBox{},
@@ -173,6 +174,7 @@
 		if err = w.submitAt(nodes[try%len(nodes)], queueName, key, &copied); err == nil {
 			w.mu.Lock()
 			w.accepted[r.ID] = r
+			w.fleet.Accept(r.ID)
 			w.mu.Unlock()
 			return nil
 		}
@@ -238,6 +240,7 @@
 }
 
 func (w *world) cancel(id job.ID) error {
+	w.fleet.Withdraw(id)
 	var err error
 	for _, name := range w.order {
 		n := w.boxes[name].node
