--- a/internal/placement/script_test.go
+++ b/internal/placement/script_test.go
@@ -20,7 +20,7 @@
 //
 //	worker NAME rack RACK gpu FREE [freeing N] [doubt X] [slow X] [label L] [unusable] [unproven]
 //	holding NAME priority N gpu EACH on WORKER... [loss N] [left SECONDS [known]] [covered] [stopping]
-//	demand NAME priority N tasks N gpu EACH [gang] [local] [covered] [waited D] [goal D] [takes D] [value X] [near RACK] [most N] [avoid W] [last] [lasts N] [claim W...]
+//	demand NAME priority N tasks N gpu EACH [gang] [local] [lasting] [covered] [waited D] [goal D] [takes D] [value X] [near RACK] [most N] [avoid W] [last] [lasts N] [claim W...]
 //	start NAME WORKER...    exactly these starts, one worker a task in any order
 //	wait NAME               no start
 //	stop NAME               exactly these holdings are stopped (none without a line)
@@ -241,6 +241,9 @@
 		case "local":
 			d.Step.RackLocal = true
 			continue
+		case "lasting":
+			d.Step.Lasting = true
+			continue
 		case "last":
 			last = math.MaxInt
 			continue
