Try work again where it failed if it fits nowhere else

Cause: workers on which a run of a group has failed are avoided for it as long as the box has the lease. Where those were all that could ever run it, it never ran again while its service was more than half in use, and lasting work, which fails at any moment, ran out of workers.

Change: failures keep work from a worker only while others could run it, and lasting work not at all; such workers come last all the same. avoided_full, avoided_gang and avoided_lasting pass. The first of them had a worker that was left idle for urgent work besides, which is another matter: it has 7 accelerators free now, and fails as before without the change.

--- a/internal/placement/layout.go
+++ b/internal/placement/layout.go
@@ -20,13 +20,32 @@
 	if b.overdue = b.idleTooLong(d); b.overdue {
 		return
 	}
+	again := b.triesAgain(d)
 	for k, shunned := range b.shunned {
-		if shunned {
+		if shunned && (!again || b.isSuspected(d, k)) {
 			b.suitable[k] = false
 		}
 	}
 }
 
+// triesAgain reports whether a demand may start on workers on which it has failed: lasting work, which fails at any moment, and what would not fit elsewhere
+// if all were empty.
+func (b *board) triesAgain(d *Demand) bool {
+	if len(d.Avoid) == 0 || d.Step.Lasting {
+		return d.Step.Lasting
+	}
+	need, room := 1, 0
+	if d.Step.Gang {
+		need = len(d.Waiting)
+	}
+	for k := range b.view.Workers {
+		if w := &b.view.Workers[k]; !d.Avoid[w.ID] {
+			room += b.copiesOf(d, k, w.Capacity, need)
+		}
+	}
+	return room < need
+}
+
 // sharesWith reports whether a job runs on a worker, or begins there by this decision, that was lost together with a demand's: one of them may crash its
 // workers, and as long as they begin together nothing tells which. A sound job was given up beside one that crashed its workers after
 // 2.5 s in a quarter of the runs of a drawn script, as both went to the fullest worker each time.
