--- a/internal/rig/client.go
+++ b/internal/rig/client.go
@@ -36,6 +36,9 @@
 	settled                    bool // Its client asks no more.
 }
 
+// errBroken says that a connection ended without an answer.
+var errBroken = errors.New("rig: the connection ended")
+
 // verb is what a call of a client is for.
 type verb int
 
@@ -53,6 +56,7 @@
 	box         string // That the connection leads to; empty where there was none.
 	sent, ended time.Time
 	written     time.Time // When the whole request was written; zero if it was not.
+	broken      []call    // Tries before on connections that ended without an answer; the HTTP client repeats what may be repeated.
 }
 
 // probe is how a box answered to a key.
@@ -173,8 +177,11 @@
 	x := call{verb: v, job: j, sent: time.Now()}
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
+			if x.box != "" {
+				x.broken = append(x.broken, call{box: x.box, sent: x.sent, written: x.written, ended: time.Now(), Answer: standin.Answer{Err: errBroken}})
+			}
 			if c, ok := i.Conn.(*connection); ok {
-				x.box = c.box
+				x.box, x.written = c.box, time.Time{}
 			}
 		},
 		WroteRequest: func(i httptrace.WroteRequestInfo) {
--- a/internal/rig/promises.go
+++ b/internal/rig/promises.go
@@ -30,6 +30,9 @@
 	for i := range p.calls {
 		v.judgeState(p, t, &p.calls[i], states)
 		v.judgeCut(p, &p.calls[i])
+		for k := range p.calls[i].broken {
+			v.judgeCut(p, &p.calls[i].broken[k])
+		}
 	}
 	v.judgeKeys(p)
 	return v
--- a/internal/rig/rules_test.go
+++ b/internal/rig/rules_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -22,6 +23,7 @@
 // rule is a safety rule of the product, and how it is dropped.
 type rule struct {
 	name, file, text, without string
+	scenario                  string // One that catches what the seeds may miss; empty for none.
 }
 
 // readRules reads testdata/rules.txt.
@@ -33,6 +35,8 @@
 		r := rule{name: lines[0], file: strings.TrimPrefix(lines[1], "file ")}
 		for _, line := range lines[2:] {
 			switch {
+			case strings.HasPrefix(line, "scenario "):
+				r.scenario = strings.TrimPrefix(line, "scenario ")
 			case strings.HasPrefix(line, "-"):
 				r.text += line[1:] + "\n"
 			case strings.HasPrefix(line, "+"):
@@ -82,7 +86,17 @@
 					return
 				}
 			}
-			t.Errorf("not caught by %d seeds", seeds)
+			if r.scenario == "" {
+				t.Fatalf("not caught by %d seeds", seeds)
+			}
+			raw, err := os.ReadFile(filepath.Join("scenarios", r.scenario+".txt"))
+			quicktest.Assert(t, err, quicktest.IsNil)
+			scenario, err := rig.Parse(string(raw))
+			quicktest.Assert(t, err, quicktest.IsNil)
+			v, err := rig.Play(context.Background(), scenario, rig.Options{Program: program, Dir: t.TempDir(), Out: io.Discard})
+			quicktest.Assert(t, err, quicktest.IsNil)
+			t.Logf("not caught by %d seeds; by the scenario %s: %s", seeds, r.scenario, v)
+			quicktest.Check(t, len(v.Broken()) > 0, quicktest.IsTrue)
 		})
 	}
 }
