--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -48,10 +48,12 @@
 		{"apply", "apply -box URL -key FILE [-replaces VERSION] SITE.ini", "put a site configuration in force", runApply},
 		{"halls", "halls [-boxes URL,URL]", "print which halls boxes take as emptied, and how old that is", runHalls},
 		{"why", "why [-boxes URL,URL] JOB", "print how a job stands and what it waits for, or why it has failed", runWhy},
+		{"explain", "explain JOB|TASK LOG|DIR...", "print a time line of a job or task from the logs of several boxes", runExplain},
 		{"timeline", "timeline -box URL -key FILE [-job JOB]", "print the events of all boxes in order", runTimeline},
 		{"load", "load -box URL -key FILE -workspace NAME [options]", "send small requests and measure them, against calling the executors directly", runLoad},
 		{"trial", "trial [-sites NAMES] [-bursts NAMES] [-seeds FIRST-LAST]", "compare the decider with its baselines on bursts", runTrial},
 		{"rig", "rig play [-keep DIR] FILE", "play a scenario with real processes over loopback, and judge it", runRig},
+		{"soak", "soak [-seed N] [-seeds K] [-for TIME] [-keep] [-dir DIR]", "play drawn faults with real processes over loopback, and judge what workers and clients saw", runSoak},
 		{"options", "options", "print every option of the settings and the site configuration", runOptions},
 	}
 }
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -37,7 +37,7 @@
 	crash   Crash
 	lives   int // Lives that came back after a crash.
 	lasts   map[job.ID]LastMoments
-	dueAt   map[string]time.Time // By worker that said it leaves: until when it surely stays.
+	dueAt   map[string]time.Time // By worker that leaves, whether it said so or not: until when it surely stays.
 	stops   time.Duration        // How long a stop takes.
 	drift   float64              // Share by which the clocks of workers are slow that are added.
 }
@@ -158,11 +158,15 @@
 	if f.records[id].gone {
 		f.judge.disturbed = time.Now()
 	}
-	f.put(f.records[id].worker, false)
+	record := f.records[id].worker
+	if due, said := f.dueAt[id]; said && record.Draining {
+		record.Leaves = max(time.Until(due), 0)
+	}
+	f.put(record, false)
 }
 
 // Heartbeat has every worker write its record anew at an interval, one worker after the other, until the fleet's context ends.
-// Nothing in the records changes.
+// Nothing in the records changes but the time that a leaving worker has left.
 func (f *Fleet) Heartbeat(every time.Duration) {
 	go func() {
 		for f.ctx.Err() == nil {
@@ -206,6 +210,14 @@
 	f.put(w, false)
 }
 
+// LeaveUnsaid removes the record of a worker that leaves without a word and stays for a time.
+func (f *Fleet) LeaveUnsaid(id string, stays time.Duration) {
+	f.Forget(id)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dueAt[id] = time.Now().Add(stays)
+}
+
 // isDraining reports whether a worker's last record says that it leaves.
 func (f *Fleet) isDraining(id string) bool {
 	f.mu.Lock()
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -13,6 +13,15 @@
 	"go.uber.org/zap"
 )
 
+// uncommitted is what the next batches are collected from.
+type uncommitted struct {
+	dirty    map[job.ID]bool          // Jobs whose progress is to be committed.
+	underWay map[job.ID]*job.Progress // What is being committed.
+	launches []*run                   // Placed runs to be ordered once they are committed.
+	dropped  []ledger.Forgotten       // Jobs whose requests are deleted and whose progress is to be.
+	pending  map[string]int           // Jobs by queue of which nothing was started, as last committed.
+}
+
 // commitLoop decides and commits until the tenure is over.
 func (h *shard) commitLoop(ctx context.Context) error {
 	lastCommit := time.Time{}
@@ -89,10 +98,10 @@
 		f.batch.Progress[id] = copyProgress(&j.Progress)
 		delete(h.dirty, id)
 	}
+	h.underWay = f.batch.Progress
 	h.collect(f)
 	h.collectAddresses(&f.batch)
-	f.batch.Forget = h.dropped
-	h.dropped = nil
+	f.batch.Forget = h.takeDropped()
 	if !maps.Equal(pending, h.pending) {
 		f.batch.Summary = &ledger.Summary{Pending: pending}
 		h.pending = pending
@@ -125,13 +134,13 @@
 	c := *p
 	c.Tasks = append([]job.TaskProgress(nil), p.Tasks...)
 	c.GangRuns = append([]int(nil), p.GangRuns...)
-	c.Losses = maps.Clone(p.Losses)
+	c.Losses, c.FailedRuns = maps.Clone(p.Losses), maps.Clone(p.FailedRuns)
 	return &c
 }
 
 // commit writes a batch and then sets off what had to wait for it.
 func (h *shard) commit(ctx context.Context, f *flight) error {
-	began := time.Now()
+	began, slept := time.Now(), h.sleptSoFar()
 	timed, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	err := h.tenure.Commit(timed, &f.batch)
@@ -139,12 +148,20 @@
 	defer h.mu.Unlock()
 	if err != nil {
 		h.restore(f)
+		h.storeOut = time.Now()
 		if !errors.Is(err, ledger.ErrReplaced) {
 			h.Log.Warn("scheduler: unable to commit", logsink.Error(err), zap.Int("rows", len(f.batch.Progress)))
 		}
 		return err
 	}
-	h.held = began
+	h.committed(f, began, slept)
+	return nil
+}
+
+// committed sets off what had to wait for a batch.
+func (h *shard) committed(f *flight, began time.Time, slept time.Duration) {
+	h.held, h.heldSlept, h.underWay = began, slept, nil
+	h.marks.add(h.tenure.Version(), began)
 	for w, n := range f.applied {
 		w.acknowledged = max(w.acknowledged, n)
 		w.signal()
@@ -152,13 +169,15 @@
 	for _, r := range f.launches {
 		h.launch(r)
 	}
-	return nil
 }
 
 // restore puts back what a failed commit had taken.
 func (h *shard) restore(f *flight) {
+	h.underWay = nil
 	for id := range f.batch.Progress {
-		h.dirty[id] = true
+		if h.jobs[id] != nil { // Else it was forgotten, and its rows are deleted.
+			h.dirty[id] = true
+		}
 	}
 	h.launches = append(f.launches, h.launches...)
 	h.dropped = append(h.dropped, f.batch.Forget...)
--- a/internal/scheduler/forget.go
+++ b/internal/scheduler/forget.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/pulleyring/pulleyring/internal/interval"
@@ -13,6 +14,13 @@
 // forgetEvery is how often ended jobs are looked through for those that need not be shown any more.
 const forgetEvery = 5 * time.Second
 
+// pastJobs is what is kept of jobs beside those that are followed.
+type pastJobs struct {
+	early     map[job.ID]time.Time // Cancellations that came without a request, by when they were seen.
+	away      map[job.ID][]string  // Parts of the store, besides the first one, with rows of a job.
+	forgotten map[job.ID]forgotten // Jobs that were dropped lately.
+}
+
 // forgetLoop drops the rows of old jobs: first the requests, so that a successor finds no request without its progress,
 // then the progress.
 func (h *shard) forgetLoop() {
@@ -34,7 +42,7 @@
 		}
 		h.mu.Lock()
 		for _, id := range old {
-			h.dropped = append(h.dropped, ledger.Forgotten{ID: id, Faults: h.hasFaults(id)})
+			h.dropped = append(h.dropped, h.forgottenAs(id))
 			h.forget(id)
 		}
 		h.mu.Unlock()
@@ -51,10 +59,12 @@
 // forgottenFor is how long that is remembered; reads end within two seconds.
 const forgottenFor = time.Minute
 
-// hasFaults reports whether a job has a row of faults.
-func (h *shard) hasFaults(id job.ID) bool {
-	j := h.jobs[id]
-	return j != nil && j.Progress.Any()
+// forgottenAs is the rows of a job, or of a cancellation without one, that are to be deleted.
+func (h *shard) forgottenAs(id job.ID) ledger.Forgotten {
+	if j := h.jobs[id]; j != nil {
+		return ledger.ForgottenAs(id, &j.Progress)
+	}
+	return ledger.Forgotten{ID: id}
 }
 
 // forget drops what is remembered of a job.
@@ -67,6 +77,7 @@
 		h.learned.forget(j.Request)
 	}
 	delete(h.jobs, id)
+	delete(h.dirty, id)
 	delete(h.early, id)
 	delete(h.away, id)
 }
@@ -77,7 +88,7 @@
 	var ids []job.ID
 	rows := 0
 	for id, j := range h.jobs {
-		if rows < ledger.MaxForgetRows && j.Progress.State.Final() && j.Progress.EndedAt < oldest.UnixMilli() && len(j.Running()) == 0 && !h.dirty[id] {
+		if rows < ledger.MaxForgetRows && j.Progress.State.Final() && j.Progress.EndedAt < oldest.UnixMilli() && len(j.Running()) == 0 && h.isCommitted(id) {
 			ids = append(ids, id)
 			rows += ledger.Rows(&j.Progress)
 		}
@@ -90,3 +101,18 @@
 	}
 	return ids
 }
+
+// takeDropped takes out those of the forgotten jobs whose rows the next batch deletes: while commits fail, more gather than fit into one.
+func (h *shard) takeDropped() []ledger.Forgotten {
+	rows, n := 0, 0
+	for n < len(h.dropped) && rows < ledger.MaxForgetRows {
+		rows += h.dropped[n].Rows()
+		n++
+	}
+	taken := slices.Clone(h.dropped[:n])
+	h.dropped = slices.Delete(h.dropped, 0, n)
+	return taken
+}
+
+// isCommitted reports whether a job's progress is committed as it is.
+func (h *shard) isCommitted(id job.ID) bool { return !h.dirty[id] && h.underWay[id] == nil }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -31,6 +31,7 @@
 type Listing struct {
 	Workers []fleet.Worker
 	Gone    []string
+	Foreign []string // Of those, the names where another writer's record is in its place.
 	Version int64
 	More    bool      // More has changed since: the answer was full.
 	AsOf    time.Time // Changes in it were made after that; zero where that is not known. The scheduler sets it.
@@ -40,6 +41,7 @@
 type Bounds struct {
 	MaxLease time.Duration // Longest lease that a worker grants.
 	StopTime time.Duration // Longest time that a stop takes.
+	Stays    time.Duration // How long a worker at least stays whose record goes as it leaves; 0 where nothing promises it.
 	GangWait time.Duration // How long a gang's member waits for the others.
 	Retain   time.Duration // How long a job is shown after its end.
 	Emptied  time.Duration // Time after a hall was emptied within which work may still start there; 0 for no bound.
@@ -52,7 +54,9 @@
 	Directory     Directory
 	Orders        fleet.Orders
 	Configuration func() *queue.Configuration
-	Halls         func() queue.Halls // Which halls are emptied, as last heard.
+	Halls         func() queue.Halls   // Which halls are emptied, as last heard.
+	Slept         func() time.Duration // How long the machine has been suspended in all; nil where nothing tells.
+	SleptBefore   time.Duration        // The same, before the lease was claimed.
 	Bounds        Bounds
 	Log           *zap.Logger
 	Figures       *measure.Figures // nil for none.
@@ -82,45 +86,34 @@
 	workersPause = 300 * time.Millisecond
 )
 
-// shard is the state of one tenure, under its own lock.
+// shard is the state of one tenure, under its own lock. What changes together is embedded, each part in the file that changes it.
 type shard struct {
 	*Scheduler
 	tenure *ledger.Tenure
 	ctx    context.Context // Ends with the tenure.
 	wake   chan struct{}
 
-	mu         sync.Mutex
-	jobs       map[job.ID]*liveJob
-	workers    map[string]*workerState
-	roster     []*workerState // The workers by their names; nil once one came or went.
-	holdings   holdings
-	view       placement.View           // Of the last decision; its lists are used again.
-	dirty      map[job.ID]bool          // Jobs whose progress is to be committed.
-	launches   []*run                   // Placed runs to be ordered once they are committed.
-	lives      map[string]time.Time     // Of workers that another life has followed, by when that was found.
-	givenUp    map[string]*givenUp      // Workers whose runs were taken for over.
-	owed       map[string]map[*run]bool // Stops that are owed to workers that are gone.
-	losses     loss.Judge
-	claims     map[claimKey]claimed
-	noPlan     map[claimKey]time.Time // Until when no room is looked for.
-	waitLogged map[claimKey]time.Time // When it was last logged why a group waits.
-	changed    bool                   // Something happened that a decision may depend on.
-	replaced   bool                   // Another box holds the lease.
-	lastPass   time.Time
-	held       time.Time // When the last commit that succeeded was begun: the lease was surely held at some time after.
-	quiet      time.Time // No predecessor committed anything after that.
-	learned    estimates
-	outbreak   outbreak
-	addresses  addresses
-	halls      seenHalls
-	answers    answerTimes
-	stepTimes  map[claimKey]*stepTimes
-	pending    map[string]int       // As last committed.
-	early      map[job.ID]time.Time // Cancellations that came without a request, by when they were seen.
-	away       map[job.ID][]string  // Parts of the store, besides the first one, with rows of a job.
-	forgotten  map[job.ID]forgotten // Jobs that were dropped lately.
-	dropped    []ledger.Forgotten   // Jobs whose requests are deleted and whose progress is to be.
-	ordering   sync.WaitGroup
+	mu sync.Mutex
+	tenureTimes
+	uncommitted
+	plans
+	pastWorkers
+	pastJobs
+	jobs      map[job.ID]*liveJob
+	workers   map[string]*workerState
+	roster    []*workerState // The workers by their names; nil once one came or went.
+	holdings  holdings
+	view      placement.View // Of the last decision; its lists are used again.
+	losses    loss.Judge
+	changed   bool // Something happened that a decision may depend on.
+	lastPass  time.Time
+	learned   estimates
+	stepTimes map[claimKey]*stepTimes
+	outbreak  outbreak
+	addresses addresses
+	halls     seenHalls
+	answers   answerTimes
+	ordering  sync.WaitGroup
 }
 
 type liveJob struct {
@@ -139,7 +132,8 @@
 func (s *Scheduler) Run(ctx context.Context, tenure *ledger.Tenure) error {
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	h := newShard(inner, s, tenure)
-	h.held, h.quiet = tenure.Claimed, tenure.Quiet
+	h.held, h.heldSlept, h.quiet = tenure.Claimed, s.SleptBefore, tenure.Quiet
+	h.marks.add(tenure.Version(), tenure.Claimed)
 	defer h.ordering.Wait()
 	defer cancel()
 	began := time.Now()
@@ -162,10 +156,11 @@
 func newShard(ctx context.Context, s *Scheduler, tenure *ledger.Tenure) *shard {
 	return &shard{
 		Scheduler: s, tenure: tenure, ctx: ctx, wake: make(chan struct{}, 1),
-		jobs: map[job.ID]*liveJob{}, workers: map[string]*workerState{}, dirty: map[job.ID]bool{}, lives: map[string]time.Time{}, givenUp: map[string]*givenUp{},
-		owed:   map[string]map[*run]bool{},
-		claims: map[claimKey]claimed{}, noPlan: map[claimKey]time.Time{}, waitLogged: map[claimKey]time.Time{},
-		stepTimes: map[claimKey]*stepTimes{}, early: map[job.ID]time.Time{}, away: map[job.ID][]string{}, forgotten: map[job.ID]forgotten{},
+		uncommitted: uncommitted{dirty: map[job.ID]bool{}},
+		plans:       plans{claims: map[claimKey]claimed{}, noPlan: map[claimKey]time.Time{}, waitLogged: map[claimKey]time.Time{}},
+		pastWorkers: pastWorkers{lives: map[string]time.Time{}, givenUp: map[string]*givenUp{}, owed: map[string]map[*run]bool{}},
+		pastJobs:    pastJobs{early: map[job.ID]time.Time{}, away: map[job.ID][]string{}, forgotten: map[job.ID]forgotten{}},
+		jobs:        map[job.ID]*liveJob{}, workers: map[string]*workerState{}, stepTimes: map[claimKey]*stepTimes{},
 	}
 }
 
@@ -273,4 +268,7 @@
 // noteStore takes in that the store failed a call.
 func (h *shard) noteStore(err error, call string) {
 	h.Log.Warn("scheduler: the store failed a call", zap.String("call", call), logsink.Error(err))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.storeOut = time.Now()
 }
