--- /dev/null
+++ b/internal/scheduler/report.go
@@ -0,0 +1,130 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"github.com/pulleyring/pulleyring/internal/fleet"
+	"github.com/pulleyring/pulleyring/internal/job"
+	"github.com/pulleyring/pulleyring/internal/logsink"
+	"go.uber.org/zap"
+)
+
+// takeReport takes in what a worker says and reports whether it brought ends.
+func (h *shard) takeReport(w *workerState, report *fleet.Report, sent time.Time, acknowledged int64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.noteReported(w, report)
+	w.told = max(w.told, acknowledged)
+	if w.gone || report.Clock < w.reported {
+		h.takeEnds(w, report) // The rest is outdated: the report was under way as the worker was given up, or a newer one has overtaken it.
+		return !w.gone && w.applied > w.acknowledged
+	}
+	if w.failures > 0 || w.clock == 0 {
+		w.backAt, h.changed = time.Now(), true
+		h.signal()
+	}
+	w.heard(report.Clock)
+	h.tookOrder(w)
+	w.reported = report.Clock
+	w.failures, w.lookedAt = 0, time.Now()
+	h.charge(h.losses.Returned(w.ID))
+	for i := range report.Running {
+		h.seen(w, &report.Running[i])
+	}
+	h.takeEnds(w, report)
+	if !report.More {
+		h.settleAbsent(w, present(report), sent)
+	}
+	now := time.Now()
+	h.endStalls(w, now)
+	h.endLagging(w, now)
+	h.endLeaving(w, now)
+	w.stalled, w.overdue = h.stalls(w), h.overdue(w, now)
+	h.signal()
+	return w.applied > w.acknowledged
+}
+
+// present is the newest run of each task that a report lists, as running or ended.
+func present(report *fleet.Report) map[job.Task]int {
+	runs := map[job.Task]int{}
+	for i := range report.Running {
+		runs[report.Running[i].Task] = report.Running[i].Run
+	}
+	for i := range report.Ended {
+		e := &report.Ended[i]
+		runs[e.Task] = max(runs[e.Task], e.Run)
+	}
+	return runs
+}
+
+// seen takes in a run that a worker has.
+func (h *shard) seen(w *workerState, x *fleet.Run) {
+	r := w.runs[x.Task]
+	if r == nil || r.number != x.Run {
+		h.stray(w, x)
+		return
+	}
+	if r.confirmed.IsZero() {
+		r.confirmed = time.Now()
+	}
+	if x.Done >= 0 {
+		r.progress.note(x.Done, time.Now())
+		r.held.stale = true
+		h.learnEarly(r)
+	}
+	h.clear(w, r)
+	r.job.Save(x.Task, x.Run, x.Saved)
+	if r.job.Progress.State.Final() {
+		h.stop(w, r, "the job has ended")
+	}
+}
+
+// stray stops a run that nobody placed, or that was given up.
+func (h *shard) stray(w *workerState, x *fleet.Run) {
+	p, ok := h.jobTask(x.Task)
+	if ok && p.State == job.Finished && p.Run == x.Run {
+		return // A gang's member whose end is about to be listed.
+	}
+	r := &run{task: x.Task, number: x.Run, confirmed: time.Now(), placed: time.Now(), job: h.jobs[x.Task.Job], stray: true}
+	if !ok || w.runs[x.Task] != nil {
+		h.Log.Warn("scheduler: unknown run", zap.String("task", x.Task.String()), zap.Int("run", x.Run), zap.String("worker", w.ID))
+		order, target := &fleet.Stop{Task: x.Task, Run: x.Run, Token: h.tenure.Epoch()}, w.Worker
+		h.ordering.Go(func() {
+			ctx, cancel := context.WithTimeout(h.ctx, answerTimeout)
+			defer cancel()
+			if _, err := h.Orders.Stop(ctx, &target, order); err != nil {
+				h.Log.Warn("scheduler: unable to stop an unknown run", zap.String("task", x.Task.String()), logsink.Error(err))
+			}
+		})
+		return
+	}
+	r.each = r.job.Request.Steps[x.Task.Step].Each
+	h.addRun(w, r)
+	r.job.stray(r.task, 1)
+	h.stop(w, r, "nobody placed it here")
+}
+
+func (h *shard) jobTask(t job.Task) (job.TaskProgress, bool) {
+	j := h.jobs[t.Job]
+	if j == nil {
+		return job.TaskProgress{}, false
+	}
+	return j.Task(t)
+}
+
+// settleAbsent ends the runs that a worker does not have and never will: those whose stop it has taken, and those of a
+// predecessor, whose orders it refuses since it has seen this tenure's token.
+func (h *shard) settleAbsent(w *workerState, present map[job.Task]int, sent time.Time) {
+	for task, r := range w.runs {
+		if present[task] == r.number {
+			continue
+		}
+		stopped := !r.stopKnown.IsZero() && r.stopKnown.Before(sent)
+		fenced := r.adopted && r.confirmed.IsZero()
+		lost := !r.confirmed.IsZero() && r.confirmed.Before(sent)
+		if stopped || fenced || lost {
+			h.endRun(w, r, job.NeverRan, "")
+		}
+	}
+}
