Tell why the loss of a worker counts against a task, or does not

Now it names the reason, the life that was lost, for how long the run was heard of there, and whether a predecessor had started it. No change of what counts.

--- a/internal/loss/judge.go
+++ b/internal/loss/judge.go
@@ -222,31 +222,34 @@
 func (j *Judge) recount(e *event) []Charge {
 	var charges []Charge
 	for i := range e.Runs {
-		if wanted := j.weight(e, i); wanted != e.counted[i] {
-			charges = append(charges, Charge{e.Runs[i].Task, wanted.Sub(e.counted[i])})
+		if wanted, why := j.weight(e, i); wanted != e.counted[i] {
+			charges = append(charges, Charge{e.Runs[i].Task, wanted.Sub(e.counted[i]), why, e.ID, &e.Runs[i]})
 			e.counted[i] = wanted
 		}
 	}
 	return charges
 }
 
-// weight is what a loss counts against the task of a run that was lost with it.
-func (j *Judge) weight(e *event, i int) job.Losses {
+// weight is what a loss counts against the task of a run that was lost with it, and why.
+func (j *Judge) weight(e *event, i int) (job.Losses, Why) {
 	r := &e.Runs[i]
 	switch {
-	case e.refuted, e.spared[i]:
-		return job.Losses{}
-	case !e.accused[i], r.Seen > CountedWithin, j.lostWithGroup(e, r):
-		return job.Losses{All: 1}
-	case e.others < othersLost:
-		if r.atOnce() {
-			return job.Losses{All: 1, Counted: 1, AtOnce: 1}
-		}
-		return job.Losses{All: 1, Counted: 1}
-	case r.atOnce():
-		return job.Losses{All: 1, Counted: 1}
+	case e.refuted:
+		return job.Losses{}, RunsOn
+	case e.spared[i]:
+		return job.Losses{}, NeverBegan
+	case !e.accused[i]:
+		return job.Losses{All: 1}, BesideOther
+	case r.Seen > CountedWithin:
+		return job.Losses{All: 1}, RanLong
+	case j.lostWithGroup(e, r):
+		return job.Losses{All: 1}, WithGroup
+	case e.others < othersLost && r.atOnce():
+		return job.Losses{All: 1, Counted: 1, AtOnce: 1}, AtOnce
+	case e.others < othersLost || r.atOnce():
+		return job.Losses{All: 1, Counted: 1}, Counted
 	}
-	return job.Losses{All: 1}
+	return job.Losses{All: 1}, WithOthers
 }
 
 // with reports whether two workers may have been lost at the same time.
--- a/internal/loss/kept_test.go
+++ b/internal/loss/kept_test.go
@@ -37,7 +37,8 @@
 		for _, e := range j.events {
 			compareKept(r, &j, e)
 			for i := range e.Runs {
-				mustEqual(r, e.counted[i], j.weight(e, i))
+				weight, _ := j.weight(e, i)
+				mustEqual(r, e.counted[i], weight)
 				wanted[e.Runs[i].Task] = wanted[e.Runs[i].Task].Add(e.counted[i])
 			}
 		}
--- a/internal/loss/loss.go
+++ b/internal/loss/loss.go
@@ -80,6 +80,32 @@
 type Charge struct {
 	Task   job.Task
 	Change job.Losses
+	Why    Why
+	Worker string // The life that was lost.
+	Run    *Run   // The run that was lost with it.
+}
+
+// Why is why the loss of a worker counts against a task, or does not.
+type Why int
+
+// Reasons for which a loss counts, or does not.
+const (
+	AtOnce      Why = iota // It counts fully: the task had just begun.
+	Counted                // It counts.
+	BesideOther            // It does not: another job there has more counted against it.
+	RanLong                // It does not: the task had run for long.
+	WithGroup              // It does not: most of the hall or rack was lost.
+	WithOthers             // It does not: other workers were lost at the same time.
+	RunsOn                 // It does not: the worker runs on.
+	NeverBegan             // It does not: the run never began there.
+)
+
+// String returns the reason for logs.
+func (w Why) String() string {
+	return [...]string{
+		"it had just begun", "it may have done it", "beside another with more counted against it", "it had run for long", "lost with its hall or rack",
+		"lost with other workers", "the worker runs on", "it never began there",
+	}[w]
 }
 
 // Verdict is what follows for a task from what is counted against it.
--- a/internal/scheduler/loss.go
+++ b/internal/scheduler/loss.go
@@ -175,7 +175,8 @@
 		h.touch(c.Task.Job)
 		counted := j.LossesOf(c.Task)
 		h.Log.Info("scheduler: workers lost under a task", zap.String("task", c.Task.String()), zap.Int("all", counted.All),
-			zap.Int("counted", counted.Counted), zap.Int("at_once", counted.AtOnce), zap.Int("change", c.Change.Counted))
+			zap.Int("counted", counted.Counted), zap.Int("at_once", counted.AtOnce), zap.Int("change", c.Change.Counted),
+			zap.Stringer("why", c.Why), zap.String("worker", c.Worker), zap.Duration("seen", c.Run.Seen), zap.Bool("adopted", c.Run.Adopted))
 		h.judge(j, c.Task)
 	}
 }
