Count the loss of a worker however long its task had run, against the rate at which workers are lost anyway

What callers saw: a job whose task crashes its workers more than 30 s into each run was started without end (BUDGET). A late loss counts where fewer than half a worker would be lost by itself in the time of the run; two of them count, and the fifth loss gives the task up. Losses of up to 30 s count as before, so that nothing changes for them. Why it holds: a task that crashes its workers each time loses five in five starts at any age, and the bound tells only at what rates that proves nothing.

--- a/internal/loss/judge.go
+++ b/internal/loss/judge.go
@@ -12,6 +12,10 @@
 	events []*event
 	byID   map[string]*event      // The last loss of each worker.
 	byTask map[job.Task][]lostRun // The runs of each task that were lost.
+
+	background Background // But for the losses that are kept.
+	lostAlone  int        // Of those that are kept: how many are of the background.
+	watchedAt  time.Time
 }
 
 // lostRun is a run by its place in a loss.
@@ -34,6 +38,9 @@
 	others   int          // Workers without a suspect task that were lost together with it.
 	hall     groupLoss
 	rack     groupLoss
+
+	background bool       // It is counted as one of the background.
+	before     Background // As it was known at the loss.
 }
 
 // groupLoss is what was lost of a group together with one of its workers. It is counted as losses come: counting anew for each of 350 workers that
@@ -63,6 +70,7 @@
 		return nil
 	}
 	e := &event{Worker: w, at: now, proven: w.Proven, resolves: now.Add(Resolved), spared: make([]bool, len(w.Runs)), counted: make([]job.Losses, len(w.Runs))}
+	e.before = j.Background()
 	e.accused = accused(e.Runs, e.spared)
 	for i := range w.Runs {
 		e.suspect = e.suspect || w.Runs[i].atOnce() || w.Runs[i].Before.All > 0
@@ -82,8 +90,10 @@
 		if e.with(o) {
 			e.join(o, 1)
 			o.join(e, 1)
+			j.settle(o)
 		}
 	}
+	j.settle(e)
 	j.events = append(j.events, e)
 	j.byID[e.ID] = e
 	for i := range e.Runs {
@@ -113,9 +123,11 @@
 	for _, o := range j.events {
 		if o != e && o.with(e) {
 			o.join(e, -1)
+			j.settle(o)
 		}
 	}
 	e.refuted = true
+	j.settle(e)
 	return append(j.recountTasks(e), j.review(e)...)
 }
 
@@ -183,6 +195,10 @@
 		for i := range e.Runs {
 			j.dropRun(e, e.Runs[i].Task)
 		}
+		if e.background {
+			j.lostAlone--
+			j.background.Lost++
+		}
 	}
 	j.events = j.events[old:]
 }
@@ -240,8 +256,10 @@
 		return job.Losses{}, NeverBegan
 	case !e.accused[i]:
 		return job.Losses{All: 1}, BesideOther
-	case r.Seen > CountedWithin:
-		return job.Losses{All: 1}, RanLong
+	case r.late() && e.before.expected(r.Seen, r.Before.All > 0) > ChanceMost:
+		return job.Losses{All: 1}, ByChance
+	case r.late() && r.Before.Counted >= leastCounted:
+		return job.Losses{All: 1}, LateAgain
 	case j.lostWithGroup(e, r):
 		return job.Losses{All: 1}, WithGroup
 	case e.others < othersLost && r.atOnce():
--- a/internal/loss/loss.go
+++ b/internal/loss/loss.go
@@ -26,6 +26,9 @@
 	// MostStarts is how many workers may be lost under a task, for whatever reason, once leastCounted of them count against it.
 	MostStarts   = 5
 	leastCounted = 2
+	// ChanceMost is how many workers may be expected to be lost by themselves in the time that a run went on for its loss to count. A task may crash its workers however
+	// late; but where a run lasts for longer against the time between two losses of a worker, sound work loses several in a row too.
+	ChanceMost = 0.5
 )
 
 const (
@@ -34,7 +37,7 @@
 	AtOnceWithin = 500 * time.Millisecond
 	// ClearedAfter is how long a worker must be heard of after a task began there to show that the task does not crash it at once.
 	ClearedAfter = 4 * AtOnceWithin
-	// CountedWithin is how long a worker may be heard of after a task began there for its loss to count at all: long work loses workers now and then.
+	// CountedWithin is how long a worker may be heard of after a task began there for its loss to count however often workers are lost by themselves.
 	CountedWithin = 30 * time.Second
 	// Together is how much later than one worker another may be known to be lost that was lost at the same time: those with nothing to do are known to
 	// be lost by their records only, about 5 s (three heartbeats of 1.5 s, and the feed) after those that were being looked at.
@@ -56,6 +59,9 @@
 	Adopted bool
 }
 
+// late reports whether a run had gone on for so long that its worker may have been lost by itself.
+func (r *Run) late() bool { return r.Seen > CountedWithin }
+
 func (r *Run) atOnce() bool { return !r.Adopted && r.Seen <= AtOnceWithin }
 
 // Group is the workers that may be lost together: of a hall, or of a rack.
@@ -93,7 +99,8 @@
 	AtOnce      Why = iota // It counts fully: the task had just begun.
 	Counted                // It counts.
 	BesideOther            // It does not: another job there has more counted against it.
-	RanLong                // It does not: the task had run for long.
+	LateAgain              // It does not: enough of them count for the task to be given up with its fifth loss.
+	ByChance               // It does not: a worker may well be lost by itself in the time that the task had run.
 	WithGroup              // It does not: most of the hall or rack was lost.
 	WithOthers             // It does not: other workers were lost at the same time.
 	RunsOn                 // It does not: the worker runs on.
@@ -103,7 +110,7 @@
 // String returns the reason for logs.
 func (w Why) String() string {
 	return [...]string{
-		"it had just begun", "it may have done it", "beside another with more counted against it", "it had run for long", "lost with its hall or rack",
+		"it had just begun", "it may have done it", "beside another with more counted against it", "late again", "likely by chance", "lost with its hall or rack",
 		"lost with other workers", "the worker runs on", "it never began there",
 	}[w]
 }
--- a/internal/loss/script_test.go
+++ b/internal/loss/script_test.go
@@ -23,6 +23,7 @@
 //	return WORKER                                 it runs on
 //	never WORKER TASK                             it never ran there
 //	replace WORKER                                another life has come at its address
+//	watch N from T until T                        so many workers without a suspect task live
 //	counts TASK ALL COUNTED AT_ONCE
 //	verdict TASK free|held|guilty at T
 func TestLosses(t *testing.T) {
@@ -71,6 +72,8 @@
 	case "replace":
 		c.judge.Replaced(words[1], words[1]+"-next")
 		return nil
+	case "watch":
+		return c.watch(words[1:])
 	case "counts":
 		l := c.tally[taskNamed(words[1])]
 		got := fmt.Sprint(l.All, " ", l.Counted, " ", l.AtOnce)
@@ -93,6 +96,23 @@
 	return fmt.Errorf("unknown line")
 }
 
+// watch counts workers every second.
+func (c *lossCase) watch(words []string) error {
+	n, err := strconv.Atoi(words[0])
+	if err != nil {
+		return err
+	}
+	from, err := c.time(words[2])
+	if err != nil {
+		return err
+	}
+	until, err := c.time(words[4])
+	for at := from; !at.After(until); at = at.Add(time.Second) {
+		c.judge.Watch(n, at)
+	}
+	return err
+}
+
 func (c *lossCase) lose(words []string) error {
 	w := Worker{ID: words[0], Address: words[0], Hall: Group{Name: "hall"}, Rack: Group{Name: "rack of " + words[0]}, Proven: true}
 	var at, heard time.Time
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -79,6 +79,7 @@
 func (h *shard) prepare(beat bool) *flight {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.watchWorkers(time.Now())
 	if h.changed || h.anyWaiting() && time.Since(h.lastPass) >= passEvery {
 		h.pass()
 	}
--- a/internal/scheduler/loss.go
+++ b/internal/scheduler/loss.go
@@ -230,6 +230,34 @@
 	return some
 }
 
+// watchEvery is how often workers are counted, for the rate at which they are lost without a task's doing.
+const watchEvery = time.Second
+
+// watchWorkers counts the workers that run no suspect task.
+func (h *shard) watchWorkers(now time.Time) {
+	if now.Sub(h.watchedAt) < watchEvery {
+		return
+	}
+	h.watchedAt = now
+	n := 0
+	for _, w := range h.workers {
+		if !w.gone && !w.runsSuspect() {
+			n++
+		}
+	}
+	h.losses.Watch(n, now)
+}
+
+// runsSuspect reports whether a worker runs a task under which others were lost before.
+func (w *workerState) runsSuspect() bool {
+	for t, r := range w.runs {
+		if len(r.job.Progress.Losses) > 0 && r.job.LossesOf(t).All > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // stray counts the runs of a task that are found to go on though they are not followed.
 func (j *liveJob) stray(t job.Task, change int) {
 	if j.strays == nil {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -105,7 +105,8 @@
 	holdings  holdings
 	view      placement.View // Of the last decision; its lists are used again.
 	losses    loss.Judge
-	changed   bool // Something happened that a decision may depend on.
+	watchedAt time.Time // When the workers were last counted for it.
+	changed   bool      // Something happened that a decision may depend on.
 	lastPass  time.Time
 	learned   estimates
 	stepTimes map[claimKey]*stepTimes
