Give up a task that crashes its workers late with the fourth loss where that is hardly chance; draw such tasks; tell callers all workers lost

A task that crashes its workers late was given up with its fifth loss at the earliest, so that one loss that nobody counts would have let it begin a sixth time. More than two late losses count now where less than an eighth of a worker would be lost by itself in the time of the run. Callers were told '2 workers crashed' of such a task, of which five were lost: they are told all of them.

--- a/internal/loss/background.go
+++ b/internal/loss/background.go
@@ -39,6 +39,14 @@
 	return watched.Seconds() * (lost + 1) / (b.Watched + backgroundPrior.Seconds())
 }
 
+// chance is how many workers are lost by themselves in the time of a run that was lost with a worker; none in that of a young one.
+func (e *event) chance(r *Run) float64 {
+	if r.Seen <= CountedWithin {
+		return 0
+	}
+	return e.before.expected(r.Seen, r.Before.All > 0)
+}
+
 // Watch takes in how many workers live that run no suspect task. It is to be called every second or so.
 func (j *Judge) Watch(workers int, now time.Time) {
 	if !j.watchedAt.IsZero() {
--- a/internal/loss/judge.go
+++ b/internal/loss/judge.go
@@ -256,10 +256,10 @@
 		return job.Losses{}, NeverBegan
 	case !e.accused[i]:
 		return job.Losses{All: 1}, BesideOther
-	case r.late() && e.before.expected(r.Seen, r.Before.All > 0) > ChanceMost:
+	case e.chance(r) > ChanceMost:
 		return job.Losses{All: 1}, ByChance
-	case r.late() && r.Before.Counted >= leastCounted:
-		return job.Losses{All: 1}, LateAgain
+	case e.chance(r) > ChanceSlight && r.Before.Counted >= leastCounted:
+		return job.Losses{All: 1}, ChanceAgain
 	case j.lostWithGroup(e, r):
 		return job.Losses{All: 1}, WithGroup
 	case e.others < othersLost && r.atOnce():
--- a/internal/loss/loss.go
+++ b/internal/loss/loss.go
@@ -29,6 +29,8 @@
 	// ChanceMost is how many workers may be expected to be lost by themselves in the time that a run went on for its loss to count. A task may crash its workers however
 	// late; but where a run lasts for longer against the time between two losses of a worker, sound work loses several in a row too.
 	ChanceMost = 0.5
+	// ChanceSlight is how many may be expected for more than leastCounted such losses to count, so that the task is given up a worker earlier.
+	ChanceSlight = 0.125
 )
 
 const (
@@ -59,9 +61,6 @@
 	Adopted bool
 }
 
-// late reports whether a run had gone on for so long that its worker may have been lost by itself.
-func (r *Run) late() bool { return r.Seen > CountedWithin }
-
 func (r *Run) atOnce() bool { return !r.Adopted && r.Seen <= AtOnceWithin }
 
 // Group is the workers that may be lost together: of a hall, or of a rack.
@@ -99,7 +98,7 @@
 	AtOnce      Why = iota // It counts fully: the task had just begun.
 	Counted                // It counts.
 	BesideOther            // It does not: another job there has more counted against it.
-	LateAgain              // It does not: enough of them count for the task to be given up with its fifth loss.
+	ChanceAgain            // It does not: it may be chance, and enough of those count for the task to be given up with its fifth loss.
 	ByChance               // It does not: a worker may well be lost by itself in the time that the task had run.
 	WithGroup              // It does not: most of the hall or rack was lost.
 	WithOthers             // It does not: other workers were lost at the same time.
@@ -110,7 +109,7 @@
 // String returns the reason for logs.
 func (w Why) String() string {
 	return [...]string{
-		"it had just begun", "it may have done it", "beside another with more counted against it", "late again", "likely by chance", "lost with its hall or rack",
+		"it had just begun", "it may have done it", "beside another with more counted against it", "may be chance again", "likely chance", "lost with its hall or rack",
 		"lost with other workers", "the worker runs on", "it never began there",
 	}[w]
 }
--- a/internal/node/random_test.go
+++ b/internal/node/random_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -21,6 +22,10 @@
 	// settleWithin is how long every job may take to end once all faults are over: the longest lease, some runs, and
 	// waiting for room.
 	settleWithin = 3 * time.Minute
+	// settleLateWithin is the same where work takes up to lateWork, and tasks crash five workers after up to lateCrash.
+	settleLateWithin = 25 * time.Minute
+	lateWork         = 120 * time.Second
+	lateCrash        = 90 * time.Second
 )
 
 // TestRandomFaults plays drawn scripts of jobs and faults: whatever comes in whatever order, no task runs twice, nothing
@@ -35,8 +40,21 @@
 // started too often after that, its job fails, and no other job does.
 func TestRandomCrashes(t *testing.T) { checkDrawn(t, drawCrashes) }
 
+// TestRandomLateCrashes does the same with work of a minute or two, and tasks that crash their workers up to a minute and a half into it.
+func TestRandomLateCrashes(t *testing.T) { checkParts(t, lateParts, drawLateCrashes) }
+
+const (
+	// drawnParts is in how many parts scripts are drawn, beside each other, and lateParts the same of those that last for many minutes.
+	drawnParts = 8
+	lateParts  = 2
+)
+
 func checkDrawn(t *testing.T, draw func(r *rapid.T, shard int) []string) {
-	for i := range 8 {
+	checkParts(t, drawnParts, draw)
+}
+
+func checkParts(t *testing.T, parts int, draw func(r *rapid.T, shard int) []string) {
+	for i := range parts {
 		t.Run(fmt.Sprint(i), func(t *testing.T) {
 			t.Parallel()
 			rapid.Check(t, func(r *rapid.T) {
@@ -65,7 +83,11 @@
 			return errors.WithMessage(err, line) // A call that fails in a fault is no failure.
 		}
 	}
-	ended, err := w.awaitAll()
+	within := settleWithin
+	if slices.ContainsFunc(lines, func(line string) bool { return strings.HasPrefix(line, "retain") }) {
+		within = settleLateWithin
+	}
+	ended, err := w.awaitAll(within)
 	if err != nil {
 		return err
 	}
@@ -85,9 +107,9 @@
 }
 
 // awaitAll waits until every accepted job has ended. All are asked in turn, as a job is shown for a minute after its end only.
-func (w *world) awaitAll() (map[job.ID]job.State, error) {
+func (w *world) awaitAll(within time.Duration) (map[job.ID]job.State, error) {
 	ended := map[job.ID]job.State{}
-	for end := time.Now().Add(settleWithin); len(ended) < len(w.accepted); time.Sleep(200 * time.Millisecond) {
+	for end := time.Now().Add(within); len(ended) < len(w.accepted); time.Sleep(200 * time.Millisecond) {
 		for id := range w.accepted {
 			if _, known := ended[id]; known {
 				continue
@@ -178,6 +200,48 @@
 	return s.lines
 }
 
+func drawLateCrashes(r *rapid.T, shard int) []string {
+	s := &script{T: r, lines: []string{
+		fmt.Sprintf("retain %s", time.Hour), fmt.Sprintf("boxes %d", drawnBoxes), fmt.Sprintf("workers %d rack 2 halls %d", 2*drawnWorkers, 2*drawnHalls), "heartbeats 1500ms",
+	}, killed: map[string]bool{}, gone: map[string]bool{}}
+	for range shard {
+		_ = rapid.Uint64().Draw(r, "skipped")
+	}
+	s.crashing()
+	for range rapid.IntRange(4, 20).Draw(r, "steps") {
+		switch rapid.IntRange(0, 8).Draw(r, "late") {
+		case 0:
+			s.crashing()
+		case 1:
+			s.add("crash_hall hall-%d", rapid.IntRange(1, 2*drawnHalls).Draw(r, "which"))
+		case 2, 3:
+			s.lateJob(int(lateCrash.Milliseconds()) + 1000) // Longer than any of them runs.
+			s.lines[len(s.lines)-1] += fmt.Sprintf(" crashes %dms", rapid.IntRange(20, int(lateCrash.Milliseconds())).Draw(r, "after"))
+		case 4:
+			s.lateJob(5000)
+		case 5, 6:
+			s.add("sleep %dms", rapid.IntRange(1, int(lateCrash.Milliseconds())).Draw(r, "late ms"))
+		default:
+			s.step()
+		}
+	}
+	s.heal()
+	return s.lines
+}
+
+// lateJob draws a job of long work.
+func (s *script) lateJob(least int) {
+	s.jobs++
+	words := []string{fmt.Sprintf("submit j%d normal %s tasks %d gpu %d work %dms", s.jobs, rapid.SampledFrom([]string{"desk-key", "court-key"}).Draw(s.T, "key"),
+		rapid.IntRange(1, 4).Draw(s.T, "tasks"), rapid.SampledFrom([]int{1, 2, 4, 8}).Draw(s.T, "gpu"), rapid.IntRange(least, int(lateWork.Milliseconds())).Draw(s.T, "work"))}
+	for _, option := range []string{"gang", "saves"} {
+		if rapid.Bool().Draw(s.T, option) {
+			words = append(words, option)
+		}
+	}
+	s.add("%s", strings.Join(words, " "))
+}
+
 // crashing draws how workers crash from now on.
 func (s *script) crashing() {
 	words := rapid.SampledFrom([]string{"", " dark", " elsewhere", " dark elsewhere"}).Draw(s.T, "way")
--- a/internal/scheduler/loss.go
+++ b/internal/scheduler/loss.go
@@ -193,7 +193,7 @@
 
 // giveUp ends a job one of whose tasks crashes the workers that start it: what is left of it is stopped at once.
 func (h *shard) giveUp(j *liveJob, t job.Task, counted job.Losses) {
-	if !j.GiveUp(t, job.CrashesWorkers, counted.Counted, time.Now().UnixMilli()) {
+	if !j.GiveUp(t, job.CrashesWorkers, counted.All, time.Now().UnixMilli()) {
 		return
 	}
 	h.Log.Warn("scheduler: job given up", zap.String("job", string(t.Job)), zap.String("task", t.String()), zap.Stringer("reason", job.CrashesWorkers),
