--- a/internal/decider/pulleyring.go
+++ b/internal/decider/pulleyring.go
@@ -54,7 +54,7 @@
 	return rest
 }
 
-// LossesToGiveUp is the number of attempts that lost a worker just after they had begun, after which a job is given up. Workers are also lost for reasons of
+// LossesToGiveUp is the number of attempts that lost a worker, as far as they count, after which a job is given up. Workers are also lost for reasons of
 // their own, and no loss here tells which it was, so it is the highest number of losses.md.
 const LossesToGiveUp = 5
 
--- a/internal/decider/reason.go
+++ b/internal/decider/reason.go
@@ -20,7 +20,7 @@
 	KeptForOthers Code = "kept_for"       // There is room, but it is kept for another job or claim.
 	NeverFits     Code = "never_fits"     // No rack could hold it when empty.
 	FailsAlways   Code = "fails_always"   // It failed on several healthy workers.
-	LosesWorkers  Code = "loses_workers"  // Workers were lost again and again just after it had begun there.
+	LosesWorkers  Code = "loses_workers"  // Workers were lost again and again while it ran there.
 )
 
 // Reason says why, in a form that `why` shows.
@@ -47,7 +47,7 @@
 		KeptForOthers: "waits because the room there is is kept for another",
 		NeverFits:     "can never run because no rack could hold it",
 		FailsAlways:   "is given up because it failed on several healthy workers",
-		LosesWorkers:  "is given up because workers were lost again and again just after it had begun there",
+		LosesWorkers:  "is given up because workers were lost again and again while it ran there",
 	}[r.Code]
 	if r.Rack != "" {
 		text += fmt.Sprintf("; rack %s", r.Rack)
--- a/internal/decider/view.go
+++ b/internal/decider/view.go
@@ -24,7 +24,7 @@
 	Done            float64  // Seconds of work that its last checkpoint holds.
 	Stops           int      // Times it was stopped to make room.
 	FailedOn        []string // Workers that a member failed on.
-	Losses          int      // Attempts that lost a worker just after they had begun.
+	Losses          int      // Attempts that lost a worker, probably by their own doing.
 }
 
 // Accelerators returns what the whole gang needs.
--- a/internal/hall/keeper.go
+++ b/internal/hall/keeper.go
@@ -57,6 +57,7 @@
 	health    decider.Health
 	estimates decider.Estimates
 	layout    layoutCache
+	losses    workerLosses
 	known     map[string]bool // Jobs whose earlier failures were taken into the health.
 }
 
--- a/internal/hall/settle.go
+++ b/internal/hall/settle.go
@@ -78,8 +78,11 @@
 		return
 	}
 	next.Failures = k.noteFailures(e, sights)
-	if len(next.Failures) == len(e.Failures) && k.lostEarly(e, sights) {
+	if counts, late := k.judgeLoss(e, sights); counts && len(next.Failures) == len(e.Failures) {
 		next.Losses++
+		if late {
+			next.LateLosses++
+		}
 	}
 	if _, err := k.write(ctx, e, next, table.Settle); err == nil {
 		k.note(e.Key(), e.Attempt, "waits again")
--- a/internal/hall/view.go
+++ b/internal/hall/view.go
@@ -38,6 +38,7 @@
 	}
 	index := k.addWorkers(v, orders)
 	v.Layout = k.layoutFor(site, v)
+	k.watchWorkers(now)
 	suspect := k.suspect(now)
 	for _, e := range k.Book.Jobs() {
 		if e.Unsettled {
--- a/internal/loss/background.go
+++ b/internal/loss/background.go
@@ -18,8 +18,9 @@
 // Background is how many workers were lost that ran no suspect task, of how many that were watched, so that it tells how likely any worker is lost without
 // a task's doing. The zero value knows nothing.
 type Background struct {
-	Lost    float64 // Workers lost alone.
-	Watched float64 // Seconds, over all workers.
+	Lost      float64 // Workers lost alone.
+	Watched   float64 // Seconds, over all workers.
+	watchedAt time.Time
 }
 
 // age forgets what is long ago.
@@ -29,9 +30,19 @@
 	b.Watched *= kept
 }
 
-// expected is how many workers are lost, by their own doing, in a time for which one was watched. Where the task in question has lost a worker before, that may be one
+// Watch takes in how many workers live that run no suspect task. It is to be called every second or so.
+func (b *Background) Watch(workers int, now time.Time) {
+	if !b.watchedAt.IsZero() {
+		by := now.Sub(b.watchedAt)
+		b.age(by)
+		b.Watched += float64(workers) * min(by, watchedMost).Seconds()
+	}
+	b.watchedAt = now
+}
+
+// Expected is how many workers are lost, by their own doing, in a time for which one was watched. Where the task in question has lost a worker before, that may be one
 // of those that were counted.
-func (b *Background) expected(watched time.Duration, lostBefore bool) float64 {
+func (b *Background) Expected(watched time.Duration, lostBefore bool) float64 {
 	lost := b.Lost
 	if lostBefore {
 		lost = max(0, lost-1)
@@ -44,18 +55,11 @@
 	if r.Seen <= CountedWithin {
 		return 0
 	}
-	return e.before.expected(r.Seen, r.Before.All > 0)
+	return e.before.Expected(r.Seen, r.Before.All > 0)
 }
 
 // Watch takes in how many workers live that run no suspect task. It is to be called every second or so.
-func (j *Judge) Watch(workers int, now time.Time) {
-	if !j.watchedAt.IsZero() {
-		by := now.Sub(j.watchedAt)
-		j.background.age(by)
-		j.background.Watched += float64(workers) * min(by, watchedMost).Seconds()
-	}
-	j.watchedAt = now
-}
+func (j *Judge) Watch(workers int, now time.Time) { j.background.Watch(workers, now) }
 
 // Background is how often workers are lost without a task's doing, as far as is known.
 func (j *Judge) Background() Background {
--- a/internal/loss/judge.go
+++ b/internal/loss/judge.go
@@ -15,7 +15,6 @@
 
 	background Background // But for the losses that are kept.
 	lostAlone  int        // Of those that are kept: how many are of the background.
-	watchedAt  time.Time
 }
 
 // lostRun is a run by its place in a loss.
--- a/internal/settlement/record.go
+++ b/internal/settlement/record.go
@@ -102,12 +102,13 @@
 	Rack       string             `json:"rack,omitempty"`
 	Seats      []Seat             `json:"seats,omitempty"`
 	Started    time.Time          `json:"started,omitzero"`
-	Done       float64            `json:"done,omitempty"`     // Seconds of work in its checkpoint.
-	Stops      int                `json:"stops,omitempty"`    // Times it was stopped to make room.
-	Moves      int                `json:"moves,omitempty"`    // Times it moved to another hall.
-	Failures   []string           `json:"failures,omitempty"` // Workers that an attempt failed on.
-	Losses     int                `json:"losses,omitempty"`   // Attempts that lost a worker just after they had begun.
-	Ran        bool               `json:"ran,omitempty"`      // A member of an earlier attempt has run.
+	Done       float64            `json:"done,omitempty"`        // Seconds of work in its checkpoint.
+	Stops      int                `json:"stops,omitempty"`       // Times it was stopped to make room.
+	Moves      int                `json:"moves,omitempty"`       // Times it moved to another hall.
+	Failures   []string           `json:"failures,omitempty"`    // Workers that an attempt failed on.
+	Losses     int                `json:"losses,omitempty"`      // Attempts that lost a worker, probably by their own doing.
+	LateLosses int                `json:"late_losses,omitempty"` // Of those: attempts that had run for a while.
+	Ran        bool               `json:"ran,omitempty"`         // A member of an earlier attempt has run.
 	Halt       *Halt              `json:"halt,omitempty"`
 	// Unsettled says that its caller was told that nobody can find out whether it ran. The row stays for an end that a worker may list yet.
 	Unsettled bool `json:"unsettled,omitempty"`
