Count a start after three lost workers whatever becomes of it

What callers saw: a job whose task crashes its workers was started three times more after the third crash (BUDGET), where two of these starts ended otherwise: with its hall, and with another member's worker. Cause: the users count starts after the third crash; the scheduler counted workers lost. A start that was stopped, that ended with another member of its gang, that failed, or whose worker left or turned out to run on, was free. Change: once three workers are lost under a task, of which two count, such an end counts among all (of which five give it up). Why it holds: every start of such a task ends in one of these ways or in a loss, and each is committed with the end, before the next start. An order that surely never began is none. Cost: a sound task that lost three workers, two of which count, is given up with two more starts that don't end well; such a task may be given up by the users' page.

--- a/internal/job/losses.go
+++ b/internal/job/losses.go
@@ -5,7 +5,7 @@
 // Losses counts the workers that were lost under a task's runs without having said that they would leave.
 type Losses struct {
 	_       struct{} `cbor:",toarray"`
-	All     int      // All of them.
+	All     int      // All of them, and from the third one on also the starts that ended otherwise.
 	Counted int      // Those that may be the task's doing.
 	AtOnce  int      // Of these, those that were lost as soon as the task had begun there, and not with others.
 }
--- a/internal/loss/judge.go
+++ b/internal/loss/judge.go
@@ -249,6 +249,8 @@
 func (j *Judge) weight(e *event, i int) (job.Losses, Why) {
 	r := &e.Runs[i]
 	switch {
+	case e.refuted && StartsCount(r.Before):
+		return job.Losses{All: 1}, RunsOn
 	case e.refuted:
 		return job.Losses{}, RunsOn
 	case e.spared[i]:
--- a/internal/loss/loss.go
+++ b/internal/loss/loss.go
@@ -23,7 +23,7 @@
 	// AloneAfter is how many counted losses have a task run alone from then on: the next loss tells then whether it or its neighbours are to blame,
 	// and takes nothing else with it.
 	AloneAfter = 2
-	// MostStarts is how many workers may be lost under a task, for whatever reason, once leastCounted of them count against it.
+	// MostStarts is how many workers may be lost under a task, for whatever reason, once leastCounted of them count against it, with the starts that count beside them.
 	MostStarts   = 5
 	leastCounted = 2
 	// ChanceMost is how many workers may be expected to be lost by themselves in the time that a run went on for its loss to count. A task may crash its workers however
@@ -102,7 +102,7 @@
 	ByChance               // It does not: a worker may well be lost by itself in the time that the task had run.
 	WithGroup              // It does not: most of the hall or rack was lost.
 	WithOthers             // It does not: other workers were lost at the same time.
-	RunsOn                 // It does not: the worker runs on.
+	RunsOn                 // It does not: the worker runs on. The start counts where starts do.
 	NeverBegan             // It does not: the run never began there.
 )
 
@@ -135,6 +135,13 @@
 	return Held
 }
 
+// startsCount is how many workers lost under a task, of which leastCounted count, make each further start of it count, whatever becomes of that: the users count starts
+// after the third crash, and a run may also end by a stop, or with another member of its gang.
+const startsCount = 3
+
+// StartsCount reports whether a task's further starts count like lost workers.
+func StartsCount(l job.Losses) bool { return l.All >= startsCount && l.Counted >= leastCounted }
+
 func over(l job.Losses) bool {
 	return l.AtOnce >= MostAtOnce || l.Counted >= MostCounted || l.All >= MostStarts && l.Counted >= leastCounted
 }
--- a/internal/scheduler/loss.go
+++ b/internal/scheduler/loss.go
@@ -75,8 +75,13 @@
 		h.endRun(w, r, job.Lapsed, "")
 		h.oweStop(w, r)
 	}
-	if w.Draining {
-		return // It had said so: that is no task's doing.
+	if w.Draining { // It had said so: that is no task's doing.
+		for _, r := range lost.Runs {
+			if j := h.jobs[r.Task.Job]; j != nil {
+				h.countStart(j, r.Task)
+			}
+		}
+		return
 	}
 	h.keepApart(lost.Runs)
 	h.charge(h.losses.Lost(lost, time.Now()))
@@ -181,6 +186,17 @@
 	}
 }
 
+// countStart counts a start that ended otherwise than with its worker, where starts count.
+func (h *shard) countStart(j *liveJob, t job.Task) {
+	if j.Progress.State.Final() || !loss.StartsCount(j.LossesOf(t)) || !j.Charge(t, job.Losses{All: 1}) {
+		return
+	}
+	h.touch(t.Job)
+	counted := j.LossesOf(t)
+	h.Log.Info("scheduler: a start counts like a lost worker", zap.String("task", t.String()), zap.Int("all", counted.All), zap.Int("counted", counted.Counted))
+	h.judge(j, t)
+}
+
 // judge returns what follows for a task from the workers that were lost under it, and gives its job up where that is to be.
 func (h *shard) judge(j *liveJob, t job.Task) loss.Verdict {
 	counted := j.LossesOf(t)
@@ -193,7 +209,7 @@
 
 // giveUp ends a job one of whose tasks crashes the workers that start it: what is left of it is stopped at once.
 func (h *shard) giveUp(j *liveJob, t job.Task, counted job.Losses) {
-	if !j.GiveUp(t, job.CrashesWorkers, counted.All, time.Now().UnixMilli()) {
+	if !j.GiveUp(t, job.CrashesWorkers, counted.Counted, time.Now().UnixMilli()) {
 		return
 	}
 	h.Log.Warn("scheduler: job given up", zap.String("job", string(t.Job)), zap.String("task", t.String()), zap.Stringer("reason", job.CrashesWorkers),
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -232,6 +232,9 @@
 	if j.Progress.State != before && j.Progress.State.Final() {
 		h.jobEnded(j)
 	}
+	if outcome != job.Succeeded && outcome != job.Lapsed && outcome != job.NeverRan {
+		h.countStart(j, r.task)
+	}
 }
 
 // logEnd logs a run that did not end well.
