Let guaranteed work begin on the worker of a suspect task, and other work once that has gone on for long

What callers saw: a guaranteed job did not begin where the only room was on the worker of a task under which two workers had been lost, as long as that ran (5 s in stopped_between, for good in guaranteed.txt). Cause: a suspect task keeps all other work off its worker until it ends, so that the next loss tells which did it; it was no suitable worker, so that nothing was stopped for the guarantee either. Since late losses count, such tasks are ones that run for hours. Change: guaranteed work whose time to begin runs out (what mustBegin says) passes over the suspicion; a run that was heard of for 30 s keeps nothing out any more. Why it holds: the guarantee is the first promise, and a suspect task beside it costs a worker at most; after 30 s the suspect one has more counted against it than what comes beside it, so that the blame stays there.

--- a/internal/placement/layout.go
+++ b/internal/placement/layout.go
@@ -68,7 +68,11 @@
 // isSuspected reports whether a demand is not to start on a worker because one of two jobs may be about to crash it, so that less is lost
 // with it, and it is known which one did. A sound job that was lost beside one that crashes workers began anew beside it each time
 // otherwise, and was given up with it; and one that crashes workers went unnoticed beside another one for six starts.
+// Guaranteed work begins there all the same before its time runs out, and has the suspect work stopped for it.
 func (b *board) isSuspected(d *Demand, k int) bool {
+	if b.mustBegin(d) {
+		return false
+	}
 	other := func(id job.ID) bool { return id != "" && id != d.Job }
 	return other(b.suspects[k]) || d.Suspect && other(b.begun[k]) || b.wantsAlone(d) && (other(b.begun[k]) || b.isShared(d, k))
 }
--- a/internal/scheduler/loss.go
+++ b/internal/scheduler/loss.go
@@ -293,10 +293,11 @@
 	return len(j.Progress.Losses) > 0 && h.losses.Weigh(t, j.LossesOf(t), time.Now()) != loss.Free
 }
 
-// suspect is the job of a run on a worker that may be about to crash it, empty for none.
+// suspect is the job of a run on a worker that may be about to crash it, empty for none. One that has gone on for long keeps no other work out: it would keep a
+// worker to itself for hours, and by then it has more counted against it than what begins beside it.
 func (w *workerState) suspect() job.ID {
 	for t, r := range w.runs {
-		if len(r.job.Progress.Losses) == 0 {
+		if len(r.job.Progress.Losses) == 0 || w.seen(r) > loss.CountedWithin {
 			continue
 		}
 		if lost := r.job.LossesOf(t); lost.AtOnce > 0 || lost.Counted >= loss.AloneAfter {
