--- a/internal/node/commands_test.go
+++ b/internal/node/commands_test.go
@@ -170,6 +170,10 @@
 		name = w.holder()
 	}
 	if words[0] == "start" {
+		if name == "killed" {
+			w.startKilled()
+			return nil
+		}
 		w.startBox(name)
 		return nil
 	}
@@ -194,6 +198,22 @@
 	return nil
 }
 
+// startKilled starts the boxes that were killed, and no other ones.
+func (w *world) startKilled() {
+	var killed []string
+	w.mu.Lock()
+	for name, b := range w.boxes {
+		if b.killed.Err() != nil {
+			killed = append(killed, name)
+		}
+	}
+	w.mu.Unlock()
+	slices.Sort(killed)
+	for _, name := range killed {
+		w.startBox(name)
+	}
+}
+
 // loseHall kills every box of a hall.
 func (w *world) loseHall(hall string) error {
 	for _, name := range slices.Clone(w.order) {
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -34,7 +34,7 @@
 //	                                   crashes DURATION (the first task crashes its worker after that)
 //	many N PREFIX WORDS                submit so many, named PREFIX0, PREFIX1, ...
 //	sleep DURATION
-//	kill|start|stop|freeze BOX [D]     of a box
+//	kill|start|stop|freeze BOX [D]     of a box; "start killed" starts those that were killed, and no second process of one that lives
 //	crash|end|cut|heal|fail|well|spoil|unspoil|stick|unstick|refuse|take|forget|record WORKER
 //	                                   "all" stands for every worker, there and in the lines on workers that follow
 //	name NAME ID [INDEX]               NAME is the worker that runs a job's first task now, or the one of an index
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -57,10 +57,11 @@
 
 // testBox is a box with the means to end it.
 type testBox struct {
-	node *Node
-	gate *emulator.Gate
-	plan context.CancelFunc // Ends it as planned.
-	kill context.CancelFunc
+	node   *Node
+	gate   *emulator.Gate
+	plan   context.CancelFunc // Ends it as planned.
+	kill   context.CancelFunc
+	killed context.Context // Over once it was killed.
 }
 
 // operator is what tests want of the system. It is written to the store, and read from there over a box's path.
@@ -153,7 +154,7 @@
 	if !slices.Contains(w.order, name) {
 		w.order = append(w.order, name)
 	}
-	w.boxes[name] = &testBox{n, gate, plan, kill}
+	w.boxes[name] = &testBox{n, gate, plan, kill, killed}
 	w.group.Go(func() { n.Work(planned, killed) })
 }
 
