--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -105,6 +105,16 @@
 	h.stop(w, r, "nobody placed it here")
 }
 
+// stray counts the runs of a task that are found to go on though they are not followed.
+func (j *liveJob) stray(t job.Task, change int) {
+	if j.strays == nil {
+		j.strays = map[job.Task]int{}
+	}
+	if j.strays[t] += change; j.strays[t] <= 0 {
+		delete(j.strays, t)
+	}
+}
+
 func (h *shard) jobTask(t job.Task) (job.TaskProgress, bool) {
 	j := h.jobs[t.Job]
 	if j == nil {
