Let an earlier start of a box give way to a later one

What callers saw: jobs that never ended, where two processes of one box lived (a name in two settings files; a box started elsewhere while the first is cut off, frozen or suspended). Cause: a box that read its own name in the lease took the start before it for dead and claimed at once, so that both took it from each other every 60 to 300 ms. Change: the store numbers the starts of a name (one conditional write as a box starts). The later start claims at once, as before; the earlier one, once it learns of it from the lease or the row, stops claiming, says so once, counts it, is not ready and ends as at a planned end, with an error that names the other. Why it holds: numbers only rise, whatever clocks do, and a start with a lower one never claims a lease that a higher one holds.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"time"
 
@@ -24,12 +23,25 @@
 	leaseTimeout = 700 * time.Millisecond
 )
 
-// schedule takes the lease whenever nobody renews it, and schedules for as long as it is held.
+// schedule takes the lease whenever nobody renews it, and schedules for as long as it is held. It ends once a later start of the box has come.
 func (n *Node) schedule(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if !n.register(ctx) {
+		return
+	}
+	go func() {
+		select {
+		case <-n.outranked:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	released := make(chan struct{}, 1)
 	var group sync.WaitGroup
 	defer group.Wait()
 	group.Go(func() { n.releaseFeed().watch(ctx, 0, released) })
+	group.Go(func() { n.watchStarts(ctx) })
 	var seen ledger.Lease
 	var since time.Time
 	for ctx.Err() == nil {
@@ -45,6 +57,11 @@
 		if lease.Version != seen.Version || since.IsZero() {
 			seen, since = lease, time.Now()
 		}
+		if number, own := startNumber(n.settings.Load().Box, lease.Holder); own && number > n.start.Number {
+			n.checkStart(ctx)
+			interval.Sleep(ctx, retryPause)
+			continue
+		}
 		patience, pause := n.claimWait(), leasePoll
 		switch {
 		case n.isFree(lease):
@@ -64,14 +81,10 @@
 	}
 }
 
-// isFree reports whether nobody can be using a lease: it was given back, or this process replaces its holder.
+// isFree reports whether nobody can be using a lease: it was given back, or an earlier start of this box holds it.
 func (n *Node) isFree(lease ledger.Lease) bool {
-	return lease.Holder == "" || n.wasOwn(lease.Holder)
-}
-
-// wasOwn reports whether a holder of the lease was this box: this process, or one before it that is gone.
-func (n *Node) wasOwn(holder string) bool {
-	return strings.HasPrefix(holder, n.settings.Load().Box+"/")
+	_, own := startNumber(n.settings.Load().Box, lease.Holder)
+	return lease.Holder == "" || own
 }
 
 func (n *Node) readLease(ctx context.Context) (ledger.Lease, error) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,7 +57,8 @@
 	settings atomic.Pointer[Settings]
 	platform Platform
 	ledger   *ledger.Ledger
-	holder   string // The box with this start of it.
+	holder   string       // The box with this start of it, once that is registered.
+	start    ledger.Start // Its number is 0 until then.
 	log      *zap.Logger
 	config   atomic.Pointer[queue.Configuration]
 	halls    atomic.Pointer[knownHalls]
@@ -65,6 +66,10 @@
 	store    *relay.Watched // The store over any path.
 	configs  Configurations
 	stopping atomic.Bool
+
+	outranked     chan struct{} // Closed once a later start of this box has come.
+	outrankedOnce sync.Once
+	later         ledger.Start // That one.
 	// scheduler is set while the box schedules.
 	scheduler atomic.Pointer[scheduler.Scheduler]
 }
@@ -74,7 +79,7 @@
 	if p.Slept == nil {
 		p.Slept = awake.Slept
 	}
-	n := &Node{platform: p, log: log}
+	n := &Node{platform: p, log: log, outranked: make(chan struct{}), start: ledger.Start{Name: xid.New().String()}}
 	n.relay = &relay.Store{
 		Direct:  relay.Watched{Store: p.Store, Path: relay.PathDirect, Log: log, Figures: &n.Figures},
 		Network: p.Network, Book: relay.Book{Box: s.Box, Hall: s.Hall, Address: s.Relay, Takeover: s.Means.takeover()}, Log: log, Figures: &n.Figures,
@@ -82,7 +87,6 @@
 	n.store = &relay.Watched{Store: n.relay, Path: relay.PathAny, Log: log, Figures: &n.Figures}
 	n.ledger = &ledger.Ledger{Store: n.store, Shard: Shard}
 	n.configs = p.Configurations(n.store)
-	n.holder = s.Box + "/" + xid.New().String()
 	n.settings.Store(s)
 	n.Entry = &entry.Entry{Ledger: n.ledger, Configuration: n.Configuration, Healthy: n.store.Healthy, Out: n.store.Out, Closed: n.closed, Log: log, Figures: &n.Figures}
 	return n
@@ -120,11 +124,11 @@
 	headerTimeout = 5 * time.Second
 )
 
-// Run serves until ctx ends, and then stops as planned: new connections go elsewhere, the lease is given back, what is in
+// Run serves until ctx ends, or a later start of the box has come (ErrOutranked), and then stops as planned: new connections go elsewhere, the lease is given back, what is in
 // flight is answered.
 func (n *Node) Run(ctx context.Context) error {
 	s := n.settings.Load()
-	n.log.Info("node: start", zap.String("box", s.Box), zap.String("hall", s.Hall), zap.String("holder", n.holder))
+	n.log.Info("node: start", zap.String("box", s.Box), zap.String("hall", s.Hall), zap.String("start", n.start.Name))
 	front, err := serve(s.Front, n.platform.Front(n), n.log)
 	if err != nil {
 		return err
@@ -138,7 +142,12 @@
 	var group sync.WaitGroup
 	inner, cancel := context.WithCancel(context.Background())
 	group.Go(func() { n.Work(ctx, inner) })
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+		err = nil
+	case <-n.outranked:
+		err = n.outrankedError()
+	}
 	n.stopping.Store(true)
 	n.log.Info("node: stopping")
 	n.drain(front, s)
@@ -146,7 +155,7 @@
 	group.Wait()
 	_ = ready.Close() // The process ends.
 	n.log.Info("node: stopped")
-	return nil
+	return err
 }
 
 // Work does all but serving: it follows the configuration until ctx ends, and schedules until planned ends, at which it
--- a/internal/node/random_test.go
+++ b/internal/node/random_test.go
@@ -43,10 +43,15 @@
 // TestRandomLateCrashes does the same with work of a minute or two, and tasks that crash their workers up to a minute and a half into it.
 func TestRandomLateCrashes(t *testing.T) { checkParts(t, lateParts, drawLateCrashes) }
 
+// TestRandomSecondStarts does the same while boxes that live are started a second time.
+func TestRandomSecondStarts(t *testing.T) { checkParts(t, secondParts, drawSecondStarts) }
+
 const (
-	// drawnParts is in how many parts scripts are drawn, beside each other, and lateParts the same of those that last for many minutes.
-	drawnParts = 8
-	lateParts  = 2
+	// drawnParts is in how many parts scripts are drawn, beside each other, and lateParts the same of those that last for many minutes,
+	// secondParts of those with second starts.
+	drawnParts  = 8
+	lateParts   = 2
+	secondParts = 2
 )
 
 func checkDrawn(t *testing.T, draw func(r *rapid.T, shard int) []string) {
@@ -148,6 +153,22 @@
 	return s.lines
 }
 
+func drawSecondStarts(r *rapid.T, shard int) []string {
+	s := &script{T: r, lines: []string{fmt.Sprintf("boxes %d", drawnBoxes), fmt.Sprintf("workers %d rack 4", drawnWorkers)}, killed: map[string]bool{}, gone: map[string]bool{}}
+	for range shard {
+		_ = rapid.Uint64().Draw(r, "skipped")
+	}
+	for range rapid.IntRange(4, 16).Draw(r, "steps") {
+		if rapid.IntRange(0, 2).Draw(r, "second") == 0 {
+			s.add("start %s", s.box())
+			continue
+		}
+		s.step()
+	}
+	s.heal()
+	return s.lines
+}
+
 // drawnHalls is the number of halls of a drawn site in which halls are emptied.
 const drawnHalls = 2
 
