Second starts of a box: read from what boxes announce, told by check and why, played with real processes

An earlier start that doesn't schedule learned of a later one from a read of its own every 30 s; now from what its name announces to the other boxes, which it reads anyway every 20 s (no call more). 'pulleyring check' finds one box in two settings files, 'pulleyring why' tells of a start at another address.

--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -10,6 +10,7 @@
 	"github.com/pulleyring/pulleyring/internal/settings"
 	"github.com/pulleyring/pulleyring/internal/site"
 	"github.com/pulleyring/pulleyring/pkg/finding"
+	"github.com/pulleyring/pulleyring/platform"
 )
 
 func runCheck(e *env, args []string) int {
@@ -21,8 +22,9 @@
 		return e.usageError("check", "name at least one file")
 	}
 	code := exitGood
+	names := boxNames{}
 	for _, name := range set.Args() {
-		if err := checkFile(name); err != nil {
+		if err := names.checkFile(name); err != nil {
 			printFindings(e, name, err)
 			code = exitUsage
 		}
@@ -30,6 +32,18 @@
 	return code
 }
 
+// boxNames is the files of settings that were checked, by the name of their box.
+type boxNames map[string]string
+
+// take notes the settings of a box; two files with one name are a mistake, as the earlier of two starts of a box ends.
+func (b boxNames) take(box, file string) error {
+	if other := b[box]; other != "" && other != file {
+		return errors.Errorf("box %s has these settings in %s too; of two starts of a box the earlier one ends", box, other)
+	}
+	b[box] = file
+	return nil
+}
+
 // printFindings prints each finding on a line of its own.
 func printFindings(e *env, name string, err error) {
 	var list finding.List
@@ -42,8 +56,8 @@
 	}
 }
 
-// checkFile checks a file by what its sections say it is: settings of a box, of the stand-ins, or a site.
-func checkFile(name string) error {
+// checkFile checks a file by what its sections say it is: settings of a box, of the stand-ins, or a site; one without sections is a box's settings on the platform.
+func (b boxNames) checkFile(name string) error {
 	raw, err := os.ReadFile(name)
 	if err != nil {
 		return err
@@ -56,12 +70,22 @@
 		kinds[s.Kind] = true
 	}
 	switch {
+	case len(kinds) == 0 && platform.IsSettings(raw):
+		s, err := platform.ParseSettings(name, raw)
+		if err != nil {
+			return err
+		}
+		return b.take(s.Box, name)
 	case kinds["site"] || kinds["rack"] || kinds["workspace"]:
 		_, _, err = loadSite(name)
 	case kinds["standin"]:
 		_, err = parseStandin(name, raw)
 	default:
-		_, err = settings.Parse(name, raw)
+		s, err := settings.Parse(name, raw)
+		if err != nil {
+			return err
+		}
+		return b.take(s.Name, name)
 	}
 	return err
 }
--- a/internal/cli/why.go
+++ b/internal/cli/why.go
@@ -62,8 +62,8 @@
 		fmt.Fprintf(w, "step %d: %d tasks wait, %d are placed, %d are finished; %d runs failed, %d workers were lost under it, %d count against it\n",
 			i, s.Waiting, s.Placed, s.Finished, s.Failures, s.Lost, s.Counted)
 	}
-	for _, wait := range report.Waits {
-		fmt.Fprintln(w, wait)
+	for _, line := range append(report.Waits, report.Notes...) {
+		fmt.Fprintln(w, line)
 	}
 	if !report.Scheduler && report.State != "completed" && report.State != "failed" && report.State != "cancelled" {
 		fmt.Fprintln(w, "the box that schedules did not answer: what is waited for is not known")
--- a/internal/cli/why_test.go
+++ b/internal/cli/why_test.go
@@ -13,6 +13,7 @@
 	const (
 		failed  = `{"job":"j","state":"failed","reason":"task 0 of step 0 was given up: 3 workers crashed while it ran there","steps":[{"waiting":1,"lost":3,"counted":3}]}`
 		waiting = `{"job":"j","state":"queued","steps":[{"waiting":4}],"scheduler":true,"waits":["step 0 waits for room for 4 tasks since 3s: 9 workers are suitable, there is room for 1 now"]}`
+		noted   = `{"job":"j","state":"completed","steps":[],"notes":["box b is at x; its start before was at y: the name may be used twice"]}`
 		unsure  = `{"job":"j","state":"queued","steps":[{"waiting":4}]}`
 	)
 	tests := []struct {
@@ -23,6 +24,7 @@
 	}{
 		{"failed", []string{failed}, []string{"job j is failed", "because task 0 of step 0 was given up", "3 workers were lost under it, 3 count against it"}, exitGood},
 		{"the scheduler's word", []string{unsure, waiting}, []string{"job j is queued", "step 0 waits for room for 4 tasks"}, exitGood},
+		{"a name used twice", []string{noted}, []string{"job j is completed", "box b is at x; its start before was at y"}, exitGood},
 		{"no scheduler", []string{unsure, ""}, []string{"the box that schedules did not answer"}, exitGood},
 		{"unknown", []string{"", ""}, []string{"no box knows job j"}, exitBad},
 		{"broken", []string{"{"}, []string{"unable to decode"}, exitBad},
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -41,7 +41,6 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	group.Go(func() { n.releaseFeed().watch(ctx, 0, released) })
-	group.Go(func() { n.watchStarts(ctx) })
 	var seen ledger.Lease
 	var since time.Time
 	for ctx.Err() == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,6 +59,7 @@
 	ledger   *ledger.Ledger
 	holder   string       // The box with this start of it, once that is registered.
 	start    ledger.Start // Its number is 0 until then.
+	number   atomic.Int64 // The same number, for those that don't wait for it.
 	log      *zap.Logger
 	config   atomic.Pointer[queue.Configuration]
 	halls    atomic.Pointer[knownHalls]
@@ -70,6 +71,8 @@
 	outranked     chan struct{} // Closed once a later start of this box has come.
 	outrankedOnce sync.Once
 	later         ledger.Start // That one.
+	// elsewhere is set where the start before this one was at another address.
+	elsewhere atomic.Pointer[string]
 	// scheduler is set while the box schedules.
 	scheduler atomic.Pointer[scheduler.Scheduler]
 }
@@ -84,6 +87,7 @@
 		Direct:  relay.Watched{Store: p.Store, Path: relay.PathDirect, Log: log, Figures: &n.Figures},
 		Network: p.Network, Book: relay.Book{Box: s.Box, Hall: s.Hall, Address: s.Relay, Takeover: s.Means.takeover()}, Log: log, Figures: &n.Figures,
 	}
+	n.relay.Book.Twin = n.noteTwin
 	n.store = &relay.Watched{Store: n.relay, Path: relay.PathAny, Log: log, Figures: &n.Figures}
 	n.ledger = &ledger.Ledger{Store: n.store, Shard: Shard}
 	n.configs = p.Configurations(n.store)
--- a/internal/node/starts.go
+++ b/internal/node/starts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strconv"
 	"strings"
 	"time"
@@ -16,12 +17,8 @@
 // ErrOutranked says that a later start of the same box has come, so that this one ends.
 var ErrOutranked = errors.New("node: a later start of this box has come")
 
-const (
-	// startsEvery is how often a box looks whether a later start of its name has come, where nothing else tells.
-	startsEvery = 30 * time.Second
-	// startTimeout bounds one call about starts; the store at its slowest answers after about 400 ms.
-	startTimeout = 1500 * time.Millisecond
-)
+// startTimeout bounds one call about starts; the store at its slowest answers after about 400 ms.
+const startTimeout = 1500 * time.Millisecond
 
 // holderName names a start as the holder of the lease.
 func holderName(box string, s ledger.Start) string {
@@ -58,10 +55,13 @@
 			continue
 		}
 		n.start = own
+		n.number.Store(own.Number)
 		n.holder = holderName(s.Box, own)
 		n.log.Info("node: start registered", zap.String("holder", n.holder), zap.Int64("number", own.Number), zap.String("before", before.Name))
 		if before.Address != own.Address && before.Name != "" {
 			n.Figures.Count("starts_elsewhere")
+			note := fmt.Sprintf("box %s is at %s; its start before was at %s: the name may be used twice", s.Box, own.Address, before.Address)
+			n.elsewhere.Store(&note)
 			n.log.Warn("node: the start before this one was at another address; if both live, the name is used twice", zap.String("box", s.Box),
 				zap.String("address", own.Address), zap.String("before", before.Address))
 		}
@@ -70,15 +70,18 @@
 	return false
 }
 
-// watchStarts looks whether a later start has come until ctx ends.
-func (n *Node) watchStarts(ctx context.Context) {
-	for interval.Sleep(ctx, startsEvery) {
-		n.checkStart(ctx)
-	}
+// noteTwin takes in that a box of the same name has announced another address.
+func (n *Node) noteTwin(address string) {
+	n.log.Warn("node: a box of this name has announced another address", zap.String("box", n.settings.Load().Box), zap.String("address", address))
+	n.checkStart(context.Background())
 }
 
 // checkStart gives way where a later start of the box is registered.
 func (n *Node) checkStart(ctx context.Context) {
+	number := n.number.Load()
+	if number == 0 {
+		return // It is not registered itself yet.
+	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	newest, err := n.ledger.NewestStart(ctx, n.settings.Load().Box)
@@ -86,7 +89,7 @@
 		n.log.Warn("node: unable to read the starts of this box", logsink.Error(err))
 		return
 	}
-	if newest.Number > n.start.Number {
+	if newest.Number > number {
 		n.giveWay(newest)
 	}
 }
--- a/internal/node/why.go
+++ b/internal/node/why.go
@@ -25,6 +25,7 @@
 	Steps     []StepReport `json:"steps"`
 	Scheduler bool         `json:"scheduler"`       // The box that answers schedules, so that it can tell what is waited for.
 	Waits     []string     `json:"waits,omitempty"` // What tasks wait for.
+	Notes     []string     `json:"notes,omitempty"` // What else an operator should know of the box that answers.
 }
 
 // StepReport counts the tasks of one step of a job, over all its times.
@@ -52,6 +53,9 @@
 	}
 	life := job.NewLife(r, p)
 	report := &WhyReport{Job: string(id), State: life.Progress.State.String(), Reason: life.Progress.Failure.Text(), Steps: stepReports(life)}
+	if note := n.elsewhere.Load(); note != nil {
+		report.Notes = append(report.Notes, *note)
+	}
 	if s := n.scheduler.Load(); s != nil {
 		report.Waits, report.Scheduler = s.Why(id)
 	}
--- a/internal/relay/book.go
+++ b/internal/relay/book.go
@@ -21,10 +21,11 @@
 // Book is the addresses of the site's boxes. Each box keeps a row with its own in the store and reads those of the others.
 // Fill in the exported fields before use.
 type Book struct {
-	Box      string        // Name of this box.
-	Hall     string        // Where it is.
-	Address  string        // IP:port where it passes on calls; empty for a box that does not.
-	Takeover time.Duration // How long a take-over as scheduler would take it; the boxes are ranked by that.
+	Box      string               // Name of this box.
+	Hall     string               // Where it is.
+	Address  string               // IP:port where it passes on calls; empty for a box that does not.
+	Takeover time.Duration        // How long a take-over as scheduler would take it; the boxes are ranked by that.
+	Twin     func(address string) // Told where a box of the same name is, once its row is found in place of this one's; nil for nobody.
 
 	mu    sync.Mutex
 	peers []*peer
@@ -115,6 +116,9 @@
 		a := decodeAnnouncement(row)
 		switch {
 		case row.Name == b.Box:
+			if b.Address != "" && a.address != b.Address && b.Twin != nil {
+				b.Twin(a.address)
+			}
 		case time.Since(a.written) > forgetAfter:
 			old.Conditions = append(old.Conditions, store.Condition{Key: row.Key, Version: row.Version})
 			old.Deletes = append(old.Deletes, row.Key)
--- a/internal/rig/judge.go
+++ b/internal/rig/judge.go
@@ -24,7 +24,7 @@
 	States                    []string       // States that were not so.
 	Cancels                   []string       // Tasks of cancelled jobs that were started or ran on.
 	Cuts                      []string       // Calls that a planned end of a box broke off.
-	Exits                     []string       // Boxes that ended by themselves.
+	Exits                     []string       // Boxes that ended by themselves, or did not where they should.
 	Config                    []string       // Keys that were taken or refused against the configuration in force.
 }
 
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -57,13 +57,16 @@
 	troubles  troubles
 	exits     []string // Boxes that ended by themselves.
 
-	mu      sync.Mutex
-	lines   []Line
-	holder  string // The box that took over last.
-	jobs    []*handedIn
-	calls   []call
-	probes  []probe
-	version int // Of the configuration.
+	mu     sync.Mutex
+	lines  []Line
+	holder string // The box that took over last.
+	jobs   []*handedIn
+	calls  []call
+	probes []probe
+	twins  int // Second processes of boxes.
+
+	outranked []*process // Boxes beside which a second process was started.
+	version   int        // Of the configuration.
 }
 
 // boxAt is a box and where it is found.
@@ -198,17 +201,34 @@
 	if err != nil {
 		return err
 	}
+	return p.placeBox(name, before.address, name+".conf")
+}
+
+// beginTwin starts a second process of a box, at other addresses; the one before is to end by itself.
+func (p *play) beginTwin(first *process) error {
+	path := p.processes[first.name+".store"]
+	if path == nil {
+		return errors.Errorf("there is no box %q", first.name)
+	}
+	first.asked = true
+	p.twins++
+	p.outranked = append(p.outranked, first)
+	return p.placeBox(first.name, path.address, fmt.Sprintf("%s-%d.conf", first.name, p.twins+1))
+}
+
+// placeBox starts a box that reaches the store at an address, with settings of its own.
+func (p *play) placeBox(name, store, settings string) (err error) {
 	var ports [3]int
 	for k := range ports {
 		if ports[k], err = p.ports.free(); err != nil {
 			return err
 		}
 	}
-	b := standin.Box{Name: name, Front: loopback(ports[0]), Ready: loopback(ports[1]), Relay: ports[2], Store: before.address, MaxLease: p.Lease}
+	b := standin.Box{Name: name, Front: loopback(ports[0]), Ready: loopback(ports[1]), Relay: ports[2], Store: store, MaxLease: p.Lease}
 	if p.Alone != 0 {
 		b.Relay = 0
 	}
-	file := filepath.Join(p.Dir, name+".conf")
+	file := filepath.Join(p.Dir, settings)
 	p.boxes = append(p.boxes, &boxAt{name: name, front: b.Front, ready: b.Ready, file: file, settings: b})
 	if err := os.WriteFile(file, b.Settings(), 0o600); err != nil {
 		return errors.Wrap(err, "rig: unable to write settings")
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -36,6 +36,10 @@
 	}
 }
 
+// TestTwin plays a box that is started a second time beside itself, at other addresses. Both took the lease from each other for ever, and jobs never ended
+// ("lease claimed" every 60 to 300 ms). The later one schedules, the earlier one ends by itself, and what clients were told holds.
+func TestTwin(t *testing.T) { play(t, "box_twice") }
+
 // TestGivenUp plays a worker that is killed and comes back as another life, each time half a second or less after it has begun the only task
 // there is. In a drawn play of the soak a sound job was shown as failed that way: three workers were killed under one of its tasks, a second after it had
 // begun there, though no run of it had failed ("job given up", "reason":"crashes_workers", "workers_lost":4, "counted":3, "at_once":3). Such a task can't be
--- a/internal/rig/steps.go
+++ b/internal/rig/steps.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -33,9 +34,25 @@
 		interval.Sleep(ctx, pollEvery)
 	}
 	p.noteExits()
+	p.noteOutranked(ctx)
 	return errors.Wrap(ctx.Err(), "rig: interrupted")
 }
 
+// learnsWithin is how long a box takes to learn of a second process of it that does not schedule: it reads what the boxes announce every 20 s.
+const learnsWithin = 22 * time.Second
+
+// noteOutranked notes which boxes go on for longer than a planned end takes once they must know that a second process of them was started.
+func (p *play) noteOutranked(ctx context.Context) {
+	for end := time.Now().Add(learnsWithin + grace + graceSlack); time.Now().Before(end) && slices.ContainsFunc(p.outranked, func(pr *process) bool { return !pr.hasEnded() }); {
+		interval.Sleep(ctx, pollEvery)
+	}
+	for _, pr := range p.outranked {
+		if !pr.hasEnded() {
+			p.exits = append(p.exits, pr.name+" goes on beside a later start of it")
+		}
+	}
+}
+
 // awaitLoaded waits until a worker has runs, if a step names the one with the most, and returns how much later the steps come for that:
 // on a busy machine a job's tasks begin late.
 func (p *play) awaitLoaded(ctx context.Context, s *Step) time.Duration {
@@ -91,6 +108,8 @@
 	switch s.Verb {
 	case "restart":
 		return p.restartBox(s.Target)
+	case "twin":
+		return p.beginTwin(pr)
 	case "return":
 		return p.returnWorker(ctx, s.Target)
 	case "reload":
--- a/internal/rig/trouble.go
+++ b/internal/rig/trouble.go
@@ -36,7 +36,7 @@
 var heals = []string{"pass", "continue", "beat", "up", "restart", "return"}
 
 // harmless are the verbs after which nothing is wrong.
-var harmless = []string{"reload", "forget"}
+var harmless = []string{"reload", "forget", "twin"}
 
 // leaving are the verbs of a worker that leaves as planned.
 var leaving = []string{"drain", "leave", "leave_after_end"}
