--- a/internal/loss/background.go
+++ b/internal/loss/background.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// background rates are remembered for about this long: a bad day is forgotten the day after.
+	// backgroundKept is for about how long losses are remembered: a bad day is forgotten the day after.
 	backgroundKept = 24 * time.Hour
 	// backgroundPrior is the worker time in which one worker is expected to be lost where nothing is known yet. A shorter one excuses tasks that crash their
 	// workers after minutes on a site of two workers, a longer one blames sound work for longer where workers crash all the time.
--- a/internal/loss/chance_test.go
+++ b/internal/loss/chance_test.go
@@ -36,8 +36,8 @@
 	MostStarts    int
 }
 
-// bench is a worker of a site, with the task that runs there.
-type bench struct {
+// machine is a worker of a site, with the task that runs there.
+type machine struct {
 	life   int
 	task   job.Task
 	busy   bool
@@ -45,24 +45,24 @@
 	backAt time.Time // Zero while it lives.
 }
 
-// chance is a site as it is played.
-type chance struct {
+// playing is a site as it is played.
+type playing struct {
 	site
 	outcome
-	judge   Judge
-	tally   map[job.Task]job.Losses
-	starts  map[job.Task]int
-	benches []bench
-	named   int
-	now     time.Time
+	judge    Judge
+	tally    map[job.Task]job.Losses
+	starts   map[job.Task]int
+	machines []machine
+	named    int
+	now      time.Time
 }
 
 func (s *site) play(seed uint64) outcome {
-	c := &chance{site: *s, tally: map[job.Task]job.Losses{}, starts: map[job.Task]int{}, benches: make([]bench, s.Workers), now: time.Unix(1000, 0)}
+	c := &playing{site: *s, tally: map[job.Task]job.Losses{}, starts: map[job.Task]int{}, machines: make([]machine, s.Workers), now: time.Unix(1000, 0)}
 	drawn := rand.New(rand.NewPCG(seed, seed))
-	for i := range c.benches {
-		if c.benches[i].busy = i >= c.Idle; c.benches[i].busy {
-			c.next(&c.benches[i], i == c.Idle && c.CrashAge > 0)
+	for i := range c.machines {
+		if c.machines[i].busy = i >= c.Idle; c.machines[i].busy {
+			c.next(&c.machines[i], i == c.Idle && c.CrashAge > 0)
 		}
 	}
 	for tick := range chanceMost {
@@ -76,23 +76,23 @@
 		if tick%2 == 0 {
 			c.judge.Watch(c.unsuspected(), c.now)
 		}
-		for i := range c.benches {
+		for i := range c.machines {
 			c.step(i, c.Between > 0 && drawn.Float64() < chanceTick.Seconds()/c.Between.Seconds())
 		}
 	}
 	return c.outcome
 }
 
-func (c *chance) ended() bool {
+func (c *playing) ended() bool {
 	if c.CrashAge > 0 {
 		return c.Crashers >= c.Tasks
 	}
 	return c.Done+c.GivenUp >= c.Tasks
 }
 
-func (c *chance) unsuspected() (n int) {
-	for i := range c.benches {
-		if b := &c.benches[i]; b.backAt.IsZero() && c.tally[b.task].All == 0 {
+func (c *playing) unsuspected() (n int) {
+	for i := range c.machines {
+		if b := &c.machines[i]; b.backAt.IsZero() && c.tally[b.task].All == 0 {
 			n++
 		}
 	}
@@ -100,7 +100,7 @@
 }
 
 // next has another task begin.
-func (c *chance) next(b *bench, crashes bool) {
+func (c *playing) next(b *machine, crashes bool) {
 	c.named++
 	b.task = job.Task{Job: job.ID(fmt.Sprintf("a%d", c.named))}
 	if crashes {
@@ -109,16 +109,16 @@
 	c.begin(b)
 }
 
-func (c *chance) begin(b *bench) {
+func (c *playing) begin(b *machine) {
 	b.began = c.now
 	c.starts[b.task]++
 }
 
-func (b *bench) crashes() bool { return b.task.Job != "" && b.task.Job[0] == 'p' }
+func (b *machine) crashes() bool { return b.task.Job != "" && b.task.Job[0] == 'p' }
 
 // step plays a tick of a worker.
-func (c *chance) step(i int, crashes bool) {
-	b := &c.benches[i]
+func (c *playing) step(i int, crashes bool) {
+	b := &c.machines[i]
 	age := c.now.Sub(b.began)
 	switch {
 	case !b.backAt.IsZero():
@@ -138,8 +138,8 @@
 }
 
 // lose has a worker's loss judged.
-func (c *chance) lose(i int) {
-	b := &c.benches[i]
+func (c *playing) lose(i int) {
+	b := &c.machines[i]
 	heard := b.backAt.Add(-chanceBack)
 	w := Worker{
 		ID: fmt.Sprint(i, "/", b.life), Address: fmt.Sprint(i), Hall: Group{fmt.Sprint("hall-", i%3), c.Workers / 3}, Rack: Group{fmt.Sprint("rack-", i/8), 8},
@@ -154,7 +154,7 @@
 }
 
 // judgeTask starts a task again, or gives it up.
-func (c *chance) judgeTask(b *bench) {
+func (c *playing) judgeTask(b *machine) {
 	switch {
 	case !b.busy:
 	case c.judge.Weigh(b.task, c.tally[b.task], c.now) != Guilty:
--- a/internal/node/why.go
+++ b/internal/node/why.go
@@ -34,7 +34,7 @@
 	Placed   int `json:"placed"`
 	Finished int `json:"finished"`
 	Failures int `json:"failures"` // Failed runs; of a gang those of the whole.
-	Lost     int `json:"lost"`     // Workers lost under its tasks without notice, for each task.
+	Lost     int `json:"lost"`     // Workers lost under its tasks without notice, for each task; from the third one on also starts that ended otherwise.
 	Counted  int `json:"counted"`  // Those of them that may be the tasks' doing.
 }
 
