--- a/internal/node/starts.go
+++ b/internal/node/starts.go
@@ -45,19 +45,21 @@
 // register makes this start the newest one of its box, so that it may take the lease from an earlier one at once. It returns false where ctx ended before.
 func (n *Node) register(ctx context.Context) bool {
 	s := n.settings.Load()
-	for ctx.Err() == nil {
+	for try := 1; ctx.Err() == nil; try++ {
 		tryCtx, cancel := context.WithTimeout(ctx, startTimeout)
 		own, before, err := n.ledger.Register(tryCtx, s.Box, ledger.Start{Name: n.start.Name, Address: s.Relay})
 		cancel()
 		if err != nil {
-			n.log.Warn("node: unable to register the start", logsink.Error(err))
+			if try == 1 { // In an outage it fails some times a second.
+				n.log.Warn("node: unable to register the start", logsink.Error(err))
+			}
 			interval.Sleep(ctx, retryPause)
 			continue
 		}
 		n.start = own
 		n.number.Store(own.Number)
 		n.holder = holderName(s.Box, own)
-		n.log.Info("node: start registered", zap.String("holder", n.holder), zap.Int64("number", own.Number), zap.String("before", before.Name))
+		n.log.Info("node: start registered", zap.String("holder", n.holder), zap.Int64("number", own.Number), zap.String("before", before.Name), zap.Int("tries", try))
 		if before.Address != own.Address && before.Name != "" {
 			n.Figures.Count("starts_elsewhere")
 			note := fmt.Sprintf("box %s is at %s; its start before was at %s: the name may be used twice", s.Box, own.Address, before.Address)
