--- a/internal/node/random_test.go
+++ b/internal/node/random_test.go
@@ -141,11 +141,16 @@
 	gone   map[string]bool // Workers that crashed.
 }
 
-func drawFaults(r *rapid.T, shard int) []string {
-	s := &script{T: r, lines: []string{fmt.Sprintf("boxes %d", drawnBoxes), fmt.Sprintf("workers %d rack 4", drawnWorkers)}, killed: map[string]bool{}, gone: map[string]bool{}}
-	for range shard { // The same seed gives other cases where some numbers are drawn before.
+// newScript is a script that begins with lines. The same seed gives other cases in each part, as some numbers are drawn before.
+func newScript(r *rapid.T, part int, lines ...string) *script {
+	for range part {
 		_ = rapid.Uint64().Draw(r, "skipped")
 	}
+	return &script{T: r, lines: lines, killed: map[string]bool{}, gone: map[string]bool{}}
+}
+
+func drawFaults(r *rapid.T, shard int) []string {
+	s := newScript(r, shard, fmt.Sprintf("boxes %d", drawnBoxes), fmt.Sprintf("workers %d rack 4", drawnWorkers))
 	for range rapid.IntRange(4, 16).Draw(r, "steps") {
 		s.step()
 	}
@@ -154,10 +159,7 @@
 }
 
 func drawSecondStarts(r *rapid.T, shard int) []string {
-	s := &script{T: r, lines: []string{fmt.Sprintf("boxes %d", drawnBoxes), fmt.Sprintf("workers %d rack 4", drawnWorkers)}, killed: map[string]bool{}, gone: map[string]bool{}}
-	for range shard {
-		_ = rapid.Uint64().Draw(r, "skipped")
-	}
+	s := newScript(r, shard, fmt.Sprintf("boxes %d", drawnBoxes), fmt.Sprintf("workers %d rack 4", drawnWorkers))
 	for range rapid.IntRange(4, 16).Draw(r, "steps") {
 		if rapid.IntRange(0, 2).Draw(r, "second") == 0 {
 			s.add("start %s", s.box())
@@ -173,12 +175,7 @@
 const drawnHalls = 2
 
 func drawEmptied(r *rapid.T, shard int) []string {
-	s := &script{T: r, lines: []string{
-		fmt.Sprintf("site %d", drawnHalls), fmt.Sprintf("boxes %d", drawnBoxes), fmt.Sprintf("workers %d rack 2 halls %d", drawnWorkers, drawnHalls),
-	}, killed: map[string]bool{}, gone: map[string]bool{}}
-	for range shard {
-		_ = rapid.Uint64().Draw(r, "skipped")
-	}
+	s := newScript(r, shard, fmt.Sprintf("site %d", drawnHalls), fmt.Sprintf("boxes %d", drawnBoxes), fmt.Sprintf("workers %d rack 2 halls %d", drawnWorkers, drawnHalls))
 	for range rapid.IntRange(4, 16).Draw(r, "steps") {
 		switch rapid.IntRange(0, 3).Draw(r, "hall") {
 		case 0:
@@ -197,12 +194,7 @@
 }
 
 func drawCrashes(r *rapid.T, shard int) []string {
-	s := &script{T: r, lines: []string{
-		fmt.Sprintf("boxes %d", drawnBoxes), fmt.Sprintf("workers %d rack 2 halls %d", 2*drawnWorkers, 2*drawnHalls), "heartbeats 1500ms",
-	}, killed: map[string]bool{}, gone: map[string]bool{}}
-	for range shard {
-		_ = rapid.Uint64().Draw(r, "skipped")
-	}
+	s := newScript(r, shard, fmt.Sprintf("boxes %d", drawnBoxes), fmt.Sprintf("workers %d rack 2 halls %d", 2*drawnWorkers, 2*drawnHalls), "heartbeats 1500ms")
 	s.crashing()
 	for range rapid.IntRange(4, 20).Draw(r, "steps") {
 		switch rapid.IntRange(0, 6).Draw(r, "crash") {
@@ -222,12 +214,7 @@
 }
 
 func drawLateCrashes(r *rapid.T, shard int) []string {
-	s := &script{T: r, lines: []string{
-		fmt.Sprintf("retain %s", time.Hour), fmt.Sprintf("boxes %d", drawnBoxes), fmt.Sprintf("workers %d rack 2 halls %d", 2*drawnWorkers, 2*drawnHalls), "heartbeats 1500ms",
-	}, killed: map[string]bool{}, gone: map[string]bool{}}
-	for range shard {
-		_ = rapid.Uint64().Draw(r, "skipped")
-	}
+	s := newScript(r, shard, fmt.Sprintf("retain %s", time.Hour), fmt.Sprintf("boxes %d", drawnBoxes), fmt.Sprintf("workers %d rack 2 halls %d", 2*drawnWorkers, 2*drawnHalls), "heartbeats 1500ms")
 	s.crashing()
 	for range rapid.IntRange(4, 20).Draw(r, "steps") {
 		switch rapid.IntRange(0, 8).Draw(r, "late") {
