Keep when workers were counted in one place, and count them once a second in the first core too

The scheduler kept the time of the last count beside the one in loss.Background; both cores ask Background.Due now. The first core went through all jobs for it in each pass, and does once a second. The rig counted second starts beside the list of them; the emulator took its lock once for each worker to pick one. Behaviour: the scheduler counts at the same times as before; the first core takes its samples a second apart instead of at each pass, of the same time watched.

--- a/internal/emulator/crash.go
+++ b/internal/emulator/crash.go
@@ -54,17 +54,12 @@
 // CrashOne crashes a worker that lives, as SetCrash said: the one that a number picks.
 func (f *Fleet) CrashOne(pick uint64) {
 	f.mu.Lock()
-	ids := slices.Sorted(maps.Keys(f.workers))
-	f.mu.Unlock()
 	var alive []*worker
-	for _, id := range ids {
-		f.mu.Lock()
-		w := f.workers[id]
-		f.mu.Unlock()
-		if !w.isDead() {
-			alive = append(alive, w)
-		}
+	for _, id := range slices.Sorted(maps.Keys(f.workers)) {
+		alive = append(alive, f.workers[id])
 	}
+	f.mu.Unlock()
+	alive = slices.DeleteFunc(alive, (*worker).isDead)
 	if len(alive) == 0 {
 		return
 	}
--- a/internal/hall/loss.go
+++ b/internal/hall/loss.go
@@ -54,8 +54,11 @@
 	return others
 }
 
-// watchWorkers counts the workers that run attempts of jobs which have lost none; the lock is held.
+// watchWorkers counts the workers that run attempts of jobs which have lost none, now and then; the lock is held.
 func (k *Keeper) watchWorkers(now time.Time) {
+	if !k.losses.Due(now) {
+		return
+	}
 	watched := map[string]bool{}
 	for _, e := range k.Book.Jobs() {
 		for i := range e.Seats {
--- a/internal/loss/background.go
+++ b/internal/loss/background.go
@@ -11,6 +11,8 @@
 	// backgroundPrior is the worker time in which one worker is expected to be lost where nothing is known yet. A shorter one excuses tasks that crash their
 	// workers after minutes on a site of two workers, a longer one blames sound work for longer where workers crash all the time.
 	backgroundPrior = 15 * time.Minute
+	// watchEvery is how often workers are counted: looking through all runs for it is no work for each decision.
+	watchEvery = time.Second
 	// watchedMost bounds the time between two counts of workers: no more is known of those between.
 	watchedMost = 10 * time.Second
 )
@@ -30,7 +32,10 @@
 	b.Watched *= kept
 }
 
-// Watch takes in how many workers live that run no suspect task. It is to be called every second or so.
+// Due reports whether workers are to be counted again.
+func (b *Background) Due(now time.Time) bool { return now.Sub(b.watchedAt) >= watchEvery }
+
+// Watch takes in how many workers live that run no suspect task. It is to be called when Due says so.
 func (b *Background) Watch(workers int, now time.Time) {
 	if !b.watchedAt.IsZero() {
 		by := now.Sub(b.watchedAt)
@@ -58,7 +63,10 @@
 	return e.before.Expected(r.Seen, r.Before.All > 0)
 }
 
-// Watch takes in how many workers live that run no suspect task. It is to be called every second or so.
+// Due reports whether workers are to be counted again.
+func (j *Judge) Due(now time.Time) bool { return j.background.Due(now) }
+
+// Watch takes in how many workers live that run no suspect task. It is to be called when Due says so.
 func (j *Judge) Watch(workers int, now time.Time) { j.background.Watch(workers, now) }
 
 // Background is how often workers are lost without a task's doing, as far as is known.
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -57,14 +57,12 @@
 	troubles  troubles
 	exits     []string // Boxes that ended by themselves.
 
-	mu     sync.Mutex
-	lines  []Line
-	holder string // The box that took over last.
-	jobs   []*handedIn
-	calls  []call
-	probes []probe
-	twins  int // Second processes of boxes.
-
+	mu        sync.Mutex
+	lines     []Line
+	holder    string // The box that took over last.
+	jobs      []*handedIn
+	calls     []call
+	probes    []probe
 	outranked []*process // Boxes beside which a second process was started.
 	version   int        // Of the configuration.
 }
@@ -211,9 +209,8 @@
 		return errors.Errorf("there is no box %q", first.name)
 	}
 	first.asked = true
-	p.twins++
 	p.outranked = append(p.outranked, first)
-	return p.placeBox(first.name, path.address, fmt.Sprintf("%s-%d.conf", first.name, p.twins+1))
+	return p.placeBox(first.name, path.address, fmt.Sprintf("%s-%d.conf", first.name, len(p.outranked)+1))
 }
 
 // placeBox starts a box that reaches the store at an address, with settings of its own.
--- a/internal/scheduler/blame.go
+++ b/internal/scheduler/blame.go
@@ -84,15 +84,11 @@
 	return some
 }
 
-// watchEvery is how often workers are counted, for the rate at which they are lost without a task's doing.
-const watchEvery = time.Second
-
-// watchWorkers counts the workers that run no suspect task.
+// watchWorkers counts the workers that run no suspect task now and then, for the rate at which they are lost without a task's doing.
 func (h *shard) watchWorkers(now time.Time) {
-	if now.Sub(h.watchedAt) < watchEvery {
+	if !h.losses.Due(now) {
 		return
 	}
-	h.watchedAt = now
 	n := 0
 	for _, w := range h.workers {
 		if !w.gone && !w.runsSuspect() {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -105,8 +105,7 @@
 	holdings  holdings
 	view      placement.View // Of the last decision; its lists are used again.
 	losses    loss.Judge
-	watchedAt time.Time // When the workers were last counted for it.
-	changed   bool      // Something happened that a decision may depend on.
+	changed   bool // Something happened that a decision may depend on.
 	lastPass  time.Time
 	learned   estimates
 	stepTimes map[claimKey]*stepTimes
