Count calls to the store, and the bytes of their rows, by table

Change: each box counts its calls by kind and table, and the bytes of the rows that it reads and writes; it logs them once a minute and as it stops (node: calls to the store), with those that it passed on for other boxes. Conclusion: what the store is called for can be read from any box's metrics and log.

--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -67,3 +68,16 @@
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	metrics.WriteOnce(f.registry, w)
 }
+
+// Counters returns the counters whose names begin with a prefix, by the rest of their names.
+func (f *Figures) Counters(prefix string) map[string]int64 {
+	f.init()
+	found := map[string]int64{}
+	f.registry.Each(func(name string, metric any) {
+		rest, named := strings.CutPrefix(name, prefix)
+		if counter, ok := metric.(metrics.Counter); ok && named {
+			found[rest] = counter.Count()
+		}
+	})
+	return found
+}
--- a/internal/measure/measure_test.go
+++ b/internal/measure/measure_test.go
@@ -21,6 +21,14 @@
 	quicktest.Assert(t, text, quicktest.Contains, "histogram submit_us count: 1 min: 1500")
 }
 
+func TestCountersByPrefix(t *testing.T) {
+	var f Figures
+	f.Add("store_direct_read_lease", 3)
+	f.Count("jobs")
+	f.Took("store_direct_read", time.Millisecond)
+	quicktest.Assert(t, f.Counters("store_direct_"), quicktest.DeepEquals, map[string]int64{"read_lease": 3})
+}
+
 func TestNilTakesNothing(_ *testing.T) {
 	var f *Figures
 	f.Count("a")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -168,6 +168,7 @@
 	var group sync.WaitGroup
 	group.Go(func() { n.relay.Run(ctx) })
 	group.Go(func() { n.followOperator(ctx) })
+	group.Go(func() { n.logCalls(ctx) })
 	group.Go(func() { n.schedule(planned) })
 	group.Wait()
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/frankban/quicktest"
 	"github.com/pulleyring/pulleyring/internal/emulator"
+	"github.com/pulleyring/pulleyring/internal/measure"
 	"github.com/pulleyring/pulleyring/internal/store"
 	"go.uber.org/zap"
 )
@@ -152,3 +153,21 @@
 		quicktest.Assert(t, s.boxes[2].Book.Rank(), quicktest.Equals, 0)
 	})
 }
+
+// TestCallsAreCountedByTable tells the calls to the store, and the bytes of their rows, apart by what they are for.
+func TestCallsAreCountedByTable(t *testing.T) {
+	inSite(t, func(ctx context.Context, t *testing.T, s *site) {
+		b := s.boxes[0]
+		b.Direct.Figures = &measure.Figures{}
+		key := store.Key{Table: "t", Name: "n"}
+		_, err := b.Commit(ctx, &store.Transaction{Writes: []store.Row{{Key: key, Value: []byte("four")}}})
+		quicktest.Assert(t, err, quicktest.IsNil)
+		_, err = b.Read(ctx, store.Range{Table: "t"})
+		quicktest.Assert(t, err, quicktest.IsNil)
+		_, err = b.Watch(ctx, "t", 0, 0)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, b.Direct.Figures.Counters(PathDirect+"_"), quicktest.DeepEquals, map[string]int64{
+			"commit_t": 1, "read_t": 1, "watch_t": 1, "bytes_written_t": 4, "bytes_read_t": 8,
+		})
+	})
+}
--- a/internal/relay/watched.go
+++ b/internal/relay/watched.go
@@ -89,14 +89,28 @@
 
 // Commit implements store.Store.
 func (w *Watched) Commit(ctx context.Context, tx *store.Transaction) (int64, error) {
-	done := w.begin("commit")
+	done := w.begin("commit", tableOf(tx))
 	within, cancel := context.WithTimeout(ctx, w.patience())
 	defer cancel()
 	version, err := w.Store.Commit(within, tx)
 	done(ctx, err)
+	if err == nil {
+		w.countBytes("written", tx.Writes)
+	}
 	return version, err
 }
 
+// tableOf is the table that a transaction is counted under: that of its first row.
+func tableOf(tx *store.Transaction) string {
+	for i := range tx.Writes {
+		return tx.Writes[i].Table
+	}
+	for i := range tx.Deletes {
+		return tx.Deletes[i].Table
+	}
+	return ""
+}
+
 // patience is how long an answer to a transaction is waited for.
 func (w *Watched) patience() time.Duration {
 	w.mu.Lock()
@@ -115,15 +129,32 @@
 
 // Read implements store.Store.
 func (w *Watched) Read(ctx context.Context, r store.Range) (store.Page, error) {
-	done := w.begin("read")
+	done := w.begin("read", r.Table)
 	page, err := w.Store.Read(ctx, r)
 	done(ctx, err)
+	w.countBytes("read", page.Rows)
 	return page, err
 }
 
-// begin notes a call; the function it returns takes in the outcome.
-func (w *Watched) begin(what string) func(ctx context.Context, err error) {
+// Watch implements store.Store. What becomes of it says nothing of the path: it waits for long, and an answer may be late for want of changes.
+func (w *Watched) Watch(ctx context.Context, table string, since int64, wait time.Duration) (store.Page, error) {
+	w.Figures.Count(w.Path + "_watch_" + table)
+	page, err := w.Store.Watch(ctx, table, since, wait)
+	w.countBytes("read", page.Rows)
+	return page, err
+}
+
+// countBytes counts the values of rows by their table.
+func (w *Watched) countBytes(what string, rows []store.Row) {
+	for i := range rows {
+		w.Figures.Add(w.Path+"_bytes_"+what+"_"+rows[i].Table, int64(len(rows[i].Value)))
+	}
+}
+
+// begin notes a call about a table; the function it returns takes in the outcome.
+func (w *Watched) begin(what, table string) func(ctx context.Context, err error) {
 	began := time.Now()
+	w.Figures.Count(w.Path + "_" + what + "_" + table)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.underWay == nil {
