A call whose path has fallen silent goes over another box at once, and a refusal of the store's own is not asked for six times

Cause: a box of which the store has just stopped answering found out after two failed calls or 0.7 s, and looked back for a write with a read that waited 1.2 s over the same path; the boxes that it then asked did not know of their own paths either. A connection that another box refused counted as a call without an answer. And a refusal of the store itself, as of a part with too much to do, was tried over up to six other boxes: more calls the more there was to do. Change: after a call without an answer, and as long without any as answers take, calls go over other boxes, and such a box passes none on; the read of a single row waits as long as a transaction, 0.4 s at least; a refusal tells whether there was no path (store.ErrUnreachable) or the store refused, and two of the latter are the answer. Conclusion: holds in the emulator; not yet seen on the fleet.

--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -77,7 +77,7 @@
 	peer, cut := n.boxes[l.peer], n.cut[l.peer] || n.cut[l.view.own]
 	n.mu.Unlock()
 	if peer == nil {
-		return nil, store.ErrRefused
+		return nil, store.ErrUnreachable
 	}
 	if cut {
 		<-ctx.Done()
--- a/internal/node/accept_test.go
+++ b/internal/node/accept_test.go
@@ -226,3 +226,23 @@
 		quicktest.Assert(t, took < 650*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%v", took))
 	})
 }
+
+// TestAcceptedOverASilentPath hands jobs in at boxes whose path to the store, like that of a third of all, has just fallen silent: each caller hears within
+// a third of the 3 s that it waits.
+func TestAcceptedOverASilentPath(t *testing.T) {
+	inEmptyWorld(t, func(t *testing.T, w *world) {
+		play(t, w, []string{"boxes 12", "workers 24 rack 4", "sleep 5s"})
+		var group sync.WaitGroup
+		for i := 1; i <= 12; i += 3 {
+			w.store.Cut(fmt.Sprint("box-", i))
+		}
+		for i := 1; i <= 12; i += 3 {
+			group.Go(func() {
+				took, err := handIn(w, fmt.Sprint("box-", i), fmt.Sprint("job-", i))
+				quicktest.Check(t, err, quicktest.IsNil, quicktest.Commentf("box-%d", i))
+				quicktest.Check(t, took < time.Second, quicktest.IsTrue, quicktest.Commentf("box-%d: %s", i, took))
+			})
+		}
+		group.Wait()
+	})
+}
--- a/internal/relay/http.go
+++ b/internal/relay/http.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -92,7 +93,7 @@
 	}
 	resp, err := r.client.Do(req)
 	if err != nil {
-		return errors.WithMessage(store.ErrUnknown, err.Error())
+		return callError(err)
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxMessageBytes))
@@ -105,14 +106,25 @@
 			return errors.WithMessage(store.ErrUnknown, "relay: unable to decode an answer")
 		}
 		return nil
-	case http.StatusServiceUnavailable, http.StatusBadRequest:
-		return errors.WithMessage(store.ErrRefused, "relay: another box refused")
+	case http.StatusServiceUnavailable:
+		return store.ErrUnreachable
+	case http.StatusTooManyRequests, http.StatusBadRequest:
+		return errors.WithMessage(store.ErrRefused, "relay: the store refused another box")
 	case http.StatusGone:
 		return store.ErrHistoryGone
 	}
 	return errors.WithMessagef(store.ErrUnknown, "relay: status %d", resp.StatusCode)
 }
 
+// callError is the error of a call that got no answer; one for which no connection came about surely did nothing.
+func callError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return errors.WithMessage(store.ErrUnreachable, err.Error())
+	}
+	return errors.WithMessage(store.ErrUnknown, err.Error())
+}
+
 // Handler serves a store to other boxes.
 func Handler(s store.Store) http.Handler {
 	mux := chi.NewRouter()
@@ -162,8 +174,10 @@
 // reply sends an answer, or the status of an error of package store.
 func reply(w http.ResponseWriter, answer any, err error) {
 	switch {
-	case errors.Is(err, store.ErrRefused):
+	case errors.Is(err, store.ErrUnreachable):
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	case errors.Is(err, store.ErrRefused):
+		http.Error(w, err.Error(), http.StatusTooManyRequests)
 	case errors.Is(err, store.ErrHistoryGone):
 		http.Error(w, err.Error(), http.StatusGone)
 	case err != nil:
--- a/internal/relay/http_test.go
+++ b/internal/relay/http_test.go
@@ -70,12 +70,13 @@
 }
 
 func TestErrorsKeepTheirMeaning(t *testing.T) {
-	for _, want := range []error{store.ErrRefused, store.ErrUnknown, store.ErrHistoryGone} {
+	for _, want := range []error{store.ErrRefused, store.ErrUnreachable, store.ErrUnknown, store.ErrHistoryGone} {
 		s := overHTTP(t, &fakeStore{err: errors.WithMessage(want, "why")})
 		_, err := s.Commit(context.Background(), &store.Transaction{})
 		quicktest.Check(t, err, quicktest.ErrorIs, want)
 		_, err = s.Read(context.Background(), store.Range{})
 		quicktest.Check(t, err, quicktest.ErrorIs, want)
+		quicktest.Check(t, errors.Is(err, store.ErrUnreachable), quicktest.Equals, errors.Is(want, store.ErrUnreachable))
 		_, err = s.Watch(context.Background(), "t", 0, 0)
 		quicktest.Check(t, err, quicktest.ErrorIs, want)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -49,6 +49,9 @@
 	// without a path are one case in 700, and the store itself is likely out. With two, one call in nine found none and
 	// went over the own path after all; reads then took 1.2 s, and the scheduler saw jobs 3 s late.
 	mostPeers = 6
+	// mostRefusals bounds the boxes over which the store itself refuses a call until that counts as its answer: a store that has too much
+	// to do gets no more calls from it. One box may have been turned away without knowing it yet.
+	mostRefusals = 2
 )
 
 // Run tries the box's own path while it is out, and keeps the addresses of the boxes, until ctx ends.
@@ -58,7 +61,7 @@
 }
 
 func (s *Store) probe(ctx context.Context) {
-	if s.Direct.Healthy() {
+	if s.Direct.Healthy() && !s.Direct.Suspect() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -96,15 +99,16 @@
 	return page, err
 }
 
-// call makes a call over the box's own path, or over other boxes if that path is out. A call that may have taken effect
+// call makes a call over the box's own path, or over other boxes if that path is out or its last call got no answer. A call that may have taken effect
 // is not repeated here: that is for the caller to judge.
 func (s *Store) call(ctx context.Context, f func(on store.Store) error) error {
-	if s.Direct.Healthy() {
+	if s.Direct.Healthy() && !s.Direct.Suspect() {
 		err := f(&s.Direct)
 		if !errors.Is(err, store.ErrRefused) || s.Direct.Healthy() {
 			return err
 		}
 	}
+	refusals := 0
 	for _, p := range s.peers() {
 		began := time.Now()
 		err := f(s.Network.Peer(p.address))
@@ -113,6 +117,12 @@
 		if !errors.Is(err, store.ErrRefused) {
 			return err
 		}
+		if !errors.Is(err, store.ErrUnreachable) {
+			refusals++
+		}
+		if refusals >= mostRefusals {
+			return err
+		}
 	}
 	return f(&s.Direct) // Nobody else reaches the store either; it may be back.
 }
@@ -127,7 +137,7 @@
 // Shared returns what other boxes may call through this one: the store over the box's own path alone.
 func (s *Store) Shared() store.Store { return &shared{&s.Direct, s.Figures} }
 
-// shared refuses at once while the box's own path is out.
+// shared refuses at once while the box's own path is out, or its last call got no answer.
 type shared struct {
 	direct  *Watched
 	figures *measure.Figures
@@ -135,9 +145,9 @@
 
 // take reports whether a call is passed on.
 func (s *shared) take() error {
-	if !s.direct.Healthy() {
+	if !s.direct.Healthy() || s.direct.Suspect() {
 		s.figures.Count("relay_refused")
-		return errors.WithMessage(store.ErrRefused, "relay: no path to the store here either")
+		return store.ErrUnreachable
 	}
 	s.figures.Count("relay_passed_on")
 	return nil
--- a/internal/relay/watched.go
+++ b/internal/relay/watched.go
@@ -33,6 +33,8 @@
 	// tens; the adapter gives up after 1.2 s.
 	patienceLeast = 250 * time.Millisecond
 	patienceMost  = 1200 * time.Millisecond
+	// readPatienceLeast is the same as patienceLeast for the read of a single row, which may wait behind pages on a thin link.
+	readPatienceLeast = 400 * time.Millisecond
 	// latencyDecay is how much of the slowest answer is remembered from one answer to the next, and latencyGrowth what a
 	// lost answer adds, so that half of the answers may be lost without the patience growing.
 	latencyDecay  = 0.5
@@ -49,6 +51,7 @@
 	mu       sync.Mutex
 	latency  time.Duration         // What answers take: the slowest lately.
 	failures int                   // In a row.
+	silent   bool                  // The last call that ended got no answer.
 	answered time.Time             // When the last answer came.
 	underWay map[*time.Time]string // Begin of each call without an answer yet.
 	doubted  bool
@@ -61,6 +64,14 @@
 	return w.healthy()
 }
 
+// Suspect reports whether the last call got no answer, and none has come for as long as answers take: the next call is better made elsewhere, where that
+// is possible.
+func (w *Watched) Suspect() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.silent && time.Since(w.answered) > w.usual()
+}
+
 // Out reports whether nothing has been answered for a while: a call now would be in vain. A store of which only some parts
 // are out is not.
 func (w *Watched) Out() bool {
@@ -111,10 +122,15 @@
 	return ""
 }
 
-// patience is how long an answer to a transaction is waited for.
+// patience is how long an answer to a transaction, or to the read of a single row, is waited for.
 func (w *Watched) patience() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return w.usual()
+}
+
+// usual is the time within which answers come.
+func (w *Watched) usual() time.Duration {
 	return min(max(patienceFactor*w.latency, patienceLeast), patienceMost)
 }
 
@@ -130,7 +146,13 @@
 // Read implements store.Store.
 func (w *Watched) Read(ctx context.Context, r store.Range) (store.Page, error) {
 	done := w.begin("read", r.Table)
-	page, err := w.Store.Read(ctx, r)
+	within := ctx
+	if r.Limit == 1 { // A longer page may take a thin link long.
+		var cancel context.CancelFunc
+		within, cancel = context.WithTimeout(ctx, max(w.patience(), readPatienceLeast))
+		defer cancel()
+	}
+	page, err := w.Store.Read(within, r)
 	done(ctx, err)
 	w.countBytes("read", page.Rows)
 	return page, err
@@ -174,6 +196,7 @@
 	}
 	w.Figures.Took(w.Path+"_"+what, time.Since(*began))
 	w.learnLatency(time.Since(*began), failed)
+	w.silent = errors.Is(err, store.ErrUnknown)
 	if failed {
 		w.Figures.Count(w.Path + "_" + what + "_failed")
 		w.failures++
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -13,6 +13,8 @@
 var (
 	// ErrRefused says that the store surely did nothing.
 	ErrRefused = errors.New("store: refused")
+	// ErrUnreachable is the refusal of a path that does not lead to the store: another path may.
+	ErrUnreachable = errors.WithMessage(ErrRefused, "no path to it")
 	// ErrUnknown says that no answer came: the call may have taken effect, or may do so later.
 	ErrUnknown = errors.New("store: no answer")
 	// ErrHistoryGone says that a feed can't be continued; read the table again.
