Starts of boxes are registered in parts of their own, not among the scheduler's commits

Cause: each start was a read and a write under a condition in the shard's part, which works off 200 transactions a second: after a start of all boxes they waited, and gave up after 0.25 s and began anew, beside the renewals of the lease. Change: starts lie in eight parts by the box's name, and are waited for as long as the adapter does. A start after one of an earlier version is numbered from its row.

--- a/internal/ledger/starts.go
+++ b/internal/ledger/starts.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"strconv"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 	"github.com/pulleyring/pulleyring/internal/store"
@@ -11,6 +13,15 @@
 // tableStarts holds the newest start of each box.
 const tableStarts = "starts"
 
+// startParts is the number of parts that they are spread over, beside the scheduler's: a part works off one transaction after the other, and all boxes may
+// start at once.
+const startParts = 8
+
+func (l *Ledger) startKey(box string) store.Key {
+	part := l.Shard + "/starts/" + strconv.FormatUint(xxhash.Sum64String(box)%startParts, 10)
+	return store.Key{Table: tableStarts, Part: part, Name: box}
+}
+
 // Start is one start of a box. Starts of a name are numbered by the store, so that no clock orders them.
 type Start struct {
 	_       struct{} `cbor:",toarray"`
@@ -35,10 +46,11 @@
 		if err != nil {
 			return Start{}, Start{}, errors.Wrap(err, "ledger: unable to encode a start")
 		}
-		key := l.key(tableStarts, box)
+		key := l.startKey(box)
 		_, err = l.Store.Commit(ctx, &store.Transaction{
 			Conditions: []store.Condition{{Key: key, Version: version}},
 			Writes:     []store.Row{{Key: key, Value: raw}},
+			Patient:    true,
 		})
 		var conflict *store.Conflict
 		if errors.As(err, &conflict) {
@@ -55,10 +67,17 @@
 }
 
 func (l *Ledger) newestStart(ctx context.Context, box string) (s Start, version int64, err error) {
-	page, err := l.readOne(ctx, l.key(tableStarts, box))
-	if err != nil || len(page.Rows) == 0 {
+	page, err := l.readOne(ctx, l.startKey(box))
+	if err != nil {
 		return s, 0, err
 	}
+	if len(page.Rows) == 0 { // Earlier versions wrote it beside the scheduler's rows; its numbers go on from there.
+		page, err = l.readOne(ctx, l.key(tableStarts, box))
+		if err != nil || len(page.Rows) == 0 {
+			return s, 0, err
+		}
+		page.Rows[0].Version = 0
+	}
 	err = cbor.Unmarshal(page.Rows[0].Value, &s)
 	return s, page.Rows[0].Version, errors.Wrap(err, "ledger: unable to decode a start")
 }
--- a/internal/node/starts_test.go
+++ b/internal/node/starts_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/pulleyring/pulleyring/internal/emulator"
 	"github.com/pulleyring/pulleyring/internal/ledger"
 	"github.com/pulleyring/pulleyring/internal/measure"
@@ -71,3 +72,23 @@
 		quicktest.Check(t, own, quicktest.Equals, want.own, quicktest.Commentf("%s", holder))
 	}
 }
+
+// TestStartsGoOnFromEarlierRows numbers a start after one that an earlier version wrote beside the scheduler's rows, and finds it again.
+func TestStartsGoOnFromEarlierRows(t *testing.T) {
+	inEmptyWorld(t, func(t *testing.T, w *world) {
+		raw, err := cbor.Marshal(ledger.Start{Number: 7, Name: "before"})
+		quicktest.Assert(t, err, quicktest.IsNil)
+		w.store.Operate(&store.Transaction{Writes: []store.Row{{Key: store.Key{Table: "starts", Part: Shard, Name: "box-1"}, Value: raw}}})
+		l := &ledger.Ledger{Store: w.store.For("box-1", &emulator.Gate{}), Shard: Shard}
+		own, before, err := l.Register(w.ctx, "box-1", ledger.Start{Name: "now"})
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, own.Number, quicktest.Equals, int64(8))
+		quicktest.Assert(t, before.Name, quicktest.Equals, "before")
+		newest, err := l.NewestStart(w.ctx, "box-1")
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, newest, quicktest.Equals, own)
+		again, _, err := l.Register(w.ctx, "box-1", ledger.Start{Name: "later"})
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, again.Number, quicktest.Equals, int64(9))
+	})
+}
