Boxes follow two of their hall instead of the store

Change: the boxes that watch the lease keep what they read last (relay.Cache); the others of the hall ask them for it (relay.Follower): a query waits until the rows change, for as long as a poll, and is answered only from rows read within 2 s, for the lease 1 s. One that gets no answer is followed by an own read, and the next box is asked. A box that schedules, or does not know yet who watches, reads for itself. Failed tries are repeated after 0.15 to 1.2 s. Standbys claim a silent lease at different times.

--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -17,12 +17,12 @@
 
 // sharedStore is what a box passes on, behind that box's gate.
 type sharedStore struct {
-	store.Store
+	store.Peer
 	gate *Gate
 }
 
 // Serve lets other boxes call a store at an address, behind the gate of the box that serves it.
-func (n *Network) Serve(address string, s store.Store, gate *Gate) {
+func (n *Network) Serve(address string, s store.Peer, gate *Gate) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.boxes == nil {
@@ -56,7 +56,7 @@
 }
 
 // Peer implements relay.Network.
-func (v *NetworkView) Peer(address string) store.Store { return &link{v, address} }
+func (v *NetworkView) Peer(address string) store.Peer { return &link{v, address} }
 
 // link is a box's way to another one.
 type link struct {
@@ -121,3 +121,14 @@
 	}
 	return peer.Watch(ctx, table, since, wait)
 }
+
+// Copy implements store.Replica.
+func (l *link) Copy(ctx context.Context, q store.Query) (store.Copy, error) {
+	ctx, cancel := context.WithTimeout(ctx, q.Wait+linkTimeout)
+	defer cancel()
+	peer, err := l.open(ctx)
+	if err != nil {
+		return store.Copy{}, err
+	}
+	return peer.Copy(ctx, q)
+}
--- a/internal/node/fitness.go
+++ b/internal/node/fitness.go
@@ -63,5 +63,9 @@
 	return wait
 }
 
-// isDeputy reports whether this box is one of those that watch the lease closely.
-func (n *Node) isDeputy() bool { return !n.relay.Book.Ranked() || n.relay.Book.IsWatcher() }
+// watches reports whether this box watches the store itself: for the others of its hall, because it schedules and must not go by what others know, or
+// because it does not know yet who watches.
+func (n *Node) watches() bool {
+	b := &n.relay.Book
+	return n.platform.Network == nil || n.scheduler.Load() != nil || !b.Ranked() || b.IsWatcher()
+}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -43,6 +43,7 @@
 	group.Go(func() { n.releaseFeed().watch(ctx, 0, released) })
 	var seen ledger.Lease
 	var since time.Time
+	var failed backoff
 	for ctx.Err() == nil {
 		lease, err := n.readLease(ctx)
 		if ctx.Err() != nil {
@@ -50,9 +51,10 @@
 		}
 		if err != nil {
 			since = time.Now() // Only silence that was watched counts.
-			interval.Sleep(ctx, retryPause)
+			failed.sleep(ctx)
 			continue
 		}
+		failed.succeeded()
 		if lease.Version != seen.Version || since.IsZero() {
 			seen, since = lease, time.Now()
 		}
@@ -65,10 +67,12 @@
 		switch {
 		case n.isFree(lease):
 			pause = min(leasePoll, patience)
-		case n.isDeputy():
+		case n.relay.Book.IsWatcher():
 			patience += leaseSilence
-		default:
+		case !n.relay.Book.Ranked(): // Whether it is to go first is known soon.
 			patience += leaseSilence + standbyWait
+		default:
+			patience += leaseSilence + standbyWait + n.relay.Book.Phase(standbyWait)
 			pause = standbyPoll
 		}
 		if time.Since(since) >= patience {
@@ -86,15 +90,34 @@
 	return lease.Holder == "" || own
 }
 
+// leaseCopyAge is how old the lease may be as another box has read it: those that watch it read it every leasePoll.
+const leaseCopyAge = time.Second
+
+// watchedLease reads the lease: from the store, or from a box of the hall that watches it.
+type watchedLease struct {
+	own    ledger.Ledger
+	copies ledger.Ledger
+}
+
+func newWatchedLease(n *Node) watchedLease {
+	f := n.follower()
+	f.MaxAge = leaseCopyAge
+	return watchedLease{own: ledger.Ledger{Store: n.cache, Shard: Shard}, copies: ledger.Ledger{Store: f, Shard: Shard}}
+}
+
 func (n *Node) readLease(ctx context.Context) (ledger.Lease, error) {
 	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
-	return n.ledger.Lease(ctx)
+	if n.watches() {
+		return n.lease.own.Lease(ctx)
+	}
+	return n.lease.copies.Lease(ctx)
 }
 
 // releaseFeed tells of leases that are given back.
 func (n *Node) releaseFeed() *feed {
 	return &feed{
+		Needed: n.watches,
 		Wait: func(ctx context.Context, since int64) (int64, error) {
 			return n.ledger.WatchRelease(ctx, since, feedWait)
 		},
@@ -108,6 +131,7 @@
 // hold claims the lease and schedules until it is lost.
 func (n *Node) hold(ctx context.Context, lease ledger.Lease, since time.Time) {
 	slept := n.platform.Slept()
+	n.Figures.Count("leases_tried")
 	tenure, err := n.ledger.Claim(ctx, n.holder, lease, since)
 	if err != nil {
 		if !errors.Is(err, ledger.ErrReplaced) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,7 +65,9 @@
 	halls    atomic.Pointer[knownHalls]
 	relay    *relay.Store
 	store    *relay.Watched // The store over any path.
-	configs  Configurations
+	cache    *relay.Cache   // The same, for what other boxes of the hall follow too.
+	operator watchedOperator
+	lease    watchedLease
 	stopping atomic.Bool
 
 	outranked     chan struct{} // Closed once a later start of this box has come.
@@ -90,8 +92,10 @@
 	n.relay.Book.Twin = n.noteTwin
 	n.store = &relay.Watched{Store: n.relay, Path: relay.PathAny, Log: log, Figures: &n.Figures}
 	n.ledger = &ledger.Ledger{Store: n.store, Shard: Shard}
-	n.configs = p.Configurations(n.store)
 	n.settings.Store(s)
+	n.cache = &relay.Cache{Store: n.store}
+	n.operator = newWatchedOperator(n)
+	n.lease = newWatchedLease(n)
 	n.Entry = &entry.Entry{Ledger: n.ledger, Configuration: n.Configuration, Healthy: n.store.Healthy, Out: n.store.Out, Closed: n.closed, Log: log, Figures: &n.Figures}
 	return n
 }
@@ -142,7 +146,7 @@
 		return err
 	}
 	n.serveAside("metrics", s.Metrics, n.figuresHandler())
-	n.serveAside("relay", s.Relay, relay.Handler(n.relay.Shared()))
+	n.serveAside("relay", s.Relay, relay.Handler(n.relay.Shared(n.cache)))
 	var group sync.WaitGroup
 	inner, cancel := context.WithCancel(context.Background())
 	group.Go(func() { n.Work(ctx, inner) })
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -8,6 +8,7 @@
 
 	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/pulleyring/pulleyring/internal/queue"
+	"github.com/pulleyring/pulleyring/internal/relay"
 	"go.uber.org/zap"
 )
 
@@ -24,30 +25,70 @@
 	return min(max(n.settings.Load().ConfigurationWithin/2, operatorPollLeast), operatorPollMost)
 }
 
-// followOperator keeps the newest configuration and the emptied halls: a feed tells of changes at once, and the rows are
-// read every now and then in case the feed is deaf.
+// copyAge is how old what other boxes have read may be for a box that follows them. Those read it anew once per operatorPoll at least.
+const copyAge = 2 * time.Second
+
+// watchedOperator reads what the operator wants: from the store, or from a box of the hall that does.
+type watchedOperator struct {
+	own    Configurations
+	copies Configurations
+	source *relay.Follower // Behind the copies.
+}
+
+func newWatchedOperator(n *Node) watchedOperator {
+	f := n.follower()
+	f.Wait, f.MaxAge = n.operatorPoll(), copyAge
+	return watchedOperator{own: n.platform.Configurations(n.cache), copies: n.platform.Configurations(f), source: f}
+}
+
+// follower returns a store whose reads are answered by the boxes of the hall that watch it.
+func (n *Node) follower() *relay.Follower {
+	return &relay.Follower{Store: n.store, Book: &n.relay.Book, Network: n.platform.Network, Figures: &n.Figures}
+}
+
+// read returns what the operator wants, since when nothing newer was missed, and how long to wait until the next reading.
+func (o *watchedOperator) read(ctx context.Context, own bool, poll time.Duration) (in queue.Instructions, asOf time.Time, pause time.Duration, err error) {
+	if own {
+		asOf = time.Now()
+		in, err = o.own.Read(ctx)
+		return in, asOf, poll, err
+	}
+	in, err = o.copies.Read(ctx)
+	if o.source.Copied() {
+		poll = copyPause // The answer was held back for as long as there was nothing new.
+	}
+	return in, o.source.AsOf(), poll, err
+}
+
+// copyPause is the least time between two queries to a box of the hall.
+const copyPause = 50 * time.Millisecond
+
+// followOperator keeps the newest configuration and the emptied halls. A box that watches the store has a feed that tells of changes at once, and reads the
+// rows every now and then in case the feed is deaf.
 func (n *Node) followOperator(ctx context.Context) {
 	changed := make(chan struct{}, 1)
 	var group sync.WaitGroup
 	defer group.Wait()
+	var failed backoff
 	watched := false
 	for ctx.Err() == nil {
-		asked, slept := time.Now(), n.platform.Slept()
-		in, err := n.configs.Read(ctx)
+		slept := n.platform.Slept()
+		in, asOf, pause, err := n.operator.read(ctx, n.watches(), n.operatorPoll())
 		if ctx.Err() != nil {
 			return
 		}
 		if err != nil {
-			interval.Sleep(ctx, retryPause)
+			failed.sleep(ctx)
 			continue
 		}
+		failed.succeeded()
 		n.takeConfiguration(in.Configuration)
-		n.takeHalls(&knownHalls{queue.Halls{Emptied: in.Emptied, AsOf: asked}, slept})
+		n.takeHalls(&knownHalls{queue.Halls{Emptied: in.Emptied, AsOf: asOf}, slept})
 		if !watched {
 			watched = true
 			group.Go(func() { n.operatorFeed().watch(ctx, in.Version, changed) })
 		}
-		interval.SleepOrWoken(ctx, n.operatorPoll(), changed)
+		interval.SleepOrWoken(ctx, pause, changed)
 	}
 }
 
@@ -77,9 +118,12 @@
 // operatorFeed tells of changes of what the operator wants.
 func (n *Node) operatorFeed() *feed {
 	return &feed{
-		Wait: func(ctx context.Context, since int64) (int64, error) { return n.configs.Wait(ctx, since, feedWait) },
+		Needed: n.watches,
+		Wait: func(ctx context.Context, since int64) (int64, error) {
+			return n.operator.own.Wait(ctx, since, feedWait)
+		},
 		Newest: func(ctx context.Context) (int64, error) {
-			in, err := n.configs.Read(ctx)
+			in, err := n.operator.own.Read(ctx)
 			return in.Version, err
 		},
 	}
--- a/internal/node/starts.go
+++ b/internal/node/starts.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/pulleyring/pulleyring/internal/ledger"
 	"github.com/pulleyring/pulleyring/internal/logsink"
 	"go.uber.org/zap"
@@ -45,6 +44,7 @@
 // register makes this start the newest one of its box, so that it may take the lease from an earlier one at once. It returns false where ctx ended before.
 func (n *Node) register(ctx context.Context) bool {
 	s := n.settings.Load()
+	var failed backoff
 	for try := 1; ctx.Err() == nil; try++ {
 		tryCtx, cancel := context.WithTimeout(ctx, startTimeout)
 		own, before, err := n.ledger.Register(tryCtx, s.Box, ledger.Start{Name: n.start.Name, Address: s.Relay})
@@ -53,7 +53,7 @@
 			if try == 1 { // In an outage it fails some times a second.
 				n.log.Warn("node: unable to register the start", logsink.Error(err))
 			}
-			interval.Sleep(ctx, retryPause)
+			failed.sleep(ctx)
 			continue
 		}
 		n.start = own
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -12,12 +12,31 @@
 const (
 	// feedWait is how long a feed waits for a change.
 	feedWait = 10 * time.Second
-	// retryPause is the pause after a call to the store failed.
+	// retryPause is the pause after a call to the store failed; it doubles up to retryMost for boxes that only follow others.
 	retryPause = 150 * time.Millisecond
+	retryMost  = 1200 * time.Millisecond
+	// roleCheck is how often a box that does not watch the store for others checks whether it is to.
+	roleCheck = 500 * time.Millisecond
 )
 
+// backoff is the pause after failed calls in a row. The zero value is that before the first.
+type backoff struct {
+	pause time.Duration
+}
+
+// sleep waits after a failed call, longer each time.
+func (b *backoff) sleep(ctx context.Context) {
+	b.pause = min(max(2*b.pause, retryPause), retryMost)
+	interval.Sleep(ctx, b.pause)
+}
+
+// succeeded begins anew.
+func (b *backoff) succeeded() { b.pause = 0 }
+
 // feed is rows whose changes can be waited for.
 type feed struct {
+	// Needed reports whether anybody needs to know of changes now.
+	Needed func() bool
 	// Wait returns after a change past a version, or after feedWait, with the version to go on from.
 	Wait func(ctx context.Context, since int64) (int64, error)
 	// Newest returns the version to go on from once the history before is gone.
@@ -27,6 +46,10 @@
 // watch signals each change of a feed past a version until ctx ends.
 func (f *feed) watch(ctx context.Context, version int64, changed chan<- struct{}) {
 	for ctx.Err() == nil {
+		if !f.Needed() {
+			interval.Sleep(ctx, roleCheck)
+			continue
+		}
 		next, err := f.Wait(ctx, version)
 		if errors.Is(err, store.ErrHistoryGone) {
 			next, err = f.Newest(ctx)
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -146,7 +146,7 @@
 		Policy: placement.Policy{FarFactor: 3, Reclaim: 3 * time.Second, StopTime: testStopTime, WasteCost: 0.0015},
 	}}
 	n := New(s, p, w.log.With(zap.String("box", name)))
-	w.network.Serve(name, n.relay.Shared(), gate)
+	w.network.Serve(name, n.relay.Shared(n.cache), gate)
 	killed, kill := context.WithCancel(w.ctx)
 	planned, plan := context.WithCancel(killed)
 	w.mu.Lock()
--- a/internal/relay/http.go
+++ b/internal/relay/http.go
@@ -19,6 +19,7 @@
 	pathCommit = "/v1/store/commit"
 	pathRead   = "/v1/store/read"
 	pathWatch  = "/v1/store/watch"
+	pathCopy   = "/v1/store/copy"
 )
 
 const (
@@ -47,7 +48,7 @@
 }
 
 // Peer implements Network.
-func (h *HTTP) Peer(address string) store.Store { return &remote{address, h.Client} }
+func (h *HTTP) Peer(address string) store.Peer { return &remote{address, h.Client} }
 
 // remote is the store behind another box.
 type remote struct {
@@ -79,6 +80,12 @@
 	return page, err
 }
 
+// Copy implements store.Replica.
+func (r *remote) Copy(ctx context.Context, q store.Query) (found store.Copy, err error) {
+	err = r.call(ctx, pathCopy, q, &found, q.Wait)
+	return found, err
+}
+
 // call sends a message and decodes the answer; its errors are those of package store.
 func (r *remote) call(ctx context.Context, path string, message, answer any, wait time.Duration) error {
 	raw, err := cbor.Marshal(message)
@@ -126,7 +133,7 @@
 }
 
 // Handler serves a store to other boxes.
-func Handler(s store.Store) http.Handler {
+func Handler(s store.Peer) http.Handler {
 	mux := chi.NewRouter()
 	mux.Post(pathCommit, func(w http.ResponseWriter, r *http.Request) {
 		var tx store.Transaction
@@ -156,6 +163,14 @@
 		page, err := s.Watch(r.Context(), in.Table, in.Since, in.Wait)
 		reply(w, page, err)
 	})
+	mux.Post(pathCopy, func(w http.ResponseWriter, r *http.Request) {
+		var q store.Query
+		if !receive(w, r, &q) {
+			return
+		}
+		found, err := s.Copy(r.Context(), q)
+		reply(w, found, err)
+	})
 	return mux
 }
 
--- a/internal/relay/http_test.go
+++ b/internal/relay/http_test.go
@@ -20,6 +20,8 @@
 	tx    *store.Transaction
 	asked store.Range
 	since int64
+	query store.Query
+	copy  store.Copy
 }
 
 func (f *fakeStore) Commit(_ context.Context, tx *store.Transaction) (int64, error) {
@@ -37,8 +39,13 @@
 	return f.page, f.err
 }
 
+func (f *fakeStore) Copy(_ context.Context, q store.Query) (store.Copy, error) {
+	f.query = q
+	return f.copy, f.err
+}
+
 // overHTTP returns the store behind a box that passes calls on to f.
-func overHTTP(t *testing.T, f store.Store) store.Store {
+func overHTTP(t *testing.T, f *fakeStore) store.Peer {
 	server := httptest.NewServer(Handler(f))
 	t.Cleanup(server.Close)
 	return (&HTTP{Client: server.Client()}).Peer(strings.TrimPrefix(server.URL, "http://"))
@@ -67,6 +74,13 @@
 	quicktest.Assert(t, page, quicktest.DeepEquals, f.page)
 	quicktest.Assert(t, f.asked.Table, quicktest.Equals, "w")
 	quicktest.Assert(t, f.since, quicktest.Equals, int64(4))
+
+	f.copy = store.Copy{Page: f.page, Digest: 1<<63 | 5, Age: time.Second, Waited: time.Millisecond}
+	q := store.Query{Range: r, Known: 1 << 63, Wait: time.Second, MaxAge: time.Minute}
+	found, err := s.Copy(context.Background(), q)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Assert(t, found, quicktest.DeepEquals, f.copy)
+	quicktest.Assert(t, f.query, quicktest.Equals, q)
 }
 
 func TestErrorsKeepTheirMeaning(t *testing.T) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,7 +23,7 @@
 // Network reaches the stores that other boxes pass calls on to.
 type Network interface {
 	// Peer returns the store behind a box's address.
-	Peer(address string) store.Store
+	Peer(address string) store.Peer
 }
 
 // Store is the platform's store over the box's own path, or over other boxes while that one is out. Fill in the exported
@@ -134,11 +134,12 @@
 	return s.Book.choose(mostPeers)
 }
 
-// Shared returns what other boxes may call through this one: the store over the box's own path alone.
-func (s *Store) Shared() store.Store { return &shared{&s.Direct, s.Figures} }
+// Shared returns what other boxes may call through this one: the store over the box's own path alone, and what the box itself has read last.
+func (s *Store) Shared(read store.Replica) store.Peer { return &shared{read, &s.Direct, s.Figures} }
 
 // shared refuses at once while the box's own path is out, or its last call got no answer.
 type shared struct {
+	store.Replica
 	direct  *Watched
 	figures *measure.Figures
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -31,7 +31,7 @@
 			Direct:  Watched{Store: s.store.For(name, gate), Path: PathDirect, Log: zap.NewNop(), Figures: &measure.Figures{}},
 			Network: s.network.For(name, gate), Book: Book{Box: name, Address: name, Watchers: 2}, Log: zap.NewNop(),
 		}
-		s.network.Serve(name, b.Shared(), gate)
+		s.network.Serve(name, b.Shared(&Cache{Store: b}), gate)
 		s.boxes = append(s.boxes, b)
 		go b.Run(ctx)
 	}
