Rows of workers' addresses stay small at twice the fleet, and a change writes a 64th of them

Cause: all addresses lay in eight rows, each written whole when a worker came or went: at 12,000 workers with long names the largest was 91,453 bytes of the 65,536 that the store takes, so that no commit of the scheduler would have been taken any more (TestAddressesFitIntoRows on the old code), and the bytes of a change grew with the fleet. Change: 64 rows, at most eight of them in a batch; the others follow in the next. The full batch of TestLargestBatch has MaxAddressRows rows of addresses now, as batches do.

--- a/internal/ledger/addresses.go
+++ b/internal/ledger/addresses.go
@@ -14,9 +14,8 @@
 // tableAddresses holds where workers are reached. A successor needs that for runs on a worker whose record is gone by then.
 const tableAddresses = "addresses"
 
-// AddressRows is the number of rows over which workers are spread, so that a row of 14,000 workers in all stays under 64 KB and one
-// that came or went changes an eighth.
-const AddressRows = 8
+// AddressRows is the number of rows over which workers are spread: one that came or went has its row written anew, whole.
+const AddressRows = 64
 
 // Addresses are addresses (IP:port) by life of a worker.
 type Addresses map[life.ID]string
--- a/internal/ledger/faults_test.go
+++ b/internal/ledger/faults_test.go
@@ -78,7 +78,7 @@
 			b.Forget = append(b.Forget, f)
 			n += f.Rows()
 		}
-		for n := range ledger.AddressRows {
+		for n := range ledger.MaxAddressRows {
 			b.Addresses[n] = ledger.Addresses{{Worker: "w"}: "a"}
 		}
 		quicktest.Assert(t, tenure.Commit(ctx, b), quicktest.IsNil)
--- a/internal/ledger/lease.go
+++ b/internal/ledger/lease.go
@@ -116,7 +116,9 @@
 const (
 	MaxBatchRows  = 70 // Of progress, faults and failed runs; the last job may add two more.
 	MaxForgetRows = 14
-	MaxBatchTasks = 15000 // About 45 bytes each.
+	// MaxAddressRows bounds the rows of addresses.
+	MaxAddressRows = 8
+	MaxBatchTasks  = 15000 // About 45 bytes each.
 )
 
 // Version is the version of the lease's row: that of the tenure's last commit. What the store gives a higher one was written later.
--- a/internal/scheduler/addresses.go
+++ b/internal/scheduler/addresses.go
@@ -31,16 +31,19 @@
 // changed notes that a worker came or went.
 func (a *addresses) changed(worker string) { a.touch(ledger.AddressRow(worker)) }
 
-// collectAddresses adds the rows that are to be written anew to a batch. They wait for the next batch and set off none.
+// collectAddresses adds rows that are to be written anew to a batch, as many as it may have. They wait for the next batch and set off none.
 func (h *shard) collectAddresses(b *ledger.Batch) {
 	if len(h.addresses.stale) == 0 {
 		return
 	}
 	b.Addresses = map[int]ledger.Addresses{}
 	for row := range h.addresses.stale {
+		if len(b.Addresses) >= ledger.MaxAddressRows {
+			break
+		}
 		b.Addresses[row] = ledger.Addresses{}
+		delete(h.addresses.stale, row)
 	}
-	h.addresses.stale = nil
 	for id, w := range h.workers {
 		if row := b.Addresses[ledger.AddressRow(id)]; row != nil && w.target().Address != "" {
 			row[w.life] = cmp.Or(w.home, w.target().Address)
