A page that another box copies is compared under the cache's lock

Cause: the race detector found Cache.Copy reading a digest after it had let go of the lock; a caller could have been told that it has rows which it has not. Change: the lookup is a function of its own, under the lock.

--- a/internal/relay/cache.go
+++ b/internal/relay/cache.go
@@ -67,25 +67,29 @@
 func (c *Cache) Copy(ctx context.Context, q store.Query) (store.Copy, error) {
 	began := time.Now()
 	for {
-		c.mu.Lock()
-		e := c.entries[q.Range]
-		if e == nil || time.Since(e.asked) > q.MaxAge {
-			c.mu.Unlock()
-			return store.Copy{}, store.ErrUnreachable
+		found, changed, err := c.find(&q)
+		found.Waited = time.Since(began)
+		if err != nil || found.Digest != q.Known || found.Waited >= q.Wait {
+			return found, err
 		}
-		found := store.Copy{Digest: e.digest, Age: time.Since(e.asked), Waited: time.Since(began)}
-		if e.digest != q.Known {
-			found.Page = e.page
-		}
-		changed := e.changed
-		c.mu.Unlock()
-		wait := q.Wait - found.Waited
-		if e.digest != q.Known || wait <= 0 {
-			return found, nil
-		}
-		interval.SleepOrWoken(ctx, wait, changed)
+		interval.SleepOrWoken(ctx, q.Wait-found.Waited, changed)
 		if ctx.Err() != nil {
 			return store.Copy{}, store.ErrUnknown
 		}
 	}
 }
+
+// find answers a query at once; changed is closed once other rows are read.
+func (c *Cache) find(q *store.Query) (found store.Copy, changed <-chan struct{}, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e := c.entries[q.Range]
+	if e == nil || time.Since(e.asked) > q.MaxAge {
+		return store.Copy{}, nil, store.ErrUnreachable
+	}
+	found = store.Copy{Digest: e.digest, Age: time.Since(e.asked)}
+	if e.digest != q.Known {
+		found.Page = e.page
+	}
+	return found, e.changed, nil
+}
--- /dev/null
+++ b/internal/relay/cache_test.go
@@ -0,0 +1,49 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pulleyring/pulleyring/internal/store"
+)
+
+// TestCopiesAreBoundInAge: a box answers for rows that it reads itself, and only while its last reading of them is young enough; a caller that has the same rows
+// waits for others.
+func TestCopiesAreBoundInAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		row := store.Row{Key: store.Key{Table: "t", Name: "n"}, Value: []byte("a"), Version: 1}
+		f := &fakeStore{page: store.Page{Rows: []store.Row{row}}}
+		c := &Cache{Store: f}
+		r := store.Range{Table: "t"}
+		_, err := c.Copy(ctx, store.Query{Range: r, MaxAge: time.Second})
+		quicktest.Assert(t, err, quicktest.ErrorIs, store.ErrUnreachable)
+		_, err = c.Read(ctx, r)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		time.Sleep(time.Second)
+		first, err := c.Copy(ctx, store.Query{Range: r, MaxAge: time.Second})
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, first.Age, quicktest.Equals, time.Second)
+		quicktest.Assert(t, first.Page, quicktest.DeepEquals, f.page)
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			_, _ = c.Read(ctx, r) // The same rows: nobody is woken.
+			time.Sleep(300 * time.Millisecond)
+			f.page.Rows = []store.Row{{Key: row.Key, Value: []byte("b"), Version: 2}}
+			_, _ = c.Read(ctx, r)
+		}()
+		second, err := c.Copy(ctx, store.Query{Range: r, Known: first.Digest, Wait: time.Minute, MaxAge: time.Minute})
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, second.Waited, quicktest.Equals, 600*time.Millisecond)
+		quicktest.Assert(t, second.Page.Rows[0].Version, quicktest.Equals, int64(2))
+		same, err := c.Copy(ctx, store.Query{Range: r, Known: second.Digest, Wait: time.Second, MaxAge: time.Minute})
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, same.Page.Rows, quicktest.HasLen, 0)
+		time.Sleep(2 * time.Second)
+		_, err = c.Copy(ctx, store.Query{Range: r, MaxAge: time.Second})
+		quicktest.Assert(t, err, quicktest.ErrorIs, store.ErrUnreachable)
+	})
+}
