--- a/internal/relay/candidate.go
+++ b/internal/relay/candidate.go
@@ -20,7 +20,7 @@
 
 const (
 	// standFirst is the pause before a box that starts reads the candidates, and standSpread the time over which boxes that start together do so.
-	standFirst  = 500 * time.Millisecond
+	standFirst  = 200 * time.Millisecond
 	standSpread = time.Second
 	// candidatesWanted is how many boxes of a hall announce themselves as candidates: those that watch the lease, and some that stand in for them.
 	candidatesWanted = 8
