Names of the membership of boxes by what they do; no behaviour changes

Cause: read as a newcomer: stand, insist, drop and two types that are named like a field say little. Change: refreshCandidates, followCandidates, announceUntilTaken, deleteUnchanged, copiedPage, cachedPage; a comment tells what a number is for, not how it was found. Conclusion: only names.

--- a/internal/node/fitness.go
+++ b/internal/node/fitness.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// watchers is how many boxes watch the store closely for all others: the fittest of each hall, and watchersLeast at least of each. With 3, all of them were
-	// among the third of the boxes that the store turned away in 4 of 13 tries, and 3.5 to 3.7 s went by without a scheduler.
+	// watchers is how many boxes watch the store closely for all others: the fittest of each hall, and watchersLeast at least of each, so that some keep
+	// their paths where a third of the boxes lose theirs.
 	watchers      = 5
 	watchersLeast = 2
 	// standbyPoll is how often the others look at the lease, and standbyWait how much longer it must stand unchanged for them. They are there
--- a/internal/relay/book.go
+++ b/internal/relay/book.go
@@ -79,15 +79,15 @@
 
 // keep writes the box's address and reads the others' until ctx ends.
 func (b *Book) keep(ctx context.Context, s store.Store, log *zap.Logger) {
-	go b.keepStanding(ctx, s, log)
-	if !b.insist(ctx, s, log) {
+	go b.followCandidates(ctx, s, log)
+	if !b.announceUntilTaken(ctx, s, log) {
 		return
 	}
 	interval.Sleep(ctx, announceFirst)
 	b.read(ctx, s, log)
 	for pause := b.firstPause(); interval.Sleep(ctx, pause); pause = announceEvery {
 		b.read(ctx, s, log) // Before the own row is written: another box of this name may have written it since.
-		if !b.insist(ctx, s, log) {
+		if !b.announceUntilTaken(ctx, s, log) {
 			return
 		}
 	}
@@ -96,9 +96,9 @@
 // firstPause is the time between the first two announcements: boxes that start together announce themselves at different times from then on.
 func (b *Book) firstPause() time.Duration { return announceEvery - b.Phase(announceEvery/2) }
 
-// insist announces the box until the store takes it, and reports whether ctx goes on. One without an answer mostly lands, as the store has much to do
+// announceUntilTaken announces the box until the store takes it, and reports whether ctx goes on. One without an answer mostly lands, as the store has much to do
 // when many boxes start; the next reading tells whether it did.
-func (b *Book) insist(ctx context.Context, s store.Store, log *zap.Logger) bool {
+func (b *Book) announceUntilTaken(ctx context.Context, s store.Store, log *zap.Logger) bool {
 	for retry := announceRetry; ctx.Err() == nil; retry = min(2*retry, announceRetryMost) {
 		err := b.announce(ctx, s, b.ownKey())
 		if err == nil || errors.Is(err, store.ErrUnknown) {
@@ -154,7 +154,7 @@
 				b.Twin(a.address)
 			}
 		case time.Since(a.written) > forgetAfter:
-			drop(&old, row)
+			deleteUnchanged(&old, row)
 		default:
 			found = append(found, &peer{announcement: a})
 		}
@@ -182,8 +182,8 @@
 	return append(page.Rows, first.Rows...), err
 }
 
-// drop adds a row to those that are to be deleted if they have not changed.
-func drop(tx *store.Transaction, row *store.Row) {
+// deleteUnchanged adds a row to those that are to be deleted if they have not changed.
+func deleteUnchanged(tx *store.Transaction, row *store.Row) {
 	tx.Conditions = append(tx.Conditions, store.Condition{Key: row.Key, Version: row.Version})
 	tx.Deletes = append(tx.Deletes, row.Key)
 }
--- a/internal/relay/cache.go
+++ b/internal/relay/cache.go
@@ -15,11 +15,11 @@
 	store.Store
 
 	mu      sync.Mutex
-	entries map[store.Range]*cached
+	entries map[store.Range]*cachedPage
 }
 
-// cached is a page as it was read last.
-type cached struct {
+// cachedPage is a page as it was read last.
+type cachedPage struct {
 	page    store.Page
 	digest  uint64
 	asked   time.Time     // When the read began.
@@ -50,9 +50,9 @@
 		return
 	case e == nil:
 		if c.entries == nil {
-			c.entries = map[store.Range]*cached{}
+			c.entries = map[store.Range]*cachedPage{}
 		}
-		e = &cached{changed: make(chan struct{})}
+		e = &cachedPage{changed: make(chan struct{})}
 		c.entries[r] = e
 	case asked.Before(e.asked):
 		return
--- a/internal/relay/candidate.go
+++ b/internal/relay/candidate.go
@@ -19,9 +19,9 @@
 }
 
 const (
-	// standFirst is the pause before a box that starts reads the candidates, and standSpread the time over which boxes that start together do so.
-	standFirst  = 200 * time.Millisecond
-	standSpread = time.Second
+	// candidatesFirst is the pause before a box that starts reads the candidates, and candidatesSpread the time over which boxes that start together do so.
+	candidatesFirst  = 200 * time.Millisecond
+	candidatesSpread = time.Second
 	// candidatesWanted is how many boxes of a hall announce themselves as candidates: those that watch the lease, and some that stand in for them.
 	candidatesWanted = 8
 	// candidatesRead bounds the rows of candidates that are read, gone ones among them.
@@ -30,11 +30,11 @@
 	presumedGone = 50 * time.Second
 )
 
-// keepStanding keeps the candidates of the hall until ctx ends.
-func (b *Book) keepStanding(ctx context.Context, s store.Store, log *zap.Logger) {
-	interval.Sleep(ctx, standFirst+b.Phase(standSpread))
+// followCandidates keeps the candidates of the hall until ctx ends.
+func (b *Book) followCandidates(ctx context.Context, s store.Store, log *zap.Logger) {
+	interval.Sleep(ctx, candidatesFirst+b.Phase(candidatesSpread))
 	for pause := b.firstPause(); ctx.Err() == nil; pause = announceEvery {
-		if err := b.stand(ctx, s, log); err != nil {
+		if err := b.refreshCandidates(ctx, s, log); err != nil {
 			log.Warn("relay: unable to read who is fit to schedule", logsink.Error(err))
 		}
 		interval.Sleep(ctx, pause)
@@ -49,8 +49,8 @@
 	return store.Key{Table: tableBoxes, Part: b.candidatePart(), Name: fmt.Sprintf("%010d/%016x/%s", b.Takeover.Milliseconds(), b.hash(), b.Box)}
 }
 
-// stand reads the candidates of the hall, and announces the box as one where too few go before it.
-func (b *Book) stand(ctx context.Context, s store.Store, log *zap.Logger) error {
+// refreshCandidates reads the candidates of the hall, and announces the box as one where too few go before it.
+func (b *Book) refreshCandidates(ctx context.Context, s store.Store, log *zap.Logger) error {
 	page, err := s.Read(ctx, store.Range{Table: tableBoxes, Part: b.candidatePart(), Limit: candidatesRead})
 	if err != nil {
 		return err
@@ -98,7 +98,7 @@
 		}
 		c := newest[decodeAnnouncement(row).box]
 		if c == nil || c.row != row.Name || !c.lives() {
-			drop(gone, row)
+			deleteUnchanged(gone, row)
 		}
 		if c != nil && c.row == row.Name {
 			b.candidates = append(b.candidates, c)
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -19,14 +19,14 @@
 	Wait        time.Duration // How long an answer may be held back for other rows than were read last.
 	MaxAge      time.Duration // How old what others have read may be.
 
-	known  map[store.Range]copied
+	known  map[store.Range]copiedPage
 	asOf   time.Time
 	copied bool
-	from   int // Which of the boxes that watch is asked.
+	next   int // Which of the boxes that watch is asked.
 }
 
-// copied is a page as it was copied last.
-type copied struct {
+// copiedPage is a page as it was copied last.
+type copiedPage struct {
 	page   store.Page
 	digest uint64
 }
@@ -42,14 +42,14 @@
 
 // Read implements store.Store.
 func (f *Follower) Read(ctx context.Context, r store.Range) (store.Page, error) {
-	if address := f.Book.watcher(f.from); address != "" {
+	if address := f.Book.watcher(f.next); address != "" {
 		page, err := f.copy(ctx, address, r)
 		if f.copied = err == nil; f.copied {
 			f.Figures.Count("follower_copied")
 			return page, nil
 		}
 		f.Figures.Count("follower_missed")
-		f.from++ // The next one may answer.
+		f.next++ // The next one may answer.
 	}
 	f.copied, f.asOf = false, time.Now()
 	return f.Store.Read(ctx, r)
@@ -76,8 +76,8 @@
 		f.asOf = asOf
 	}
 	if f.known == nil {
-		f.known = map[store.Range]copied{}
+		f.known = map[store.Range]copiedPage{}
 	}
-	f.known[r] = copied{found.Page, found.Digest}
+	f.known[r] = copiedPage{found.Page, found.Digest}
 	return found.Page, nil
 }
