Hold that a refusal of the store's own is not tried over every box

Cause: the bound on refusals had no test of its own. Change: a store that refuses everybody is asked for one write by three boxes at most (TestARefusalOfTheStoreIsAnAnswer).

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -105,6 +105,33 @@
 	})
 }
 
+// TestARefusalOfTheStoreIsAnAnswer: a store that refuses everybody is asked for one write by three boxes at most, however many there are.
+func TestARefusalOfTheStoreIsAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		s := newSite(ctx, 12)
+		s.store.Refuse("box-0")
+		for range 3 {
+			_ = write(ctx, s.boxes[0], "a")
+		}
+		quicktest.Assert(t, s.boxes[0].Direct.Healthy(), quicktest.IsFalse)
+		calls := func() int64 {
+			sum := int64(0)
+			for _, b := range s.boxes {
+				sum += b.Direct.Figures.Counted(PathDirect + "_commit_t")
+			}
+			return sum
+		}
+		s.store.SetBusy()
+		before := calls()
+		quicktest.Check(t, write(ctx, s.boxes[0], "b"), quicktest.ErrorIs, store.ErrRefused)
+		made := calls() - before
+		quicktest.Check(t, made <= 3, quicktest.IsTrue, quicktest.Commentf("%d calls", made))
+		cancel()
+		time.Sleep(time.Minute) // What was begun ends.
+	})
+}
+
 // TestBoxesThatFailRest: calls move on to a box that passes them on, and soon take no detour.
 func TestBoxesThatFailRest(t *testing.T) {
 	inSite(t, func(ctx context.Context, t *testing.T, s *site) {
