A box whose watchers have gone dark still reads the lease within its bound

Cause: found in reading the change: a query to a watcher that does not answer takes 0.5 s of the 0.7 s that a standby gives to a reading of the lease, and was made anew each time. With both watchers of a hall dark and the store slow, every reading failed and no standby of that hall could claim the lease. Change: after a query without an answer nobody is asked for 4 s, and reads go to the store.

--- a/internal/relay/cache_test.go
+++ b/internal/relay/cache_test.go
@@ -47,3 +47,34 @@
 		quicktest.Assert(t, err, quicktest.ErrorIs, store.ErrUnreachable)
 	})
 }
+
+// TestReadsGoOnWithoutWatchers: both boxes that watch for a hall have gone dark, and the store answers slowly. Reads that are bounded as those of the lease
+// are fail seldom, and the first ones that fail leave time for the next.
+func TestReadsGoOnWithoutWatchers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		s := newSite(ctx, 12)
+		var last *Store
+		for _, b := range s.boxes {
+			if b.Book.IsWatcher() {
+				s.network.Cut(b.Book.Box)
+			} else {
+				last = b
+			}
+		}
+		s.store.SetSlow(300 * time.Millisecond)
+		f := &Follower{Store: last, Book: &last.Book, Network: last.Network, MaxAge: time.Second}
+		failed := 0
+		for range 20 {
+			bounded, stop := context.WithTimeout(ctx, 700*time.Millisecond)
+			if _, err := f.Read(bounded, store.Range{Table: "t"}); err != nil {
+				failed++
+			}
+			stop()
+			time.Sleep(500 * time.Millisecond)
+		}
+		quicktest.Check(t, failed <= 4, quicktest.IsTrue, quicktest.Commentf("%d of 20 failed", failed))
+		cancel()
+		time.Sleep(time.Minute) // What was begun ends.
+	})
+}
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -22,7 +22,8 @@
 	known  map[store.Range]copiedPage
 	asOf   time.Time
 	copied bool
-	next   int // Which of the boxes that watch is asked.
+	next   int       // Which of the boxes that watch is asked.
+	missed time.Time // When the last one asked did not answer.
 }
 
 // copiedPage is a page as it was copied last.
@@ -31,8 +32,12 @@
 	digest uint64
 }
 
-// copyTimeout bounds the answer to a query beyond its own wait.
-const copyTimeout = 500 * time.Millisecond
+const (
+	// copyTimeout bounds the answer to a query beyond its own wait.
+	copyTimeout = 500 * time.Millisecond
+	// missRest is how long no box is asked after one has not answered, so that the next reads have all of their time for the store.
+	missRest = 4 * time.Second
+)
 
 // AsOf is the time that the last page that was read is of, at least.
 func (f *Follower) AsOf() time.Time { return f.asOf }
@@ -42,7 +47,7 @@
 
 // Read implements store.Store.
 func (f *Follower) Read(ctx context.Context, r store.Range) (store.Page, error) {
-	if address := f.Book.watcher(f.next); address != "" {
+	if address := f.Book.watcher(f.next); address != "" && time.Since(f.missed) > missRest {
 		page, err := f.copy(ctx, address, r)
 		if f.copied = err == nil; f.copied {
 			f.Figures.Count("follower_copied")
@@ -50,6 +55,7 @@
 		}
 		f.Figures.Count("follower_missed")
 		f.next++ // The next one may answer.
+		f.missed = time.Now()
 	}
 	f.copied, f.asOf = false, time.Now()
 	return f.Store.Read(ctx, r)
