Addresses that did not fit into a batch follow at once, not a beat later

A tenure writes all 64 rows of addresses as it begins, eight a batch, and the rest waited for a beat of 0.3 s each: it was killed before all were there, and the successor did not know where the worker was whose record is gone. Change: rows that are left over set off the next batch; the spacing of commits bounds them.

--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -90,7 +90,7 @@
 		h.pass()
 	}
 	pending := h.countPending()
-	if len(h.dirty) == 0 && len(h.dropped) == 0 && !beat && maps.Equal(pending, h.pending) {
+	if len(h.dirty) == 0 && len(h.dropped) == 0 && !beat && !h.addresses.left && maps.Equal(pending, h.pending) {
 		return nil
 	}
 	f := &flight{batch: ledger.Batch{Progress: map[job.ID]*job.Progress{}}, applied: map[*listedEnds]applied{}}
