Say what takeCandidates keeps: gone candidates stay in the list until their rows are deleted

Cause: read again as a newcomer, the comment said that only those that live are kept. Change: the comment alone.

--- a/internal/relay/candidate.go
+++ b/internal/relay/candidate.go
@@ -65,7 +65,7 @@
 	return deleteRows(ctx, s, gone)
 }
 
-// takeCandidates replaces the list of candidates by those that live, and returns the deletion of the rows of the others.
+// takeCandidates replaces the list of candidates, and returns the deletion of the rows of those that are gone, or have a newer row.
 func (b *Book) takeCandidates(rows []store.Row, log *zap.Logger) *store.Transaction {
 	b.mu.Lock()
 	defer b.mu.Unlock()
