placement: inputs for the speed of workers and the tightest urgent goal

Decisions will ask whether a worker is fast enough for a demand's goal. Worker.TimeFactor, TimeFactorHigh, Demand.TaskTime and Policy.TightFactor are inputs only; nothing uses them yet.

--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -25,6 +25,8 @@
 	GuaranteedStartLimit time.Duration // Time within which guaranteed work must start.
 	MaxStopTime          time.Duration // Longest time that a stop takes.
 	WasteCost            float64       // Cost of a core-second of lost work, in the unit of Demand.Value.
+	// TightFactor is the smallest allowed duration of urgent work, as a multiple of its run time; 0 if there is none.
+	TightFactor float64
 }
 
 // Worker is the state of a worker as last observed by the scheduler.
@@ -45,6 +47,10 @@
 	JustStarted  job.ID  // Job that has just started here, suspected or not; empty for none.
 	FailureScore float64 // Failure score: 0 without recent failures; higher is worse.
 	Slowness     float64 // Factor by which runs take longer here than on other workers; 0 or 1 if they don't.
+	// TimeFactor is the expected run time here as a multiple of that on a usual worker; 0 or 1 for a usual worker.
+	TimeFactor float64
+	// TimeFactorHigh is a factor that the real one exceeds in one case of ten only; 0 or 1 for a usual worker.
+	TimeFactorHigh float64
 }
 
 // Demand is a group of tasks that are ready to start.
@@ -60,6 +66,7 @@
 	Avoid                     map[string]bool // Workers where it failed or could not start; used only as a last resort.
 	ReadySince                time.Time       // Time since which it is ready to start.
 	Remaining                 time.Duration   // Expected time from its start to the end of the job.
+	TaskTime                  time.Duration   // The part of Remaining that one of its tasks runs on a usual worker.
 	Goal                      time.Time       // Ending by this time earns the full value.
 	LastGoal                  time.Time       // Ending by this time earns LateValue.
 	Value                     float64         // Value that the job earns at most.
--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -98,7 +98,7 @@
 	r := j.Request
 	d := placement.Demand{
 		Job: r.ID, Group: g, Workspace: r.Terms.Workspace, Service: r.Terms.Service, Priority: r.Terms.Priority,
-		Step: &r.Steps[g.Step], ReadySince: since, Remaining: h.estimates.chainTime(r, g.Step), Guaranteed: j.guaranteed,
+		Step: &r.Steps[g.Step], ReadySince: since, Remaining: h.estimates.chainTime(r, g.Step), TaskTime: h.estimates.taskTime(r, g.Step), Guaranteed: j.guaranteed,
 		Avoid: j.avoidWorkers[g], AntiAffinity: j.lostTogether, Work: h.remainingWork(j, g),
 	}
 	if d.Step.MostPerWorker > 0 {
