internal/ledger, internal/scheduler: keep the speeds of workers over takeovers

A box that takes the lease had to learn the speeds of all workers anew, and urgent gangs started on slow workers meanwhile.

--- a/internal/ledger/faults_test.go
+++ b/internal/ledger/faults_test.go
@@ -10,6 +10,7 @@
 	"github.com/frankban/quicktest"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pulleyring/pulleyring/internal/emulator"
+	"github.com/pulleyring/pulleyring/internal/incarnation"
 	"github.com/pulleyring/pulleyring/internal/job"
 	"github.com/pulleyring/pulleyring/internal/ledger"
 	"github.com/pulleyring/pulleyring/internal/store"
@@ -82,6 +83,10 @@
 		for n := range ledger.MaxAddressRows {
 			b.Addresses[n] = ledger.Addresses{{Worker: "w"}: "a"}
 		}
+		b.Speeds = map[int][]ledger.Speed{}
+		for n := range ledger.MaxSpeedRows {
+			b.Speeds[n] = []ledger.Speed{{Incarnation: incarnation.ID{Worker: "w"}}}
+		}
 		quicktest.Assert(t, tenure.Commit(ctx, b), quicktest.IsNil)
 		quicktest.Assert(t, rows.largest <= maxTransactionEntries, quicktest.IsTrue, quicktest.Commentf("%d entries", rows.largest))
 	})
--- a/internal/ledger/lease.go
+++ b/internal/ledger/lease.go
@@ -85,6 +85,7 @@
 	Progress  map[job.ID]*job.Progress
 	Summary   *Summary          // nil to leave it unchanged.
 	Addresses map[int]Addresses // Complete rows of worker addresses, by row number.
+	Speeds    map[int][]Speed   // Complete rows of workers' speeds, by row number; at most MaxSpeedRows.
 	Delete    []JobDeletion     // Jobs whose progress is deleted; their requests must be deleted before.
 	Release   bool              // Release the lease.
 }
@@ -229,6 +230,9 @@
 			return nil, err
 		}
 	}
+	if err := b.addSpeeds(add); err != nil {
+		return nil, err
+	}
 	if b.Release {
 		if err := add(tableRelease, t.ledger.Shard, lease.Epoch); err != nil {
 			return nil, err
--- a/internal/ledger/rows_test.go
+++ b/internal/ledger/rows_test.go
@@ -64,6 +64,7 @@
 	}
 	storedSummary   = ledger.Summary{Pending: map[string]int{"q": 7}}
 	storedAddresses = ledger.Addresses{{Worker: "i-1", Born: 1700000000003}: "10.0.0.1:80"}
+	storedSpeeds    = []ledger.Speed{{Incarnation: incarnation.ID{Worker: "i-1", Born: 1700000000003}, Log: -511, Variance: 12, Samples: 9}}
 	storedStart     = ledger.Start{Number: 1, Name: "box-1/a", Address: "10.0.0.2:81"}
 )
 
@@ -107,6 +108,7 @@
 		{
 			Progress: map[job.ID]*job.Progress{"a": &storedProgress}, Summary: &storedSummary,
 			Addresses: map[int]ledger.Addresses{ledger.AddressRow("i-1"): storedAddresses},
+			Speeds:    map[int][]ledger.Speed{ledger.SpeedRow("i-1"): storedSpeeds},
 		},
 	} {
 		seen, err := l.Lease(ctx)
@@ -137,6 +139,10 @@
 	addresses, err := l.Addresses(ctx)
 	quicktest.Assert(t, err, quicktest.IsNil)
 	quicktest.Check(t, addresses, quicktest.DeepEquals, storedAddresses)
+	speeds, unreadable, err := l.Speeds(ctx)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, unreadable, quicktest.HasLen, 0)
+	quicktest.Check(t, speeds, quicktest.DeepEquals, storedSpeeds)
 	start, err := l.NewestStart(ctx, "box-1")
 	quicktest.Assert(t, err, quicktest.IsNil)
 	quicktest.Check(t, start, quicktest.DeepEquals, storedStart)
--- a/internal/ledger/size_test.go
+++ b/internal/ledger/size_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/frankban/quicktest"
@@ -48,5 +49,31 @@
 	}
 	quicktest.Check(t, largest < maxRowBytes/2, quicktest.IsTrue, quicktest.Commentf("%d bytes", largest))
 	quicktest.Check(t, largest*MaxAddressRows < 1<<20/2, quicktest.IsTrue, quicktest.Commentf("%d bytes in a batch", largest*MaxAddressRows))
-	quicktest.Check(t, MaxBatchRows+2+MaxDeletedRows+MaxAddressRows+3 <= 100, quicktest.IsTrue)
+	quicktest.Check(t, MaxBatchRows+2+MaxDeletedRows+MaxAddressRows+MaxSpeedRows+3 <= 100, quicktest.IsTrue)
+}
+
+// TestSpeedsFitIntoRows fails if a row of speeds at 12,000 workers exceeds the store's limit for a row, so that commits
+// fail for ever, or if speeds are left out that would fit. Workers of the sites have names like i-83f60f8f38.
+func TestSpeedsFitIntoRows(t *testing.T) {
+	for _, c := range []struct {
+		format string
+		whole  bool
+	}{{"i-83f60%05d", true}, {"executor-with-long-name-%05d", false}, {strings.Repeat("n", 200) + "%05d", false}} {
+		rows := map[int][]Speed{}
+		for n := range 12000 {
+			worker := fmt.Sprintf(c.format, n)
+			rows[SpeedRow(worker)] = append(rows[SpeedRow(worker)], Speed{Incarnation: incarnation.ID{Worker: worker, Born: 1792504406446}, Log: -2079, Variance: 160, Samples: 1000})
+		}
+		quicktest.Assert(t, len(rows), quicktest.Equals, SpeedRowCount)
+		largest := 0
+		for _, all := range rows {
+			fitting := FitSpeeds(all)
+			quicktest.Check(t, len(fitting) == len(all), quicktest.Equals, c.whole, quicktest.Commentf("%s: %d of %d", c.format, len(fitting), len(all)))
+			raw, err := cbor.Marshal(speedRow{Version: speedsVersion, Speeds: fitting})
+			quicktest.Assert(t, err, quicktest.IsNil)
+			largest = max(largest, len(raw))
+		}
+		t.Logf("%s: %d bytes in the largest row", c.format, largest)
+		quicktest.Check(t, largest < maxRowBytes && largest > maxRowBytes/2, quicktest.IsTrue, quicktest.Commentf("%d bytes", largest))
+	}
 }
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -112,6 +112,7 @@
 	h.committing = f.batch.Progress
 	h.collectFollowUps(f)
 	h.collectAddresses(&f.batch)
+	h.collectSpeeds(&f.batch, time.Now())
 	f.batch.Delete = h.takeDropped()
 	if !maps.Equal(pending, h.pendingByQueue) {
 		f.batch.Summary = &ledger.Summary{Pending: pending}
@@ -175,6 +176,7 @@
 func (h *shard) afterCommit(f *pendingCommit, began time.Time, suspended time.Duration) {
 	h.lastCommit, h.lastCommitSuspended, h.committing = began, suspended, nil
 	h.recentCommits.add(h.leaseTerm.LastCommitVersion(), began)
+	h.Figures.Add("speeds_written", int64(len(f.batch.Speeds)))
 	for ends, a := range f.appliedEnds {
 		ends.acknowledged = max(ends.acknowledged, a.upTo)
 		a.worker.signal()
@@ -200,6 +202,9 @@
 	for row := range f.batch.Addresses {
 		h.addresses.touch(row)
 	}
+	for row := range f.batch.Speeds {
+		h.speeds.rows.touch(row)
+	}
 }
 
 // releaseTimeout limits the release of the lease at a planned stop. If the release fails, the other boxes take the
--- a/internal/scheduler/speeds.go
+++ b/internal/scheduler/speeds.go
@@ -33,6 +33,7 @@
 	sites     map[string]*siteSpeeds // By service.
 	former    map[string]formerSpeed // Speeds of workers that are not tracked, by name.
 	updatedAt time.Time
+	rows      speedRows
 }
 
 // siteSpeeds holds how much the workers of a service differ.
@@ -54,6 +55,7 @@
 	// What placement uses: the expected run time as a multiple of that on a usual worker, and a value that the real one
 	// exceeds in one case of ten. Both are 0 if the workers of the service do not differ materially.
 	timeFactor, timeFactorHigh float64
+	stored                     float64 // Its ln(factor) when it was last written to the store.
 }
 
 // timeFactor returns the expected factor by which a run takes longer on its worker than on a usual one.
@@ -126,6 +128,9 @@
 		for _, w := range workers {
 			w.updateTimeFactor(s)
 		}
+		if s.material {
+			h.speeds.rows.markMoved(workers)
+		}
 	}
 	h.speeds.sites = sites
 	h.speeds.dropOld(now)
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -73,7 +73,8 @@
 }
 
 // load reads the shard's rows and the workers' records one after the other, so that renewals of the lease don't wait
-// behind all of them on a slow link.
+// behind all of them on a slow link. The learned speeds of workers are small and read in parallel; nothing waits for
+// them.
 func (h *shard) load(ctx context.Context) (jobsVersion, workersVersion int64, err error) {
 	var (
 		changes  ledger.Changes
@@ -92,6 +93,9 @@
 			return err
 		},
 	}
+	if !h.Bounds.DisableSpeeds {
+		h.background.Go(h.readSpeeds)
+	}
 	for _, read := range reads {
 		if err := h.retryRead(ctx, read); err != nil {
 			return 0, 0, err
@@ -102,6 +106,7 @@
 	h.addresses.begin(reached)
 	h.applyListing(listing, true)
 	h.applyChanges(changes.List, progress)
+	h.updateSpeeds(time.Now())
 	return changes.Version, listing.Version, nil
 }
 
