placement: ask whether a worker is fast enough for the goal

A gang is as slow as its slowest member.

A demand now ranks workers by whether the rest of its time allows their expected and their high factor. Starts, racks, reservations and preemption plans prefer workers that are fast enough. An urgent demand that fits only where it will be late may preempt work on fast workers if the value gained exceeds the cost of the stops, also after the time that they take; it then waits for the capacity reserved for it. Work with time to spare takes the workers that the tightest urgent goal rules out, and those don't count for the idle reserve.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -18,7 +18,7 @@
 	workersByRack                  [][]int         // Worker indexes by rack, in the order of the view.
 	allocationsOnWorker            [][]int         // Allocation indexes by worker, one entry for each task.
 	openCount                      int             // Number of workers in halls that are not emptied.
-	idleCount                      int             // Number of workers that accept new runs and run nothing.
+	idleCount                      int             // Number of workers that isIdle reports.
 	idleReserve                    int             // Number of workers that must stay idle for urgent work.
 	tasksReservedWithoutPreemption int             // Number of tasks that hold a reservation without preemption.
 	outcome                        Outcome
@@ -37,6 +37,7 @@
 	waitedTooLong   bool            // The current demand has waited too long while capacity is ample.
 	runningJobs     map[job.ID]bool // Jobs of which at least one task runs; built on first use.
 	search          search          // Buffers of planPreemption, reused between calls.
+	speeds          speeds
 }
 
 // Decide returns which demands start where, which allocations are preempted and which capacity is reserved.
@@ -63,6 +64,7 @@
 	pl.servedDemands[i] = true
 	pl.setCurrentDemand(d)
 	pl.excludeUnproven(d)
+	pl.rankSpeeds(d, 1)
 	pl.returnReservation(i)
 	reserved := d.Reservation != nil && !pl.droppedReservations[i]
 	if pl.startFittingTasks(i) || pl.placeOnReserved(i) {
@@ -99,13 +101,14 @@
 		view: v, free: make([]job.Resources, workers), allWorkers: make([]int, workers), capacityFreeSoonByWorker: make([]job.Resources, workers),
 		suitable: make([]bool, workers), avoided: make([]bool, workers), suspectJobs: make([]job.ID, workers), justStarted: make([]job.ID, workers), hasAntiAffinity: make([]bool, workers), servedDemands: make([]bool, len(v.Demands)), droppedReservations: make([]bool, len(v.Demands)), deductedReservations: make([]bool, len(v.Demands)),
 		stoppedAllocations: make([]bool, allocations),
+		speeds:             newSpeeds(v),
 	}
 	for k := range v.Workers {
 		pl.free[k], pl.allWorkers[k] = v.Workers[k].Free, k
 		pl.suspectJobs[k], pl.justStarted[k] = v.Workers[k].SuspectJob, v.Workers[k].JustStarted
 	}
 	pl.openCount = countOpenWorkers(v)
-	pl.idleReserve = int(idleReserveShare * float64(pl.openCount))
+	pl.idleReserve = int(idleReserveShare * float64(pl.countForReserve()))
 	pl.workersByRack = racksOf(v)
 	pl.allocationsOnWorker = allocationsByWorker(v)
 	for k := range v.Workers {
@@ -268,7 +271,12 @@
 
 // valueAtStake returns the value that a demand loses if it misses its next goal, and the time of that goal.
 func (pl *planner) valueAtStake(d *Demand) (gain float64, goal time.Time) {
-	end := pl.view.Now.Add(d.Remaining)
+	return pl.valueAtStakeAfter(d, d.Remaining)
+}
+
+// valueAtStakeAfter is valueAtStake for a demand whose job ends at the given time after its start.
+func (pl *planner) valueAtStakeAfter(d *Demand, remaining time.Duration) (gain float64, goal time.Time) {
+	end := pl.view.Now.Add(remaining)
 	switch {
 	case !end.After(d.Goal):
 		return d.Value - d.LateValue, d.Goal
@@ -295,7 +303,7 @@
 	} else {
 		workers = pl.assignSingles(d)
 	}
-	if len(workers) == 0 || d.Step.Gang && pl.wouldUseReserve(d, workers) {
+	if len(workers) == 0 || d.Step.Gang && pl.wouldUseReserve(d, workers) || pl.prefersFasterWorkers(i, workers) {
 		return false
 	}
 	for _, w := range workers {
@@ -309,7 +317,7 @@
 			pl.suspectJobs[k] = d.Job
 		}
 	}
-	pl.outcome.Starts = append(pl.outcome.Starts, Start{i, workers})
+	pl.outcome.Starts = append(pl.outcome.Starts, Start{i, workers, pl.isTooSlowOn(d, workers)})
 	return len(workers) == len(d.Waiting)
 }
 
@@ -325,10 +333,11 @@
 // each).
 const reserveWaitShare = 0.25
 
-// isIdle reports whether a worker accepts new runs, runs nothing and has no reserved capacity.
+// isIdle reports whether a worker accepts new runs, runs nothing, has no reserved capacity and is fast enough for the
+// tightest urgent work.
 func (pl *planner) isIdle(k int) bool {
 	w := &pl.view.Workers[k]
-	return w.AcceptsRuns && pl.free[k] == w.Capacity
+	return w.AcceptsRuns && pl.free[k] == w.Capacity && !pl.isTooSlowForTightWork(k)
 }
 
 // mustLeaveReserve reports whether a demand must leave the last idle workers to urgent work. Demands that can
--- a/internal/placement/decide_bench_test.go
+++ b/internal/placement/decide_bench_test.go
@@ -24,6 +24,28 @@
 	}
 }
 
+// BenchmarkDecideUneven measures a decision for the site of BenchmarkDecide if a third of the workers take 1.7 times the
+// usual time and a third take 0.6 times.
+func BenchmarkDecideUneven(b *testing.B) {
+	for _, size := range []struct{ workers, tasks int }{{48, 500}, {350, 5000}, {1100, 2000}, {1100, 20000}, {3100, 25000}} {
+		b.Run(fmt.Sprintf("workers=%d/tasks=%d", size.workers, size.tasks), func(b *testing.B) {
+			v := busyView(size.workers, size.tasks)
+			v.Policy.TightFactor = 1.5
+			for k := range v.Workers {
+				factor := [...]float64{1, 1.7, 0.6}[k%3]
+				v.Workers[k].TimeFactor, v.Workers[k].TimeFactorHigh = factor, 1.1*factor
+			}
+			for i := range v.Demands {
+				v.Demands[i].TaskTime = v.Demands[i].Remaining
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				Decide(v)
+			}
+		})
+	}
+}
+
 // busyView returns a random view of a busy site. The same sizes give the same view.
 func busyView(workers, tasks int) *View {
 	random := rand.New(rand.NewPCG(1, 1))
--- a/internal/placement/explain.go
+++ b/internal/placement/explain.go
@@ -6,6 +6,7 @@
 	SuitableWorkers int // Workers that may run its tasks, whether they have free capacity or not.
 	ClosedWorkers   int // Workers in halls where no work may start now.
 	FitNow          int // Tasks that fit now, on all workers together.
+	FitFastEnough   int // Tasks that fit now on workers that are fast enough for the goal.
 	FitInRack       int // Tasks that fit now in the best rack.
 	FitInEmptyRack  int // Tasks that would fit in the best rack if it were empty.
 }
@@ -15,6 +16,7 @@
 	pl := newPlanner(v)
 	d := &v.Demands[i]
 	pl.setCurrentDemand(d)
+	pl.rankSpeeds(d, 1)
 	pl.returnReservation(i)
 	w := WaitExplanation{WaitingTasks: len(d.Waiting), ClosedWorkers: len(v.Workers) - pl.openCount}
 	for _, rack := range pl.workersByRack {
@@ -24,7 +26,11 @@
 				continue
 			}
 			w.SuitableWorkers++
-			now += pl.fittingTasks(d, k, pl.free[k])
+			fitting := pl.fittingTasks(d, k, pl.free[k])
+			now += fitting
+			if !pl.isTooSlow(k) {
+				w.FitFastEnough += fitting
+			}
 			empty += pl.fittingTasks(d, k, v.Workers[k].Capacity)
 		}
 		w.FitNow += now
--- a/internal/placement/layout.go
+++ b/internal/placement/layout.go
@@ -154,15 +154,16 @@
 }
 
 // rackRank is the sort key of a rack in which a gang fits. Racks with fewer tasks on risky workers come first,
-// then those without a very slow worker, then those with the least free capacity.
+// then those whose slowest chosen worker is better by its speed key, then those with fewer tasks on workers that tight
+// work needs, then those with the least free capacity.
 type rackRank struct {
-	risky, slow int
-	free        int64
+	risky, slow, fast int
+	free              int64
 }
 
 // isPreferredTo reports whether r is preferred to o.
 func (r rackRank) isPreferredTo(o rackRank) bool {
-	return cmp.Or(cmp.Compare(r.risky, o.risky), cmp.Compare(r.slow, o.slow), cmp.Compare(r.free, o.free)) < 0
+	return cmp.Or(cmp.Compare(r.risky, o.risky), cmp.Compare(r.slow, o.slow), cmp.Compare(r.fast, o.fast), cmp.Compare(r.free, o.free)) < 0
 }
 
 // assignGang returns workers for a whole gang, by task index, or nil if the gang does not fit. It takes the
@@ -179,13 +180,13 @@
 		if workers == nil {
 			continue
 		}
-		rank := rackRank{pl.riskyTasks(workers), pl.maxSlowLevel(workers), pl.freeAccelerators(rack)}
+		rank := rackRank{pl.riskyTasks(workers), pl.worstSpeedKey(workers), pl.tasksOnFastWorkers(workers), pl.freeAccelerators(rack)}
 		if best == nil || rank.isPreferredTo(bestRank) {
 			best, bestRank = workers, rank
 		}
 	}
 	if best == nil && (pl.mustCrossRacks(d) || !pl.fitsAnyEmptyRack(d)) {
-		return pl.packTasks(d, pl.allWorkers, len(d.Waiting))
+		pl.acrossRacks(d, func() { best = pl.packTasks(d, pl.allWorkers, len(d.Waiting)) })
 	}
 	return best
 }
@@ -201,16 +202,6 @@
 	return n
 }
 
-// maxSlowLevel returns the slowness level of the slowest of the assigned workers. That worker delays the whole
-// gang.
-func (pl *planner) maxSlowLevel(workers map[int]string) int {
-	level := 0
-	for _, w := range workers {
-		level = max(level, pl.slowLevel(pl.mustWorkerIndex(w)))
-	}
-	return level
-}
-
 // fitsAnyEmptyRack reports whether any rack could hold the gang if it were empty.
 func (pl *planner) fitsAnyEmptyRack(d *Demand) bool {
 	return slices.ContainsFunc(pl.workersByRack, func(rack []int) bool { return pl.fitsWhenEmpty(d, rack) })
@@ -296,8 +287,8 @@
 
 // fullestFirst returns those of the given workers on which at least one task fits, the preferred ones first.
 // Workers that the demand avoids come last, then those with a job that it has anti-affinity to. Among the rest
-// a low failure score is preferred, then a proven worker, then one that is not very slow, then the least free
-// capacity.
+// a low failure score is preferred, then a proven worker, then one that is not very slow, then one that is fast enough
+// for the goal, then the least free capacity.
 func (pl *planner) fullestFirst(d *Demand, among []int) []int {
 	var order []int
 	for _, k := range among {
@@ -310,7 +301,7 @@
 			cmp.Compare(pl.avoidanceLevel(x), pl.avoidanceLevel(y)),
 			cmp.Compare(pl.view.Workers[x].FailureScore, pl.view.Workers[y].FailureScore),
 			cmp.Compare(unprovenRank(&pl.view.Workers[x]), unprovenRank(&pl.view.Workers[y])),
-			cmp.Compare(pl.slowLevel(x), pl.slowLevel(y)),
+			cmp.Compare(pl.speedKey(x), pl.speedKey(y)),
 			cmp.Compare(pl.free[x].Cores(), pl.free[y].Cores()),
 			cmp.Compare(pl.view.Workers[x].ID, pl.view.Workers[y].ID))
 	})
--- a/internal/placement/preemption.go
+++ b/internal/placement/preemption.go
@@ -8,8 +8,11 @@
 	if d.NoPreemptionPlan {
 		return false
 	}
-	best := pl.cheapestPlan(d)
-	if best == nil || !d.Guaranteed && !pl.isWorthPreempting(d, best) {
+	best := pl.takeFasterPlan()
+	if best == nil {
+		best = pl.planForWaiting(d)
+	}
+	if best == nil {
 		pl.outcome.WithoutPlan = append(pl.outcome.WithoutPlan, i)
 		return false
 	}
@@ -28,9 +31,30 @@
 	return true
 }
 
+// planForWaiting returns the preemption plan for a demand that does not fit now; nil if there is none that it may use.
+// A plan on workers that are fast enough for its goal is preferred.
+func (pl *planner) planForWaiting(d *Demand) *preemptionPlan {
+	if p := pl.cheapestPlanInTime(d); p != nil && (d.Guaranteed || pl.isWorthPreempting(d, p)) {
+		return p
+	}
+	if p := pl.cheapestPlan(d); p != nil && (d.Guaranteed || pl.isWorthPreempting(d, p)) {
+		return p
+	}
+	return nil
+}
+
 // cheapestPlan returns the cheapest preemption plan, within one rack if the demand needs one and a rack has
 // enough capacity. It returns nil if there is none.
 func (pl *planner) cheapestPlan(d *Demand) *preemptionPlan {
+	best := pl.cheapestPlanInPlace(d)
+	if best == nil && d.Step.Gang && d.Step.RackLocal && pl.mustCrossRacks(d) {
+		pl.acrossRacks(d, func() { best = pl.planPreemption(d, pl.allWorkers) })
+	}
+	return best
+}
+
+// cheapestPlanInPlace returns the cheapest preemption plan that does not spread the demand over racks if it needs one.
+func (pl *planner) cheapestPlanInPlace(d *Demand) *preemptionPlan {
 	if !d.Step.Gang || !d.Step.RackLocal {
 		return pl.planPreemption(d, pl.allWorkers)
 	}
@@ -40,17 +64,15 @@
 			best = p
 		}
 	}
-	if best == nil && pl.mustCrossRacks(d) {
-		best = pl.planPreemption(d, pl.allWorkers)
-	}
 	return best
 }
 
 // isWorthPreempting reports whether a demand without a guarantee gains more by starting after the
 // preemption than the preemption costs.
 func (pl *planner) isWorthPreempting(d *Demand, p *preemptionPlan) bool {
-	gain, goal := pl.valueAtStake(d)
-	if pl.view.Now.Add(pl.view.Policy.MaxStopTime + d.Remaining).After(goal) {
+	remaining := pl.remainingOn(d, p.workers)
+	gain, goal := pl.valueAtStakeAfter(d, remaining)
+	if pl.view.Now.Add(pl.view.Policy.MaxStopTime + remaining).After(goal) {
 		return false
 	}
 	return gain > p.cost*pl.view.Policy.WasteCost
--- a/internal/placement/reservation.go
+++ b/internal/placement/reservation.go
@@ -13,7 +13,8 @@
 // reservation is free.
 const maxShareReservedWithoutPreemption = 0.4
 
-// reserveWithoutPreemption reserves the capacity that comes free first for a gang that does not fit now.
+// reserveWithoutPreemption reserves the capacity that comes free first for a gang that does not fit now. Capacity with
+// which the gang meets its goal is preferred.
 // Nothing is preempted, but no other work that is not urgent starts there.
 func (pl *planner) reserveWithoutPreemption(i int) {
 	d := &pl.view.Demands[i]
@@ -26,10 +27,11 @@
 	}
 	var best map[int]string
 	var earliest time.Duration
+	bestValue := 0.0
 	for _, rack := range racks {
-		workers, after := pl.earliestCapacity(d, rack)
-		if workers != nil && (best == nil || after < earliest) {
-			best, earliest = workers, after
+		workers, after, value := pl.earliestValuableCapacity(d, rack)
+		if workers != nil && (best == nil || value > bestValue || value == bestValue && after < earliest) {
+			best, earliest, bestValue = workers, after, value
 		}
 	}
 	if best == nil {
--- a/internal/placement/script_test.go
+++ b/internal/placement/script_test.go
@@ -18,15 +18,18 @@
 
 // TestDecisions runs the cases of testdata. A case is a list of lines:
 //
-//	worker NAME rack RACK gpu FREE [freeing N] [doubt X] [slow X] [label L] [unusable] [unproven]
+//	policy tight X
+//	worker NAME rack RACK gpu FREE [freeing N] [doubt X] [slow X] [factor X] [high X] [label L] [unusable] [unproven]
 //	holding NAME priority N gpu EACH on WORKER... [loss N] [left SECONDS [known]] [covered] [stopping]
 //	demand NAME priority N tasks N gpu EACH [gang] [local] [lasting] [covered] [waited D] [goal D] [takes D]
-//	       [value X] [work X] [near RACK] [label L] [most N] [avoid W] [last] [lasts N] [draining] [claim W...]
+//	       [task D] [value X] [work X] [near RACK] [label L] [most N] [avoid W] [last] [lasts N] [draining] [claim W...]
 //	start NAME WORKER...    exactly these tasks start, one worker for each, in any order
 //	wait NAME               nothing of this demand starts
 //	stop NAME               exactly the allocations with such a line are stopped
 //	claim NAME WORKER...    this capacity is reserved
 //	drop NAME               exactly the reservations with such a line are dropped
+//	slow NAME               exactly the starts with such a line have a worker that is too slow for the goal
+//	explain NAME now N fast N  the numbers of its tasks that fit now, and on workers that are fast enough
 func TestDecisions(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
 	quicktest.Assert(t, err, quicktest.IsNil)
@@ -45,13 +48,15 @@
 	stops        []string
 	waits        []string
 	drops        []string
+	slowStarts   []string
+	explained    map[string][]string
 }
 
 func runCase(t *testing.T, file string) {
 	f, err := os.Open(file)
 	quicktest.Assert(t, err, quicktest.IsNil)
 	defer f.Close()
-	testCase := &decisionCase{starts: map[string][]string{}, reservations: map[string][]string{}}
+	testCase := &decisionCase{starts: map[string][]string{}, reservations: map[string][]string{}, explained: map[string][]string{}}
 	testCase.view.Now = time.Unix(1000, 0)
 	testCase.view.Policy = Policy{RemoteFactor: 3, GuaranteedStartLimit: 3 * time.Second, MaxStopTime: 500 * time.Millisecond, WasteCost: 0.0015}
 	lines := bufio.NewScanner(f)
@@ -70,8 +75,12 @@
 
 func (c *decisionCase) check(t *testing.T, out *Outcome) {
 	starts, claims := map[string][]string{}, map[string][]string{}
+	var slow []string
 	for _, s := range out.Starts {
 		starts[c.demands[s.Demand]] = sortedValues(s.Workers)
+		if s.TooSlow {
+			slow = append(slow, c.demands[s.Demand])
+		}
 	}
 	for _, s := range out.Reservations {
 		claims[c.demands[s.Demand]] = sortedValues(s.Workers)
@@ -89,6 +98,13 @@
 	slices.Sort(c.stops)
 	quicktest.Check(t, starts, quicktest.DeepEquals, c.starts)
 	quicktest.Check(t, stops, quicktest.DeepEquals, c.stops)
+	slices.Sort(slow)
+	slices.Sort(c.slowStarts)
+	quicktest.Check(t, slow, quicktest.DeepEquals, c.slowStarts)
+	for name, want := range c.explained {
+		w := Explain(&c.view, slices.Index(c.demands, name))
+		quicktest.Check(t, []string{"now", strconv.Itoa(w.FitNow), "fast", strconv.Itoa(w.FitFastEnough)}, quicktest.DeepEquals, want)
+	}
 	for name, want := range c.reservations {
 		quicktest.Check(t, claims[name], quicktest.DeepEquals, want)
 	}
@@ -109,6 +125,10 @@
 func (c *decisionCase) read(words []string) error {
 	name, rest := words[1], words[2:]
 	switch words[0] {
+	case "policy":
+		n, err := number(words, 1)
+		c.view.Policy.TightFactor = n
+		return err
 	case "worker":
 		return c.readWorker(name, rest)
 	case "holding":
@@ -125,6 +145,10 @@
 		c.stops = append(c.stops, name)
 	case "wait":
 		c.waits = append(c.waits, name)
+	case "slow":
+		c.slowStarts = append(c.slowStarts, name)
+	case "explain":
+		c.explained[name] = rest
 	case "drop":
 		c.drops = append(c.drops, name)
 	default:
@@ -173,6 +197,10 @@
 				w.FailureScore = n
 			case "slow":
 				w.Slowness = n
+			case "factor":
+				w.TimeFactor = n
+			case "high":
+				w.TimeFactorHigh = n
 			default:
 				return fmt.Errorf("unknown word %q", words[i])
 			}
@@ -273,7 +301,7 @@
 			i++
 			d.Avoid = map[string]bool{words[i]: true}
 			continue
-		case "waited", "goal", "takes":
+		case "waited", "goal", "takes", "task":
 			v, err := time.ParseDuration(words[i+1])
 			if err != nil {
 				return err
@@ -285,6 +313,8 @@
 				goal = v
 			case "takes":
 				d.Remaining = v
+			case "task":
+				d.TaskTime = v
 			}
 			i++
 			continue
--- a/internal/placement/search.go
+++ b/internal/placement/search.go
@@ -85,7 +85,7 @@
 		p.cost += pl.preemptionCost(&pl.view.Allocations[h])
 	}
 	p.stops = pl.removeUnneededStops(d, p)
-	p.workers = pl.assignTasks(d, among, pl.search.free)
+	p.workers = pl.assignTasks(d, pl.fasterFirst(among), pl.search.free)
 	return p
 }
 
--- /dev/null
+++ b/internal/placement/speed.go
@@ -0,0 +1,375 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Speed ranks of a worker for the current demand, the preferred ones first. The rank of a worker whose expected
+// factor alone is within what the goal allows is between those of known workers, because its real factor may be above.
+const (
+	sparesFastWorkers  = iota // Fast enough with a margin, and too slow for the tightest urgent work.
+	fastEnough                // The goal is met in nine cases of ten.
+	probablyFastEnough        // The goal is met at the expected speed.
+	tooSlow                   // The goal is missed.
+	speedRankCount
+)
+
+// speeds holds what a decision needs about the speeds of workers. The zero value is that of a site where all workers
+// have the usual speed: every worker is fast enough for every demand, whatever its goal.
+type speeds struct {
+	ranks      []uint8         // By worker: speed rank for the current demand; nil if all workers have the usual speed.
+	fastest    float64         // Result of fastestSuitable for the current demand.
+	fasterPlan *preemptionPlan // Plan that the current demand prefers to a start on workers that are too slow.
+}
+
+// timeFactor returns the expected run time on a worker as a multiple of that on a usual worker.
+func (w *Worker) timeFactor() float64 {
+	if w.TimeFactor <= 0 {
+		return 1
+	}
+	return w.TimeFactor
+}
+
+// timeFactorHigh returns a factor that the real one exceeds in one case of ten only. It is never below timeFactor.
+func (w *Worker) timeFactorHigh() float64 {
+	if w.TimeFactorHigh <= 0 {
+		return max(w.timeFactor(), 1)
+	}
+	return max(w.timeFactor(), w.TimeFactorHigh)
+}
+
+// hasUsualSpeed reports whether a worker has the usual speed for certain.
+func (w *Worker) hasUsualSpeed() bool { return w.timeFactor() == 1 && w.timeFactorHigh() == 1 }
+
+// newSpeeds returns the speeds of a view.
+func newSpeeds(v *View) speeds {
+	for k := range v.Workers {
+		if !v.Workers[k].hasUsualSpeed() {
+			return speeds{ranks: make([]uint8, len(v.Workers))}
+		}
+	}
+	return speeds{}
+}
+
+// areUneven reports whether the speed of any worker differs from the usual one.
+func (s *speeds) areUneven() bool { return s.ranks != nil }
+
+// isTooSlowForTightWork reports whether the tightest urgent work would miss its goal on a worker. A worker of usual
+// speed never is: a queue with a stretch below 1 relies on its objective.
+func (pl *planner) isTooSlowForTightWork(k int) bool {
+	tight := pl.view.Policy.TightFactor
+	return tight > 0 && pl.speeds.areUneven() && pl.view.Workers[k].timeFactor() > max(tight, 1)
+}
+
+// countForReserve returns the number of workers of which a share is left idle for urgent work.
+func (pl *planner) countForReserve() int {
+	n := pl.openCount
+	for k := range pl.view.Workers {
+		if !pl.view.Workers[k].HallClosed && pl.isTooSlowForTightWork(k) {
+			n--
+		}
+	}
+	return n
+}
+
+// allowedFactor returns the largest factor on the run time of its tasks with which a demand meets its goal if it starts
+// after the given time. The last goal counts if no suitable worker is fast enough for the goal. If none is fast enough
+// for that either, speed no longer matters and the factor is infinite. Runs that are far from their rack take remote
+// times as long.
+func (pl *planner) allowedFactor(d *Demand, after time.Duration, remote float64) float64 {
+	if d.TaskTime <= 0 {
+		return math.Inf(1)
+	}
+	start := pl.view.Now.Add(after + max(d.Remaining-d.TaskTime, 0))
+	for _, goal := range []time.Time{d.Goal, d.LastGoal} {
+		if allowed := float64(goal.Sub(start)) / (float64(d.TaskTime) * remote); allowed >= pl.speeds.fastest {
+			return allowed
+		}
+	}
+	return math.Inf(1)
+}
+
+// rankSpeeds computes the speed ranks of all workers for the current demand. Work that is not urgent and that meets its
+// goal with a margin on workers that are too slow for the tightest urgent work prefers those.
+func (pl *planner) rankSpeeds(d *Demand, remote float64) {
+	if !pl.speeds.areUneven() {
+		return
+	}
+	pl.speeds.fastest = pl.fastestSuitable()
+	allowed := pl.allowedFactor(d, 0, remote)
+	for k := range pl.view.Workers {
+		w := &pl.view.Workers[k]
+		rank := uint8(tooSlow)
+		switch {
+		case d.Priority > 0 && pl.isTooSlowForTightWork(k) && runTimeMargin*w.timeFactorHigh() <= allowed:
+			rank = sparesFastWorkers
+		case w.timeFactorHigh() <= allowed:
+			rank = fastEnough
+		case w.timeFactor() <= allowed:
+			rank = probablyFastEnough
+		}
+		pl.speeds.ranks[k] = rank
+	}
+}
+
+// fastestSuitable returns the factor of the fastest suitable worker, whether it has free capacity or not. Very slow ones
+// don't count.
+func (pl *planner) fastestSuitable() float64 {
+	fastest := math.Inf(1)
+	for k := range pl.view.Workers {
+		if pl.isSuitable(k) && pl.slowLevel(k) == 0 {
+			fastest = min(fastest, pl.view.Workers[k].timeFactor())
+		}
+	}
+	return fastest
+}
+
+// acrossRacks calls assign with the speed ranks of a gang that is spread over racks and therefore runs slower.
+func (pl *planner) acrossRacks(d *Demand, assign func()) {
+	pl.rankSpeeds(d, pl.remoteFactor())
+	assign()
+	pl.rankSpeeds(d, 1)
+}
+
+// remoteFactor returns the factor by which runs that are far from their rack take longer.
+func (pl *planner) remoteFactor() float64 { return max(pl.view.Policy.RemoteFactor, 1) }
+
+// isTooSlow reports whether the current demand misses its goal on a worker.
+func (pl *planner) isTooSlow(k int) bool {
+	return pl.speeds.areUneven() && pl.speeds.ranks[k] == tooSlow
+}
+
+// speedKey returns the key by which workers are sorted by speed: very slow ones come last, the others are sorted by
+// their rank.
+func (pl *planner) speedKey(k int) int {
+	key := pl.slowLevel(k) * speedRankCount
+	if pl.speeds.ranks != nil {
+		key += int(pl.speeds.ranks[k])
+	}
+	return key
+}
+
+// worstSpeedKey returns the speed key of the slowest of the assigned workers. That worker delays the whole gang.
+// All workers that are fast enough count the same.
+func (pl *planner) worstSpeedKey(workers map[int]string) int {
+	key := fastEnough
+	for _, w := range workers {
+		key = max(key, pl.speedKey(pl.mustWorkerIndex(w)))
+	}
+	return key
+}
+
+// tasksOnFastWorkers returns how many of the assigned tasks are not on workers that spare the fast ones.
+func (pl *planner) tasksOnFastWorkers(workers map[int]string) int {
+	if !pl.speeds.areUneven() {
+		return 0
+	}
+	n := 0
+	for _, w := range workers {
+		if pl.speeds.ranks[pl.mustWorkerIndex(w)] != sparesFastWorkers {
+			n++
+		}
+	}
+	return n
+}
+
+// fasterFirst returns the given workers sorted by their speed rank.
+func (pl *planner) fasterFirst(among []int) []int {
+	if !pl.speeds.areUneven() {
+		return among
+	}
+	sorted := slices.Clone(among)
+	slices.SortStableFunc(sorted, func(x, y int) int { return cmp.Compare(pl.speeds.ranks[x], pl.speeds.ranks[y]) })
+	return sorted
+}
+
+// slowestFactor returns the largest expected factor of the assigned workers.
+func (pl *planner) slowestFactor(workers map[int]string) float64 {
+	factor := 0.0
+	for _, w := range workers {
+		factor = max(factor, pl.view.Workers[pl.mustWorkerIndex(w)].timeFactor())
+	}
+	return factor
+}
+
+// remainingOn returns the expected time from the start of a demand on the given workers to the end of its job.
+func (pl *planner) remainingOn(d *Demand, workers map[int]string) time.Duration {
+	if !pl.speeds.areUneven() || d.TaskTime <= 0 {
+		return d.Remaining
+	}
+	return d.Remaining + time.Duration((pl.slowestFactor(workers)-1)*float64(d.TaskTime))
+}
+
+// isTooSlowOn reports whether a demand misses its goal on the given workers because one of them is too slow.
+func (pl *planner) isTooSlowOn(d *Demand, workers map[int]string) bool {
+	if !pl.speeds.areUneven() {
+		return false
+	}
+	remote := 1.0
+	if pl.isSpreadOverRacks(d, workers) {
+		remote = pl.remoteFactor()
+	}
+	return pl.slowestFactor(workers) > pl.allowedFactor(d, 0, remote)
+}
+
+// isSpreadOverRacks reports whether a gang that should be in one rack is spread over several by an assignment.
+func (pl *planner) isSpreadOverRacks(d *Demand, workers map[int]string) bool {
+	if !d.Step.Gang || !d.Step.RackLocal {
+		return false
+	}
+	rack, first := "", true
+	for _, w := range workers {
+		r := pl.view.Workers[pl.mustWorkerIndex(w)].Rack
+		if !first && r != rack {
+			return true
+		}
+		rack, first = r, false
+	}
+	return false
+}
+
+// prefersFasterWorkers reports whether urgent demand i, which would start on the given workers, rather waits for faster
+// ones: those reserved for it, or those of a preemption plan that is worth its cost. It never waits if it has waited too
+// long while capacity is ample, nor if it is guaranteed and its start limit is close.
+func (pl *planner) prefersFasterWorkers(i int, workers map[int]string) bool {
+	d := &pl.view.Demands[i]
+	if !pl.speeds.areUneven() || d.Priority > 0 || pl.waitedTooLong || len(workers) < len(d.Waiting) || pl.isSpreadOverRacks(d, workers) || !pl.isTooSlowOn(d, workers) {
+		return false
+	}
+	if reserved := pl.reservationOf(i); reserved != nil {
+		return !pl.mustCrossRacks(d) && pl.isReservationInTime(d, reserved)
+	}
+	if d.NoPreemptionPlan || pl.mustPreemptForGuarantee(d) {
+		return false
+	}
+	pl.speeds.fasterPlan = pl.planWorthWaitingFor(d, workers)
+	return pl.speeds.fasterPlan != nil
+}
+
+// isReservationInTime reports whether a demand would meet its goal if it started on its reserved workers now.
+func (pl *planner) isReservationInTime(d *Demand, reserved map[int]string) bool {
+	for _, w := range reserved {
+		if k, ok := pl.workerIndex(w); !ok || !pl.isSuitable(k) {
+			return false
+		}
+	}
+	return !pl.isTooSlowOn(d, reserved)
+}
+
+// planWorthWaitingFor returns a preemption plan by which a demand earns more than by a start on the given workers, even
+// after the cost and the time of the stops; nil if there is none. Its workers are fast enough for the goal in nine cases
+// of ten, because stopped work is lost for certain. None of them is more likely to fail than the given ones.
+func (pl *planner) planWorthWaitingFor(d *Demand, workers map[int]string) *preemptionPlan {
+	value := pl.valueAfter(d, pl.remainingOn(d, workers))
+	best := pl.view.Policy.MaxStopTime + d.Remaining + time.Duration((pl.speeds.fastest-1)*float64(d.TaskTime))
+	if pl.valueAfter(d, best) <= value {
+		return nil
+	}
+	allowed := pl.allowedFactor(d, pl.view.Policy.MaxStopTime, 1)
+	score := pl.highestFailureScore(workers)
+	p := pl.cheapestPlanOn(d, func(k int) bool {
+		w := &pl.view.Workers[k]
+		return w.timeFactorHigh() <= allowed && !w.Unproven && w.FailureScore <= score && pl.avoidanceLevel(k) == 0
+	})
+	if p == nil {
+		return nil
+	}
+	gain := pl.valueAfter(d, pl.view.Policy.MaxStopTime+pl.remainingOn(d, p.workers)) - value
+	if gain <= p.cost*pl.view.Policy.WasteCost {
+		return nil
+	}
+	return p
+}
+
+// highestFailureScore returns the highest failure score of the assigned workers.
+func (pl *planner) highestFailureScore(workers map[int]string) float64 {
+	score := 0.0
+	for _, w := range workers {
+		score = max(score, pl.view.Workers[pl.mustWorkerIndex(w)].FailureScore)
+	}
+	return score
+}
+
+// valueAfter returns the value that a demand earns if its job ends after the given time.
+func (pl *planner) valueAfter(d *Demand, after time.Duration) float64 {
+	end := pl.view.Now.Add(after)
+	switch {
+	case !end.After(d.Goal):
+		return d.Value
+	case !end.After(d.LastGoal):
+		return d.LateValue
+	}
+	return 0
+}
+
+// takeFasterPlan returns the plan for faster workers found for the current demand, and forgets it.
+func (pl *planner) takeFasterPlan() *preemptionPlan {
+	p := pl.speeds.fasterPlan
+	pl.speeds.fasterPlan = nil
+	return p
+}
+
+// cheapestPlanInTime returns the cheapest preemption plan on workers that are fast enough for the goal after the stops.
+// It returns nil if there is none, or if all workers are fast enough.
+func (pl *planner) cheapestPlanInTime(d *Demand) *preemptionPlan {
+	if !pl.speeds.areUneven() {
+		return nil
+	}
+	allowed := pl.allowedFactor(d, pl.view.Policy.MaxStopTime, 1)
+	return pl.cheapestPlanOn(d, func(k int) bool { return pl.view.Workers[k].timeFactor() <= allowed })
+}
+
+// cheapestPlanOn returns the cheapest preemption plan on the suitable workers that are not very slow and for which
+// isUsable holds, without spreading a gang over racks that should be in one. It returns nil if there is none, or if all
+// suitable workers are of that kind or none is.
+func (pl *planner) cheapestPlanOn(d *Demand, isUsable func(k int) bool) *preemptionPlan {
+	var excluded []int
+	usable := 0
+	for k := range pl.view.Workers {
+		switch {
+		case !pl.isSuitable(k):
+		case pl.slowLevel(k) == 0 && isUsable(k):
+			usable++
+		default:
+			excluded = append(excluded, k)
+		}
+	}
+	if usable == 0 || len(excluded) == 0 {
+		return nil
+	}
+	for _, k := range excluded {
+		pl.suitable[k] = false
+	}
+	p := pl.cheapestPlanInPlace(d)
+	for _, k := range excluded {
+		pl.suitable[k] = true
+	}
+	return p
+}
+
+// earliestValuableCapacity returns the result of earliestCapacity for all the given workers, or for those that are fast
+// enough for a start at that time if the demand earns more there. It also returns what the demand earns, which is 0 if all workers have the usual
+// speed.
+func (pl *planner) earliestValuableCapacity(d *Demand, among []int) (workers map[int]string, after time.Duration, value float64) {
+	workers, after = pl.earliestCapacity(d, among)
+	if workers == nil || !pl.speeds.areUneven() {
+		return workers, after, 0
+	}
+	value = pl.valueAfter(d, after+pl.remainingOn(d, workers))
+	allowed := pl.allowedFactor(d, after, 1)
+	isTooSlow := func(k int) bool { return pl.view.Workers[k].timeFactor() > allowed }
+	if !slices.ContainsFunc(among, isTooSlow) {
+		return workers, after, value
+	}
+	faster, fasterAfter := pl.earliestCapacity(d, slices.DeleteFunc(pl.fasterFirst(among), isTooSlow))
+	if faster == nil {
+		return workers, after, value
+	}
+	if fasterValue := pl.valueAfter(d, fasterAfter+pl.remainingOn(d, faster)); fasterValue > value {
+		return faster, fasterAfter, fasterValue
+	}
+	return workers, after, value
+}
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -107,6 +107,7 @@
 type Start struct {
 	Demand  int            // Index of the demand.
 	Workers map[int]string // Worker by task index.
+	TooSlow bool           // At least one of the workers is slower than the demand's goal allows.
 }
 
 // Reservation reserves capacity that is coming free for a demand.
--- a/internal/placement/waits_test.go
+++ b/internal/placement/waits_test.go
@@ -21,6 +21,8 @@
 func TestNothingWaitsBesideRoom(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		v := drawViewWithWaitingDemands(r)
+		drawSpeeds(r, v)
+		v.Demands[0].TaskTime = time.Duration(rapid.Float64Range(0, 1.2).Draw(r, "task time") * float64(v.Demands[0].Remaining))
 		if !hasAmpleCapacity(v, &v.Demands[0]) {
 			r.Skip("no room")
 		}
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -79,7 +79,11 @@
 	}
 	h.logWaits(view, &out, now)
 	for _, s := range out.Starts {
-		h.place(&view.Demands[s.Demand], s.Workers, now)
+		d := &view.Demands[s.Demand]
+		if d.Step.Gang && s.TooSlow {
+			h.Figures.Count("gangs_placed_slow")
+		}
+		h.place(d, s.Workers, now)
 	}
 }
 
@@ -104,6 +108,7 @@
 		h.Log.Info("scheduler: waiting", zap.String("job", string(d.Job)), zap.Int("occurrence", d.Group.Occurrence),
 			zap.Int("step", d.Group.Step), zap.Duration("waited", now.Sub(d.ReadySince)), zap.Duration("to_goal", d.Goal.Sub(now)),
 			zap.Int("tasks", w.WaitingTasks), zap.Int("suitable_workers", w.SuitableWorkers), zap.Int("closed_workers", w.ClosedWorkers), zap.Int("fit_now", w.FitNow),
+			zap.Int("fit_fast_enough", w.FitFastEnough),
 			zap.Int("fit_in_rack", w.FitInRack), zap.Int("fit_in_empty_rack", w.FitInEmptyRack), zap.Bool("draining", d.ReservedWithoutPreemption),
 			zap.Bool("claimed", d.Reservation != nil))
 	}
--- a/internal/scheduler/why.go
+++ b/internal/scheduler/why.go
@@ -82,6 +82,9 @@
 	d, w := &v.Demands[i], placement.Explain(v, i)
 	text := fmt.Sprintf("step %d waits for room for %d tasks since %s: %d workers are suitable, there is room for %d now", d.Group.Step, w.WaitingTasks,
 		v.Now.Sub(d.ReadySince).Round(time.Millisecond), w.SuitableWorkers, w.FitNow)
+	if w.FitFastEnough < w.FitNow {
+		text += fmt.Sprintf(", for %d on workers that are fast enough for its goal", w.FitFastEnough)
+	}
 	if d.Step.RackLocal {
 		text += fmt.Sprintf(", for %d in one rack", w.FitInRack)
 	}
