internal/scheduler: test slow members on workers of known speeds, time the update of speeds

A gang with members on workers of 0.6 and 1.6 times the usual time must not be restarted because they differ as known.

Samples that were counted are no longer compared again with each new sample of their step.

--- a/internal/scheduler/speed_samples.go
+++ b/internal/scheduler/speed_samples.go
@@ -224,7 +224,10 @@
 	type comparison struct{ log, variance float64 }
 	ready := map[*speedSample]comparison{}
 	for _, x := range s {
-		if log, variance, ok := s.usualWithout(x, noise); ok && !x.counted {
+		if x.counted {
+			continue
+		}
+		if log, variance, ok := s.usualWithout(x, noise); ok {
 			ready[x] = comparison{log, variance}
 		}
 	}
--- a/internal/scheduler/speeds_test.go
+++ b/internal/scheduler/speeds_test.go
@@ -265,3 +265,54 @@
 	}
 	return sum / float64(len(names))
 }
+
+// TestKnownSpeedsAreNotSlowMembers fails if a gang is restarted because its members' workers differ as known, or if a
+// member that is far slower than its worker's known speed is not found.
+func TestKnownSpeedsAreNotSlowMembers(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		known  bool
+		shares []float64 // Done after a second by members on workers of the factors 0.6, 0.6, 0.6 and 1.6.
+		slow   int
+	}{
+		{"differ as known", true, []float64{0.6, 0.6, 0.6, 0.18}, 0},
+		{"differ, unknown", false, []float64{0.6, 0.6, 0.6, 0.18}, 1},
+		{"slower than known", true, []float64{0.6, 0.6, 0.6, 0.05}, 1},
+		{"a fast worker is slow", true, []float64{0.6, 0.6, 0.1, 0.2}, 1},
+	} {
+		x := &allocation{}
+		began := time.Unix(1000, 0)
+		for i, share := range c.shares {
+			w := workerOf(&fleet.Worker{ID: fmt.Sprint(i)})
+			if c.known {
+				w.speed.timeFactor = [...]float64{0.6, 0.6, 0.6, 1.6}[i]
+			}
+			r := &run{worker: w, confirmed: began}
+			r.progress.update(share, began.Add(time.Second))
+			x.runs = append(x.runs, r)
+		}
+		slow, _ := x.slowMembers()
+		quicktest.Check(t, len(slow), quicktest.Equals, c.slow, quicktest.Commentf(c.name))
+	}
+}
+
+// BenchmarkUpdateSpeeds updates the spread of all workers' speeds, which happens once a second under the shard's lock.
+func BenchmarkUpdateSpeeds(b *testing.B) {
+	for _, size := range []int{350, 12000} {
+		b.Run(fmt.Sprintf("workers=%d", size), func(b *testing.B) {
+			c := newSpeedCase()
+			c.config.Queues = []queue.Queue{{Service: "s", Stretch: 1.5}}
+			for n := range size {
+				c.addWorker("", 1)
+				w := c.h.workers[c.names[n]]
+				for k := range 5 {
+					w.speedOf().estimate.Observe([]float64{0.6, 1, 1.6}[n%3], 0.05, time.Unix(int64(k), 0))
+				}
+			}
+			for b.Loop() {
+				c.h.speeds.updatedAt = time.Time{}
+				c.h.updateSpeeds(time.Now())
+			}
+		})
+	}
+}
