internal/scheduler: the end of a job includes the speed of the workers that it runs on

The value at risk from a restart was computed as if every worker were a usual one. A run that ends late on its slow worker loses nothing by a restart.

--- a/internal/scheduler/allocations.go
+++ b/internal/scheduler/allocations.go
@@ -23,7 +23,8 @@
 	ends time.Time
 	// The prediction of ends from reported progress is valid until then; zero if ends is only an estimate.
 	knownUntil     time.Time
-	chainTime      time.Duration // Expected time from the start of the allocation to the end of its job.
+	chainTime      time.Duration // Expected time from its start to the end of its job, on usual workers.
+	extraTime      time.Duration // How much longer it takes on its workers; negative on fast ones.
 	fullValueUntil time.Time     // The job earns its full value if it ends by then.
 	valueAtRisk    float64       // Value that the job loses if it ends after fullValueUntil.
 }
@@ -122,7 +123,9 @@
 		chainTime: h.estimates.chainTime(request, r.task.Step), valueAtRisk: (1 - lateShare) * h.value(request),
 		fullValueUntil: time.UnixMilli(request.Due(r.task.Occurrence)).Add(h.allowedTime(request)),
 	}
+	slowest := 0.0
 	for i, r := range x.runs {
+		slowest = max(slowest, r.timeFactor())
 		ends, known := h.expectedEnd(r)
 		if ends.After(o.ends) {
 			o.ends = ends
@@ -131,13 +134,14 @@
 			o.knownUntil = known
 		}
 	}
+	o.extraTime = scale(h.estimates.taskTime(request, r.task.Step), slowest-1)
 	return o
 }
 
 // restartRisk returns the value that a job loses if one of its allocations is restarted. It is zero if the restart
 // makes no difference: the job ends late even without it, or on time in spite of it.
 func (h *shard) restartRisk(x *allocation, now time.Time) float64 {
-	late := x.runs[0].placed.Add(x.chainTime).After(x.fullValueUntil)
+	late := x.runs[0].placed.Add(x.chainTime + x.extraTime).After(x.fullValueUntil)
 	early := now.Add(h.Bounds.StopTime + restartDelay + x.chainTime).Before(x.fullValueUntil)
 	if late || early {
 		return 0
--- a/internal/scheduler/speeds_test.go
+++ b/internal/scheduler/speeds_test.go
@@ -316,3 +316,16 @@
 		})
 	}
 }
+
+// TestNoValueAtRiskOnTooSlowWorker fails if a run counts as in time that its worker ends late. Nothing is lost by a
+// restart of such a run, so it is to be preempted rather than one that is in time.
+func TestNoValueAtRiskOnTooSlowWorker(t *testing.T) {
+	for factor, atRisk := range map[float64]bool{0: true, 0.6: true, 1.4: true, 2: false} {
+		h, w := shardWithRun()
+		w.speed.timeFactor = factor
+		r := w.runs[job.Task{Job: "j"}]
+		request := r.job.Request
+		request.Steps[0].Estimate, request.Terms.Stretch, request.Accepted = 2*time.Second, 1.5, r.placed.UnixMilli()
+		quicktest.Check(t, h.allocationView(r.allocation, r.placed).ValueAtRisk > 0, quicktest.Equals, atRisk, quicktest.Commentf("%v", factor))
+	}
+}
