--- a/internal/placement/reservation.go
+++ b/internal/placement/reservation.go
@@ -14,8 +14,7 @@
 const maxShareReservedWithoutPreemption = 0.4
 
 // reserveWithoutPreemption reserves the capacity that comes free first for a gang that does not fit now. Capacity with
-// which the gang meets its goal is preferred.
-// Nothing is preempted, but no other work that is not urgent starts there.
+// which the gang meets its goal is preferred. Nothing is preempted, but no other work that is not urgent starts there.
 func (pl *planner) reserveWithoutPreemption(i int) {
 	d := &pl.view.Demands[i]
 	if pl.tasksReservedWithoutPreemption > 0 && float64(pl.tasksReservedWithoutPreemption+len(d.Waiting)) > maxShareReservedWithoutPreemption*float64(pl.openCount) {
