--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -11,6 +11,7 @@
 // factor alone is within what the goal allows is between those of known workers, because its real factor may be above.
 const (
 	sparesFastWorkers  = iota // Fast enough with a margin, and too slow for the tightest urgent work.
+	provesSpeed               // Fast enough with a margin, and perhaps too slow for the tightest urgent work.
 	fastEnough                // The goal is met in nine cases of ten.
 	probablyFastEnough        // The goal is met at the expected speed.
 	tooSlow                   // The goal is missed.
@@ -21,6 +22,8 @@
 // have the usual speed: every worker is fast enough for every demand, whatever its goal.
 type speeds struct {
 	ranks      []uint8         // By worker: speed rank for the current demand; nil if all workers have the usual speed.
+	logs       []logFactor     // By worker: logarithms of its factors.
+	deviations float64         // Result of deviationsOf for the current demand.
 	fastest    float64         // Result of fastestSuitable for the current demand.
 	fasterPlan *preemptionPlan // Plan that the current demand prefers to a start on workers that are too slow.
 }
@@ -46,12 +49,43 @@
 
 // newSpeeds returns the speeds of a view.
 func newSpeeds(v *View) speeds {
+	if !slices.ContainsFunc(v.Workers, func(w Worker) bool { return !w.hasUsualSpeed() }) {
+		return speeds{}
+	}
+	s := speeds{ranks: make([]uint8, len(v.Workers)), logs: make([]logFactor, len(v.Workers))}
 	for k := range v.Workers {
-		if !v.Workers[k].hasUsualSpeed() {
-			return speeds{ranks: make([]uint8, len(v.Workers))}
-		}
+		expected := math.Log(v.Workers[k].timeFactor())
+		s.logs[k] = logFactor{expected, math.Log(v.Workers[k].timeFactorHigh()) - expected}
+	}
+	return s
+}
+
+// logFactor holds the logarithms of a worker's expected factor, and of the ratio of its high factor to that.
+type logFactor struct {
+	expected, span float64
+}
+
+// maxMissShare is the share of cases in which work on workers that are fast enough may miss its goal: that of
+// Worker.TimeFactorHigh.
+const maxMissShare = 0.1
+
+// deviationsOf returns by how much more than its high factor, in logarithms, a worker must be able to exceed its
+// expected factor for a demand. A gang is as slow as its slowest member: if each member exceeded its high factor in one
+// case of ten, four of ten gangs of five would miss their goal.
+func deviationsOf(d *Demand) float64 {
+	if !d.Step.Gang || len(d.Waiting) < 2 {
+		return 1
 	}
-	return speeds{}
+	return quantile(maxMissShare/float64(len(d.Waiting))) / quantile(maxMissShare)
+}
+
+// quantile returns the value that a standard normal variable exceeds with a given probability.
+func quantile(exceeded float64) float64 { return math.Sqrt2 * math.Erfinv(1-2*exceeded) }
+
+// isSurelyWithin reports whether the factor of a worker is within an allowed one in as many cases as the current demand
+// needs. logAllowed is the logarithm of the allowed factor.
+func (s *speeds) isSurelyWithin(k int, logAllowed float64) bool {
+	return s.logs[k].expected+s.deviations*s.logs[k].span <= logAllowed
 }
 
 // areUneven reports whether the speed of any worker differs from the usual one.
@@ -64,6 +98,13 @@
 	return tight > 0 && pl.speeds.areUneven() && pl.view.Workers[k].timeFactor() > max(tight, 1)
 }
 
+// mayBeTooSlowForTightWork reports whether the tightest urgent work misses its goal on a worker in more than one case of
+// ten.
+func (pl *planner) mayBeTooSlowForTightWork(k int) bool {
+	tight := pl.view.Policy.TightFactor
+	return tight > 0 && pl.speeds.areUneven() && pl.view.Workers[k].timeFactorHigh() > max(tight, 1)
+}
+
 // countForReserve returns the number of workers of which a share is left idle for urgent work.
 func (pl *planner) countForReserve() int {
 	n := pl.openCount
@@ -93,22 +134,27 @@
 }
 
 // rankSpeeds computes the speed ranks of all workers for the current demand. Work that is not urgent and that meets its
-// goal with a margin on workers that are too slow for the tightest urgent work prefers those.
+// goal with a margin on workers that are too slow for the tightest urgent work prefers those. Next it prefers workers of
+// uncertain speed, which become known by it before urgent work needs them.
 func (pl *planner) rankSpeeds(d *Demand, remote float64) {
 	if !pl.speeds.areUneven() {
 		return
 	}
 	pl.speeds.fastest = pl.fastestSuitable()
-	allowed := pl.allowedFactor(d, 0, remote)
+	pl.speeds.deviations = deviationsOf(d)
+	logAllowed := math.Log(pl.allowedFactor(d, 0, remote))
+	logMargin := math.Log(runTimeMargin)
 	for k := range pl.view.Workers {
-		w := &pl.view.Workers[k]
 		rank := uint8(tooSlow)
 		switch {
-		case d.Priority > 0 && pl.isTooSlowForTightWork(k) && runTimeMargin*w.timeFactorHigh() <= allowed:
-			rank = sparesFastWorkers
-		case w.timeFactorHigh() <= allowed:
+		case d.Priority > 0 && pl.mayBeTooSlowForTightWork(k) && pl.speeds.isSurelyWithin(k, logAllowed-logMargin):
+			rank = provesSpeed
+			if pl.isTooSlowForTightWork(k) {
+				rank = sparesFastWorkers
+			}
+		case pl.speeds.isSurelyWithin(k, logAllowed):
 			rank = fastEnough
-		case w.timeFactor() <= allowed:
+		case pl.speeds.logs[k].expected <= logAllowed:
 			rank = probablyFastEnough
 		}
 		pl.speeds.ranks[k] = rank
@@ -162,14 +208,14 @@
 	return key
 }
 
-// tasksOnFastWorkers returns how many of the assigned tasks are not on workers that spare the fast ones.
+// tasksOnFastWorkers returns how many of the assigned tasks are on workers that tight urgent work can surely use.
 func (pl *planner) tasksOnFastWorkers(workers map[int]string) int {
 	if !pl.speeds.areUneven() {
 		return 0
 	}
 	n := 0
 	for _, w := range workers {
-		if pl.speeds.ranks[pl.mustWorkerIndex(w)] != sparesFastWorkers {
+		if pl.speeds.ranks[pl.mustWorkerIndex(w)] >= fastEnough {
 			n++
 		}
 	}
@@ -268,11 +314,11 @@
 	if pl.valueAfter(d, best) <= value {
 		return nil
 	}
-	allowed := pl.allowedFactor(d, pl.view.Policy.MaxStopTime, 1)
+	logAllowed := math.Log(pl.allowedFactor(d, pl.view.Policy.MaxStopTime, 1))
 	score := pl.highestFailureScore(workers)
 	p := pl.cheapestPlanOn(d, func(k int) bool {
 		w := &pl.view.Workers[k]
-		return w.timeFactorHigh() <= allowed && !w.Unproven && w.FailureScore <= score && pl.avoidanceLevel(k) == 0
+		return pl.speeds.isSurelyWithin(k, logAllowed) && !w.Unproven && w.FailureScore <= score && pl.avoidanceLevel(k) == 0
 	})
 	if p == nil {
 		return nil
--- a/internal/scheduler/first_poll_test.go
+++ b/internal/scheduler/first_poll_test.go
@@ -10,6 +10,34 @@
 	"github.com/pulleyring/pulleyring/internal/job"
 )
 
+// TestFirstPollOfUnknownWorker fails if the speed of a worker stays unknown because all urgent runs on it are shorter than
+// a usual poll, or if workers are polled early for it although their speed is known or not used.
+func TestFirstPollOfUnknownWorker(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		used    bool // Placement uses the speeds of workers.
+		samples int
+		wait    time.Duration
+	}{
+		{"unknown", true, 0, speedMinAge + firstPollMargin},
+		{"known", true, minKnownSamples, pollWait},
+		{"not used", false, 0, pollWait},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			h, w := shardWithRun()
+			request := h.jobs["j"].Request
+			request.Steps[0], request.Terms = urgentGang(1000), tight(0)
+			if c.used {
+				w.speed.timeFactor, w.speed.timeFactorHigh = 1, 1.7
+			}
+			for range c.samples {
+				w.speed.estimate.Observe(1, 0.04, time.Now())
+			}
+			quicktest.Check(t, h.firstPollWait(w, pollWait, time.Now()), quicktest.Equals, c.wait, quicktest.Commentf(c.name))
+		})
+	}
+}
+
 // TestFirstPoll fails if a hung member of an urgent gang is noticed too late for a restart within the goal, or if
 // workers are polled early although no restart depends on it: each poll costs as much as a health check.
 func TestFirstPoll(t *testing.T) {
--- a/internal/scheduler/speed_samples.go
+++ b/internal/scheduler/speed_samples.go
@@ -57,34 +57,66 @@
 // stepSamples holds the samples of a step's runs, the newest last.
 type stepSamples []*speedSample
 
-// usualWithout returns the logarithm of the run time of a usual worker, from the samples of other workers than that of
-// one sample, and its variance. It returns false if there are too few that agree. The worker's own samples would pull
-// its factor towards 1.
-func (s stepSamples) usualWithout(x *speedSample, noise float64) (log, variance float64, ok bool) {
-	var others []*speedSample
-	var residuals []float64
-	for _, o := range s {
-		if o.worker != x.worker {
-			others, residuals = append(others, o), append(residuals, o.residual())
+// usualWithout returns the logarithm of the run time of a usual worker, from the samples of other workers than w, and
+// its variance. It returns false if there are too few that agree. The worker's own samples would pull its factor towards
+// 1. The samples of one worker share the error of its estimate, so each worker counts once, by its certainty.
+func (s stepSamples) usualWithout(w *workerState, noise float64) (log, variance float64, ok bool) {
+	var others stepSamples
+	for _, x := range s {
+		if x.worker != w {
+			others = append(others, x)
 		}
 	}
+	others = others.agreeing()
 	if len(others) < minOtherSamples {
 		return 0, 0, false
 	}
+	weights := 0.0
+	for _, group := range others.byWorker() {
+		weight := 1 / (group[0].worker.speed.estimate.Variance() + noise/float64(len(group)))
+		log += weight * group.meanResidual()
+		weights += weight
+	}
+	return log / weights, 1 / weights, true
+}
+
+// agreeing returns the samples without those that are far from the median.
+func (s stepSamples) agreeing() stepSamples {
+	residuals := make([]float64, 0, len(s))
+	for _, x := range s {
+		residuals = append(residuals, x.residual())
+	}
+	if len(residuals) == 0 {
+		return nil
+	}
 	slices.Sort(residuals)
 	median := (residuals[len(residuals)/2] + residuals[(len(residuals)-1)/2]) / 2
-	n := 0.0
-	for _, o := range others {
-		if math.Abs(o.residual()-median) <= math.Log(maxSampleFactor) {
-			n++
-			log += o.residual()
-			variance += o.worker.speed.estimate.Variance() + noise
+	return slices.DeleteFunc(slices.Clone(s), func(x *speedSample) bool { return math.Abs(x.residual()-median) > math.Log(maxSampleFactor) })
+}
+
+// byWorker returns the samples of each worker, in the order of their first samples.
+func (s stepSamples) byWorker() []stepSamples {
+	var groups []stepSamples
+	index := map[*workerState]int{}
+	for _, x := range s {
+		i, known := index[x.worker]
+		if !known {
+			i = len(groups)
+			index[x.worker] = i
+			groups = append(groups, nil)
 		}
+		groups[i] = append(groups[i], x)
 	}
-	if n < minOtherSamples {
-		return 0, 0, false
+	return groups
+}
+
+// meanResidual returns the mean of the samples' residuals; there is at least one sample.
+func (s stepSamples) meanResidual() float64 {
+	sum := 0.0
+	for _, x := range s {
+		sum += x.residual()
 	}
-	return log / n, variance / (n * n), true
+	return sum / float64(len(s))
 }
 
 // noise returns the variance of the logarithms of a step's run times on workers of the same speed.
@@ -194,7 +226,7 @@
 	step := &r.job.Request.Steps[r.task.Step]
 	if step.Count*r.job.Request.Occurrences() <= minOtherSamples {
 		if log, variance, ok := h.estimates.usualTime(r.job.Request, r.task.Step); ok {
-			h.countSample(x, log, variance)
+			h.countGroup(stepSamples{x}, log, variance)
 		}
 		return
 	}
@@ -221,35 +253,50 @@
 
 // countSamples counts the samples of a step that were not counted before, if there are enough others.
 func (h *shard) countSamples(s stepSamples, noise float64) {
-	type comparison struct{ log, variance float64 }
-	ready := map[*speedSample]comparison{}
-	for _, x := range s {
-		if x.counted {
-			continue
-		}
-		if log, variance, ok := s.usualWithout(x, noise); ok {
-			ready[x] = comparison{log, variance}
-		}
+	type comparison struct {
+		samples       stepSamples
+		log, variance float64
 	}
-	for _, x := range s { // After all comparisons, because each sample changes what the others are compared with.
-		if c, ok := ready[x]; ok {
-			h.countSample(x, c.log, c.variance)
+	var ready []comparison
+	open := slices.DeleteFunc(slices.Clone(s), func(x *speedSample) bool { return x.counted })
+	for _, group := range open.byWorker() {
+		if log, variance, ok := s.usualWithout(group[0].worker, noise); ok {
+			ready = append(ready, comparison{group, log, variance})
 		}
 	}
+	for _, c := range ready { // After all comparisons, because each one changes what the others are compared with.
+		h.countGroup(c.samples, c.log, c.variance)
+	}
 }
 
-// countSample updates the estimate of a worker by a sample. usual is the logarithm of the run time of a usual worker.
-func (h *shard) countSample(x *speedSample, usual, variance float64) {
-	x.counted = true
-	w, own := x.worker, x.worker.speedOf()
-	if !x.incarnation.Matches(w.incarnation) {
+// countGroup updates the estimate of a worker by its samples of one step, which count as one because they share the
+// error of the time that they are compared with. usual is the logarithm of the run time of a usual worker.
+func (h *shard) countGroup(s stepSamples, usual, variance float64) {
+	w, own := s[0].worker, s[0].worker.speedOf()
+	l := h.estimates.ofQueue(s[0].queue)
+	noise := l.noise()
+	for _, x := range s {
+		x.counted = true
+	}
+	s = slices.DeleteFunc(slices.Clone(s), func(x *speedSample) bool { return !x.incarnation.Matches(w.incarnation) })
+	for _, x := range s {
+		off := x.residual() - usual
+		l.addNoise(off*off, own.estimate.Variance()+variance+x.variance)
+	}
+	s = s.agreeing()
+	if len(s) == 0 {
 		return
 	}
-	l := h.estimates.ofQueue(x.queue)
-	noise := l.noise()
-	off := x.residual() - usual
-	l.addNoise(off*off, own.estimate.Variance()+variance+x.variance)
-	if own.estimate.Observe(math.Exp(x.log-usual), noise+variance+x.variance, x.begun) {
+	log, single, begun := 0.0, 0.0, time.Time{}
+	for _, x := range s {
+		log += x.log
+		single += x.variance
+		if x.begun.After(begun) {
+			begun = x.begun
+		}
+	}
+	n := float64(len(s))
+	if own.estimate.Observe(math.Exp(log/n-usual), variance+(noise+single/n)/n, begun) {
 		h.Figures.Count("speeds_learned")
 		w.updateTimeFactor(h.speeds.sites[w.Service])
 	}
--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -18,8 +18,9 @@
 	// varianceGrowth is the growth of the variance per second without samples: 12 minutes after the last sample, an
 	// estimate is as uncertain as that of an unknown worker.
 	varianceGrowth = 0.0002
-	// outlierFactor is the factor by which a sample must differ from the estimate to be held back until later samples
-	// agree. Slow periods of healthy machines make work take 3 to 9 times as long; the tasks of one step differ by 1.3.
+	// outlierFactor is the factor by which a sample must differ from the estimate, beyond a standard deviation of that, to
+	// be held back until later samples agree. Slow periods of healthy machines make work take 3 to 9 times as long, which
+	// is beyond that even for an unknown worker; the tasks of one step differ by 1.3.
 	outlierFactor = 2
 	// outlierConfirmation is how much later a run must have started to confirm an outlier. Slow periods last 5 to 7 s.
 	outlierConfirmation = 10 * time.Second
@@ -82,7 +83,7 @@
 	if math.IsNaN(log) || math.IsInf(log, 0) || math.IsNaN(variance) || variance < 0 {
 		return false
 	}
-	if math.Abs(log-w.log) > math.Log(outlierFactor) {
+	if math.Abs(log-w.log) > math.Log(outlierFactor)+math.Sqrt(w.Variance()) {
 		if !w.outlier.confirmedBy(log, at) {
 			return false
 		}
