--- a/internal/placement/layout.go
+++ b/internal/placement/layout.go
@@ -297,13 +297,16 @@
 		}
 	}
 	slices.SortStableFunc(order, func(x, y int) int {
-		return cmp.Or(
+		c := cmp.Or(
 			cmp.Compare(pl.avoidanceLevel(x), pl.avoidanceLevel(y)),
 			cmp.Compare(pl.view.Workers[x].FailureScore, pl.view.Workers[y].FailureScore),
 			cmp.Compare(unprovenRank(&pl.view.Workers[x]), unprovenRank(&pl.view.Workers[y])),
 			cmp.Compare(pl.speedKey(x), pl.speedKey(y)),
-			cmp.Compare(pl.free[x].Cores(), pl.free[y].Cores()),
-			cmp.Compare(pl.view.Workers[x].ID, pl.view.Workers[y].ID))
+			cmp.Compare(pl.free[x].Cores(), pl.free[y].Cores()))
+		if c != 0 { // Comparing names is the costly part.
+			return c
+		}
+		return cmp.Compare(pl.view.Workers[x].ID, pl.view.Workers[y].ID)
 	})
 	return order
 }
