Keep free capacity for urgent work

Where urgent gangs arrive faster than running work ends, bulk work took each gap as soon as it came free and was stopped for the next gang, half of it within 2.3 s of its start. The idle reserve counts idle workers only, and under such a load none is idle.

The view carries what to keep beyond the present load. Other work may not start on the last slots that are to be kept. It still fills gaps that urgent work can't use, and it starts if it has waited too long while capacity is ample or if it would miss its next goal. Slots that urgent gangs wait for are kept too, and so are slots on capacity that is reserved without preemption, because urgent work may use it.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -37,6 +37,8 @@
 	waitedTooLong   bool            // The current demand has waited too long while capacity is ample.
 	runningJobs     map[job.ID]bool // Jobs of which at least one task runs; built on first use.
 	search          search          // Buffers of planPreemption, reused between calls.
+	urgent          urgentRoom      // Free slots of urgent work; counted on first use.
+	limit           *headroomLimit  // Limits the start of the current demand; nil for no limit.
 }
 
 // Decide returns which demands start where, which allocations are preempted and which capacity is reserved.
@@ -289,12 +291,14 @@
 // startFittingTasks starts the tasks of demand i that fit, and reports whether no task of it is left waiting.
 func (pl *planner) startFittingTasks(i int) bool {
 	d := &pl.view.Demands[i]
+	pl.limitByHeadroom(d)
 	var workers map[int]string
 	if d.Step.Gang {
 		workers = pl.assignGang(d)
 	} else {
 		workers = pl.assignSingles(d)
 	}
+	pl.recordKeptBack(i, len(workers))
 	if len(workers) == 0 || d.Step.Gang && pl.wouldUseReserve(d, workers) {
 		return false
 	}
--- a/internal/placement/decide_bench_test.go
+++ b/internal/placement/decide_bench_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/pulleyring/pulleyring/internal/headroom"
 	"github.com/pulleyring/pulleyring/internal/job"
 )
 
@@ -24,6 +25,30 @@
 	}
 }
 
+// BenchmarkDecideWithHeadroom measures the decisions of BenchmarkDecide with a tenth of the free slots of each shape of
+// urgent work to be kept, and with all of them. What urgent gangs still wait for is kept as well.
+func BenchmarkDecideWithHeadroom(b *testing.B) {
+	for _, size := range []struct{ workers, tasks int }{{48, 500}, {350, 5000}, {1100, 20000}, {3100, 25000}} {
+		for _, share := range []float64{0.1, 1} {
+			b.Run(fmt.Sprintf("workers=%d/tasks=%d/kept=%v", size.workers, size.tasks, share), func(b *testing.B) {
+				v := busyView(size.workers, size.tasks)
+				for _, n := range []int64{1, 2, 4, 8} {
+					shape := headroom.Shape{Service: "s", Each: gpus(n)}
+					free := 0
+					for k := range v.Workers {
+						free += shape.Fitting(v.Workers[k].Free)
+					}
+					v.Headroom = append(v.Headroom, headroom.Kept{Shape: shape, Slots: int(share * float64(free))})
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					Decide(v)
+				}
+			})
+		}
+	}
+}
+
 // busyView returns a random view of a busy site. The same sizes give the same view.
 func busyView(workers, tasks int) *View {
 	random := rand.New(rand.NewPCG(1, 1))
--- a/internal/placement/layout.go
+++ b/internal/placement/layout.go
@@ -275,7 +275,7 @@
 			workers[d.Waiting[len(workers)]] = pl.view.Workers[k].ID
 		}
 	}
-	if len(workers) < need {
+	if len(workers) < need || !pl.limit.admitsGang(workers) {
 		return nil
 	}
 	return workers
@@ -337,7 +337,7 @@
 		among = pl.workersInRack(d.Step.DataRack)
 	}
 	l := &singlesAssignment{planner: pl, demand: d, workers: map[int]string{}, assigned: map[int]int{}}
-	order := pl.withoutReserve(d, pl.fullestFirst(d, among))
+	order := pl.withoutReserve(d, pl.fullestFirst(d, pl.limit.admittingAmong(among)))
 	if !pl.needsProvenWorkers(d) {
 		l.assign(d.Waiting, order)
 		return l.workers
@@ -388,6 +388,10 @@
 			if len(tasks) == 0 {
 				return
 			}
+			if !l.planner.limit.admit(k, l.assigned[k]) {
+				l.planner.limit.countRefused(k, l.assigned[k])
+				break
+			}
 			l.workers[tasks[0]] = l.planner.view.Workers[k].ID
 			l.assigned[k]++
 			tasks = tasks[1:]
--- a/internal/placement/script_test.go
+++ b/internal/placement/script_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/pulleyring/pulleyring/internal/headroom"
 	"github.com/pulleyring/pulleyring/internal/job"
 )
 
@@ -22,11 +23,13 @@
 //	holding NAME priority N gpu EACH on WORKER... [loss N] [left SECONDS [known]] [covered] [stopping]
 //	demand NAME priority N tasks N gpu EACH [gang] [local] [lasting] [covered] [waited D] [goal D] [takes D]
 //	       [value X] [work X] [near RACK] [label L] [most N] [avoid W] [last] [lasts N] [draining] [claim W...]
+//	keep N gpu EACH [label L]   slots to keep for urgent work
 //	start NAME WORKER...    exactly these tasks start, one worker for each, in any order
 //	wait NAME               nothing of this demand starts
 //	stop NAME               exactly the allocations with such a line are stopped
 //	claim NAME WORKER...    this capacity is reserved
 //	drop NAME               exactly the reservations with such a line are dropped
+//	kept NAME N             exactly the tasks with such a line are kept back for urgent work
 func TestDecisions(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
 	quicktest.Assert(t, err, quicktest.IsNil)
@@ -45,13 +48,14 @@
 	stops        []string
 	waits        []string
 	drops        []string
+	keptBack     map[string]int // Tasks by demand.
 }
 
 func runCase(t *testing.T, file string) {
 	f, err := os.Open(file)
 	quicktest.Assert(t, err, quicktest.IsNil)
 	defer f.Close()
-	testCase := &decisionCase{starts: map[string][]string{}, reservations: map[string][]string{}}
+	testCase := &decisionCase{starts: map[string][]string{}, reservations: map[string][]string{}, keptBack: map[string]int{}}
 	testCase.view.Now = time.Unix(1000, 0)
 	testCase.view.Policy = Policy{RemoteFactor: 3, GuaranteedStartLimit: 3 * time.Second, MaxStopTime: 500 * time.Millisecond, WasteCost: 0.0015}
 	lines := bufio.NewScanner(f)
@@ -84,6 +88,11 @@
 	for _, d := range out.DroppedReservations {
 		drops = append(drops, c.demands[d])
 	}
+	keptBack := map[string]int{}
+	for _, kept := range out.KeptBack {
+		keptBack[c.demands[kept.Demand]] = kept.Tasks
+	}
+	quicktest.Check(t, keptBack, quicktest.DeepEquals, c.keptBack)
 	quicktest.Check(t, drops, quicktest.DeepEquals, c.drops)
 	slices.Sort(stops)
 	slices.Sort(c.stops)
@@ -115,6 +124,12 @@
 		return c.readAllocation(name, rest)
 	case "demand":
 		return c.readDemand(name, rest)
+	case "keep":
+		return c.readHeadroom(words)
+	case "kept":
+		n, err := number(words, 1)
+		c.keptBack[name] = int(n)
+		return err
 	case "start":
 		slices.Sort(rest)
 		c.starts[name] = rest
@@ -183,6 +198,24 @@
 	return nil
 }
 
+// readHeadroom reads a line "keep N gpu EACH [label L]".
+func (c *decisionCase) readHeadroom(words []string) error {
+	slots, err := number(words, 0)
+	if err != nil {
+		return err
+	}
+	each, err := number(words, 2)
+	if err != nil {
+		return err
+	}
+	kept := headroom.Kept{Shape: headroom.Shape{Service: "s", Each: gpus(int64(each))}, Slots: int(slots)}
+	if len(words) == 6 {
+		kept.Label = words[5]
+	}
+	c.view.Headroom = append(c.view.Headroom, kept)
+	return nil
+}
+
 // worker returns the index of a worker that was read before.
 func (c *decisionCase) worker(name string) int {
 	return slices.IndexFunc(c.view.Workers, func(w Worker) bool { return w.ID == name })
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/pulleyring/pulleyring/internal/headroom"
 	"github.com/pulleyring/pulleyring/internal/job"
 )
 
@@ -15,6 +16,8 @@
 	Demands     []Demand
 	Allocations []Allocation
 	Policy      Policy
+	// Headroom is what is kept free for urgent work; nil to keep nothing.
+	Headroom []headroom.Kept
 }
 
 // Policy holds the site's settings that affect decisions.
@@ -123,4 +126,5 @@
 	Reservations        []Reservation
 	WithoutPlan         []int // Indexes of the demands for which no preemption plan was found.
 	DroppedReservations []int // Indexes of the demands whose reservations were used by other demands.
+	KeptBack            []KeptBack
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -51,6 +51,8 @@
 	Retain       time.Duration // How long a job is shown after it has ended.
 	EmptiedGrace time.Duration // How long work may still start in a hall after it was emptied; 0 for no limit.
 	Policy       placement.Policy
+	// DisableHeadroom is set to keep no capacity for urgent work beyond the idle reserve.
+	DisableHeadroom bool
 }
 
 // Scheduler holds the dependencies and settings of a shard's scheduler. Run does the work.
@@ -119,6 +121,7 @@
 	decisionDue   bool // A change since the last decision calls for a new one.
 	lastDecision  time.Time
 	estimates     estimates
+	urgentLoad    urgentLoad
 	stepTimes     map[groupKey]*stepTimes
 	failureBurst  failureBurst
 	addresses     addresses
--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -45,6 +45,7 @@
 	slices.SortFunc(v.Demands, func(x, y placement.Demand) int {
 		return cmp.Or(cmp.Compare(x.Job, y.Job), cmp.Compare(x.Group.Occurrence, y.Group.Occurrence), cmp.Compare(x.Group.Step, y.Group.Step))
 	})
+	h.updateHeadroom(v, now)
 	return v
 }
 
