Pause work that was stopped for urgent work before it starts again

Stopped work started again in the next decision and was stopped for the next urgent gang: one job was stopped 194 times. It now waits for 1 s after the first stop, 2 s after the second and at most 4 s. The pause does not apply if capacity is ample or if the next goal would be missed because of it. Urgent work does not pause, and nothing does with Bounds.DisableHeadroom.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -64,6 +64,9 @@
 	d := &pl.view.Demands[i]
 	pl.servedDemands[i] = true
 	pl.setCurrentDemand(d)
+	if pl.isPaused(d) {
+		return
+	}
 	pl.excludeUnproven(d)
 	pl.returnReservation(i)
 	reserved := d.Reservation != nil && !pl.droppedReservations[i]
--- a/internal/placement/headroom.go
+++ b/internal/placement/headroom.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/pulleyring/pulleyring/internal/headroom"
 	"github.com/pulleyring/pulleyring/internal/job"
@@ -76,6 +77,22 @@
 	return pl.view.Now.Add(d.Remaining).After(d.LastGoal)
 }
 
+// isPaused reports whether a demand that was stopped for urgent work must not start yet. If it started at once, it would
+// often be stopped again: one job was stopped 194 times. The pause ends early if capacity is ample, and if the demand
+// would miss its next goal because of it.
+func (pl *planner) isPaused(d *Demand) bool {
+	if d.Priority == 0 || !pl.view.Now.Before(d.PausedUntil) || pl.hasAmpleCapacity(d) {
+		return false
+	}
+	return pl.hasMissedAllGoals(d) || !pl.latestStart(d).Before(d.PausedUntil)
+}
+
+// latestStart returns the time by which a demand must start to meet its next goal.
+func (pl *planner) latestStart(d *Demand) time.Time {
+	_, goal := pl.valueAtStake(d)
+	return goal.Add(-time.Duration(runTimeMargin * float64(d.Remaining)))
+}
+
 // limitByHeadroom sets the limit for the start of a demand.
 func (pl *planner) limitByHeadroom(d *Demand) {
 	pl.limit = nil
--- a/internal/placement/script_test.go
+++ b/internal/placement/script_test.go
@@ -22,7 +22,8 @@
 //	worker NAME rack RACK gpu FREE [freeing N] [doubt X] [slow X] [label L] [unusable] [unproven]
 //	holding NAME priority N gpu EACH on WORKER... [loss N] [left SECONDS [known]] [covered] [stopping]
 //	demand NAME priority N tasks N gpu EACH [gang] [local] [lasting] [covered] [waited D] [goal D] [takes D]
-//	       [value X] [work X] [near RACK] [label L] [most N] [avoid W] [last] [lasts N] [draining] [claim W...]
+//	       [value X] [work X] [near RACK] [label L] [most N] [avoid W] [last] [lasts N] [draining]
+//	       [paused D] [claim W...]
 //	keep N gpu EACH [label L]   slots to keep for urgent work
 //	start NAME WORKER...    exactly these tasks start, one worker for each, in any order
 //	wait NAME               nothing of this demand starts
@@ -306,7 +307,7 @@
 			i++
 			d.Avoid = map[string]bool{words[i]: true}
 			continue
-		case "waited", "goal", "takes":
+		case "waited", "goal", "takes", "paused":
 			v, err := time.ParseDuration(words[i+1])
 			if err != nil {
 				return err
@@ -318,6 +319,8 @@
 				goal = v
 			case "takes":
 				d.Remaining = v
+			case "paused":
+				d.PausedUntil = c.view.Now.Add(v)
 			}
 			i++
 			continue
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -89,6 +89,9 @@
 	// runs. The next loss then shows whether they crash workers.
 	Exclusive        bool
 	NoPreemptionPlan bool // A recent search for preemption found no plan.
+	// PausedUntil is set after it was stopped for urgent work. It does not start earlier unless capacity is ample or its
+	// next goal would be missed.
+	PausedUntil time.Time
 }
 
 // Allocation is running work that can only be stopped as a whole: a gang or a single task.
--- a/internal/placement/waits_test.go
+++ b/internal/placement/waits_test.go
@@ -120,6 +120,9 @@
 	d.Remaining = time.Duration(pick("takes", 20)) * time.Second
 	d.Goal = v.Now.Add(time.Duration(pick("goal", 60)) * time.Second)
 	d.LastGoal = d.Goal.Add(time.Duration(pick("last goal", 60)) * time.Second)
+	if sometimes("paused") {
+		d.PausedUntil = v.Now.Add(time.Duration(1+pick("pause", 3)) * time.Second)
+	}
 	if sometimes("others drain") {
 		v.Demands = append(v.Demands, drawDemandWithReservation(r, v))
 	}
--- a/internal/scheduler/headroom_test.go
+++ b/internal/scheduler/headroom_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
 	"github.com/pulleyring/pulleyring/internal/fleet"
 	"github.com/pulleyring/pulleyring/internal/headroom"
 	"github.com/pulleyring/pulleyring/internal/job"
+	"github.com/pulleyring/pulleyring/internal/placement"
 )
 
 // headroomShard returns a shard with two workers of 8 accelerators.
@@ -67,3 +69,70 @@
 	h.Bounds.DisableHeadroom = true
 	quicktest.Check(t, h.updateView(now.Add(4*time.Second)).Headroom, quicktest.HasLen, 0)
 }
+
+// TestStoppedJobPauses fails if a job that was stopped for urgent work may start again at once, or if its pause does not
+// grow with its recent stops. Of the runs of a decision, each is stopped, but they count once.
+func TestStoppedJobPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := headroomShard()
+		j := addTasks(h, "a", 1, 2, 2, false)
+		stopFor := func(reason string, outcome job.Outcome) time.Duration {
+			now := time.Now()
+			placeTasks(h, j, "w1", now)
+			for _, r := range h.workers["w1"].runs {
+				if reason == stoppedForUrgent {
+					j.urgentStops.record(now)
+				}
+				h.stop(h.workers["w1"], r, reason)
+			}
+			time.Sleep(200 * time.Millisecond)
+			for _, r := range h.workers["w1"].runs {
+				h.endRun(h.workers["w1"], r, outcome, "")
+			}
+			return h.demand(j, job.Group{}, time.Now()).PausedUntil.Sub(time.Now())
+		}
+		quicktest.Check(t, stopFor("cancelled", job.Stopped) <= 0, quicktest.IsTrue)
+		for _, want := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 4 * time.Second} {
+			quicktest.Check(t, stopFor(stoppedForUrgent, job.Stopped), quicktest.Equals, want)
+			time.Sleep(want)
+		}
+		time.Sleep(recentStopPeriod)
+		quicktest.Check(t, stopFor(stoppedForUrgent, job.Stopped), quicktest.Equals, time.Second)
+		time.Sleep(time.Second)
+		h.Bounds.DisableHeadroom = true
+		quicktest.Check(t, stopFor(stoppedForUrgent, job.Stopped) <= 0, quicktest.IsTrue)
+	})
+}
+
+// TestUrgentJobDoesNotPause fails if an urgent job that was stopped for guaranteed work starts late because of a pause.
+func TestUrgentJobDoesNotPause(t *testing.T) {
+	h, now := headroomShard(), time.Now()
+	j := addTasks(h, "a", 0, 1, 2, false)
+	placeTasks(h, j, "w1", now)
+	for _, r := range h.workers["w1"].runs {
+		j.urgentStops.record(now)
+		h.stop(h.workers["w1"], r, stoppedForUrgent)
+		h.endRun(h.workers["w1"], r, job.Stopped, "")
+	}
+	quicktest.Check(t, h.demand(j, job.Group{}, time.Now()).PausedUntil.IsZero(), quicktest.IsTrue)
+}
+
+// TestDecisionCountsStopsForUrgentWork fails if the jobs that a decision stops for an urgent gang are not known as
+// stopped, or if a gang of several members counts more than once.
+func TestDecisionCountsStopsForUrgentWork(t *testing.T) {
+	h, now := headroomShard(), time.Now()
+	h.Bounds.StopTime, h.Bounds.Policy = time.Second, placement.Policy{RemoteFactor: 3, MaxStopTime: time.Second, WasteCost: 1e-6}
+	for _, w := range h.workers {
+		w.listed, w.clock = true, 1
+	}
+	stopped, spared := addTasks(h, "stopped", 2, 4, 2, false), addTasks(h, "spared", 2, 8, 1, false)
+	placeTasks(h, stopped, "w1", now)
+	placeTasks(h, spared, "w2", now)
+	addTasks(h, "urgent", 0, 1, 8, false)
+	for _, r := range h.workers["w2"].runs {
+		r.placed = now.Add(-time.Minute) // Stopping it would lose more work.
+	}
+	h.decide()
+	quicktest.Check(t, stopped.urgentStops.recent(now), quicktest.Equals, 1)
+	quicktest.Check(t, spared.urgentStops.recent(now), quicktest.Equals, 0)
+}
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -57,7 +57,8 @@
 	h.Figures.ObserveDuration("scheduler_pass", time.Since(now))
 	for _, i := range out.Stops {
 		for _, r := range h.allocations.list[i].runs {
-			h.stop(r.worker, r, "room for urgent work")
+			r.job.urgentStops.record(now)
+			h.stop(r.worker, r, stoppedForUrgent)
 		}
 	}
 	for _, i := range out.DroppedReservations {
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -234,6 +234,7 @@
 		h.stopGang(r, "another member ended")
 	}
 	h.recordOutcome(w, r, outcome)
+	h.pauseAfterStop(r, outcome)
 	if outcome == job.FailedRun || outcome == job.NeverRan {
 		j.recordFailure(g, w.ID, outcome == job.FailedRun)
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -140,6 +140,7 @@
 	guaranteed    bool                           // The last decision counted it within its workspace's guarantee.
 	lostTogether  map[job.ID]bool                // Up to maxLostTogether jobs whose runs were lost together with this job's.
 	presumedEnded map[runOnIncarnation]time.Time // When runs were presumed ended without a report from their worker.
+	urgentStops   urgentStops
 	// Number of orphaned runs of each task. A task is not started while it has any.
 	orphans map[job.Task]int
 }
--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -133,6 +133,7 @@
 	d.Goal, d.LastGoal = from.Add(allowed), from.Add(lateFactor*allowed)
 	d.Value = h.value(r)
 	d.LateValue = lateShare * d.Value
+	d.PausedUntil = j.urgentStops.pausedUntil
 	d.NoPreemptionPlan = now.Before(h.noPlanUntil[groupKey{r.ID, g}])
 	if c, ok := h.reservations[groupKey{r.ID, g}]; ok && now.Before(c.until) {
 		d.Reservation, d.ReservedWithoutPreemption = c.workers, c.withoutPreemption
