Prefer to stop checkpointed work, and work that was not stopped recently

The cheapest work to stop is what has just started, so the same jobs were stopped again and again: half of the stopped runs had lasted for less than 2.3 s. The cost of a stop now counts 0.8 times for work that saves checkpoints, and 0.2 times more for each recent stop of its job, up to 0.6.

--- a/internal/placement/headroom.go
+++ b/internal/placement/headroom.go
@@ -93,6 +93,24 @@
 	return goal.Add(-time.Duration(runTimeMargin * float64(d.Remaining)))
 }
 
+const (
+	// checkpointPreference is the factor on the cost of stopping work that saves checkpoints. Without it, other work that
+	// has just started is the cheapest to stop, and makes no progress if it is stopped each time.
+	checkpointPreference = 0.8
+	// recentStopPenalty is added to the factor on the cost for each recent stop, up to maxRecentStopPenalty.
+	recentStopPenalty    = 0.2
+	maxRecentStopPenalty = 0.6
+)
+
+// preferenceFactor returns the factor on the cost of stopping an allocation by which others are preferred to it.
+func preferenceFactor(h *Allocation) float64 {
+	factor := 1 + min(recentStopPenalty*float64(h.RecentStops), maxRecentStopPenalty)
+	if h.SavesCheckpoints {
+		factor *= checkpointPreference
+	}
+	return factor
+}
+
 // limitByHeadroom sets the limit for the start of a demand.
 func (pl *planner) limitByHeadroom(d *Demand) {
 	pl.limit = nil
--- a/internal/placement/preemption.go
+++ b/internal/placement/preemption.go
@@ -57,10 +57,11 @@
 }
 
 // preemptionCost returns the cost of stopping an allocation, in core-seconds. It adds up the work thrown away,
-// the capacity that is idle during the stop, and the value that the stopped work may lose by its restart.
+// the capacity that is idle during the stop, and the value that the stopped work may lose by its restart. At similar
+// cost, work that saves checkpoints is preferred, and work that was not stopped recently.
 func (pl *planner) preemptionCost(h *Allocation) float64 {
 	idle := pl.view.Policy.MaxStopTime.Seconds() * h.Each.Cores() * float64(len(h.WorkerIndexes))
-	return h.LostWork + idle + h.ValueAtRisk/max(pl.view.Policy.WasteCost, 1e-6)
+	return preferenceFactor(h) * (h.LostWork + idle + h.ValueAtRisk/max(pl.view.Policy.WasteCost, 1e-6))
 }
 
 // mayPreempt reports whether a demand may preempt an allocation. It may if the allocation has a lower priority.
--- a/internal/placement/script_test.go
+++ b/internal/placement/script_test.go
@@ -21,6 +21,7 @@
 //
 //	worker NAME rack RACK gpu FREE [freeing N] [doubt X] [slow X] [label L] [unusable] [unproven]
 //	holding NAME priority N gpu EACH on WORKER... [loss N] [left SECONDS [known]] [covered] [stopping]
+//	       [checkpoints] [stops N]
 //	demand NAME priority N tasks N gpu EACH [gang] [local] [lasting] [covered] [waited D] [goal D] [takes D]
 //	       [value X] [work X] [near RACK] [label L] [most N] [avoid W] [last] [lasts N] [draining]
 //	       [paused D] [claim W...]
@@ -232,6 +233,9 @@
 		case "stopping":
 			h.Stopping = true
 			continue
+		case "checkpoints":
+			h.SavesCheckpoints = true
+			continue
 		case "known":
 			h.RemainingReported = true
 			continue
@@ -253,6 +257,8 @@
 			h.Each = gpus(int64(n))
 		case "loss":
 			h.LostWork = n
+		case "stops":
+			h.RecentStops = int(n)
 		case "left":
 			h.Remaining = time.Duration(n * float64(time.Second))
 		default:
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -107,6 +107,8 @@
 	ValueAtRisk       float64       // Value at risk from a restart.
 	Remaining         time.Duration // Expected time to its end.
 	RemainingReported bool          // Remaining comes from reported progress, not from declared run times.
+	SavesCheckpoints  bool          // Continues from its saved state after a stop.
+	RecentStops       int           // How often its job was stopped for urgent work recently.
 }
 
 // Start says on which workers tasks of a demand start.
--- a/internal/scheduler/headroom_test.go
+++ b/internal/scheduler/headroom_test.go
@@ -136,3 +136,18 @@
 	quicktest.Check(t, stopped.urgentStops.recent(now), quicktest.Equals, 1)
 	quicktest.Check(t, spared.urgentStops.recent(now), quicktest.Equals, 0)
 }
+
+// TestAllocationsTellWhatAStopCosts fails if decisions don't know which work saves checkpoints and which was stopped
+// recently.
+func TestAllocationsTellWhatAStopCosts(t *testing.T) {
+	h, now := headroomShard(), time.Now()
+	saves, other := addTasks(h, "saves", 2, 1, 2, true), addTasks(h, "other", 2, 1, 2, false)
+	other.urgentStops.record(now)
+	placeTasks(h, saves, "w1", now)
+	placeTasks(h, other, "w1", now)
+	for _, x := range h.updateView(now).Allocations {
+		quicktest.Check(t, x.SavesCheckpoints, quicktest.Equals, x.Job == "saves")
+		quicktest.Check(t, x.RecentStops == 1, quicktest.Equals, x.Job == "other")
+	}
+	quicktest.Check(t, h.updateView(now.Add(recentStopPeriod + time.Second)).Allocations[1].RecentStops, quicktest.Equals, 0)
+}
