Show operators the capacity kept for urgent work

The gauge headroom_kept shows the accelerators that are kept, and the counter starts_kept_back the tasks that would have started otherwise. A task that successive decisions keep back counts once. `why JOB` and the log line "scheduler: waiting" show how many tasks of a job are kept back; `why JOB` also shows a pause after a stop. Scheduler.Headroom returns the estimates and free slots by shape.

Loads of one shape are added up before they reach the estimator.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -65,6 +65,7 @@
 	pl.servedDemands[i] = true
 	pl.setCurrentDemand(d)
 	if pl.isPaused(d) {
+		pl.outcome.Paused = append(pl.outcome.Paused, i)
 		return
 	}
 	pl.excludeUnproven(d)
--- a/internal/placement/headroom.go
+++ b/internal/placement/headroom.go
@@ -219,8 +219,7 @@
 		room := &shapes[s]
 		room.Shape, room.usable = pl.view.Headroom[s].Shape, make([]bool, len(pl.free))
 		for k := range pl.view.Workers {
-			w := &pl.view.Workers[k]
-			room.usable[k] = w.AcceptsRuns && w.Service == room.Service && (room.Label == "" || slices.Contains(w.Labels, room.Label))
+			room.usable[k] = pl.view.Workers[k].mayRun(&room.Shape)
 		}
 		for o := range pl.view.Headroom {
 			other := &pl.view.Headroom[o]
@@ -233,6 +232,22 @@
 	return shapes
 }
 
+// mayRun reports whether a worker may run tasks of a shape, whether it has free capacity or not.
+func (w *Worker) mayRun(s *headroom.Shape) bool {
+	return w.AcceptsRuns && w.Service == s.Service && (s.Label == "" || slices.Contains(w.Labels, s.Label))
+}
+
+// FreeSlots returns how many tasks of a shape fit into the free capacity of a view, reserved capacity included.
+func FreeSlots(v *View, s *headroom.Shape) int {
+	free := 0
+	for k := range v.Workers {
+		if w := &v.Workers[k]; w.mayRun(s) {
+			free += s.Fitting(w.Free)
+		}
+	}
+	return free
+}
+
 // unservedUrgentTasks returns the number of urgent tasks, by shape, that this decision neither starts nor reserves
 // capacity for. If bulk work took the slots that a waiting gang lacks only a few of, the gang would preempt more.
 func (pl *planner) unservedUrgentTasks() map[headroom.Shape]int {
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -132,4 +132,5 @@
 	WithoutPlan         []int // Indexes of the demands for which no preemption plan was found.
 	DroppedReservations []int // Indexes of the demands whose reservations were used by other demands.
 	KeptBack            []KeptBack
+	Paused              []int // Indexes of the demands that don't start because they were stopped recently.
 }
--- a/internal/scheduler/headroom.go
+++ b/internal/scheduler/headroom.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/pulleyring/pulleyring/internal/headroom"
@@ -11,7 +13,9 @@
 // urgentLoad learns how much capacity urgent work takes. The zero value is ready to use.
 type urgentLoad struct {
 	estimator headroom.Estimator
-	loads     []headroom.Load // Buffer of updateHeadroom, reused between calls.
+	loads     []headroom.Load   // Buffer of updateHeadroom, reused between calls.
+	keptBack  map[groupKey]int  // Tasks that the last decision kept back for urgent work.
+	paused    map[groupKey]bool // Groups that the last decision did not start because they were stopped recently.
 }
 
 // updateHeadroom updates the load of urgent work from a view, and the capacity in it that is kept for such work.
@@ -22,20 +26,104 @@
 	}
 	u := &h.urgentLoad
 	u.loads = u.loads[:0]
-	for _, x := range h.allocations.list {
-		r := x.runs[0]
-		if terms := &r.job.Request.Terms; terms.Priority == 0 && !x.stopping {
-			shape := placement.ShapeOf(terms.Service, &r.job.Request.Steps[r.task.Step])
-			u.loads = append(u.loads, headroom.Load{Shape: shape, Held: len(x.runs)})
+	for i, x := range h.allocations.list {
+		if v.Allocations[i].Priority == 0 && !x.stopping {
+			r := x.runs[0]
+			u.add(r.job.Request.Terms.Service, &r.job.Request.Steps[r.task.Step], len(x.runs), 0)
 		}
 	}
 	for i := range v.Demands {
 		if d := &v.Demands[i]; d.Priority == 0 {
-			u.loads = append(u.loads, headroom.Load{Shape: placement.ShapeOf(d.Service, d.Step), Waiting: len(d.Waiting)})
+			u.add(d.Service, d.Step, 0, len(d.Waiting))
 		}
 	}
 	u.estimator.Update(now, u.loads)
 	v.Headroom = u.estimator.Kept()
+	accelerators := int64(0)
+	for _, kept := range v.Headroom {
+		accelerators += int64(kept.Slots) * kept.Each.Accelerators
+	}
+	h.Figures.Set("headroom_kept", accelerators)
+}
+
+// maxMergedLoads is the number of loads to which tasks of the same shape are added. Further tasks get a load each, so
+// that the time of a decision stays linear where each job has its own shape. The estimator tracks fewer shapes.
+const maxMergedLoads = 32
+
+// add adds tasks of a step to the loads.
+func (u *urgentLoad) add(service string, step *job.Step, held, waiting int) {
+	i := slices.IndexFunc(u.loads[:min(len(u.loads), maxMergedLoads)], func(l headroom.Load) bool {
+		return l.Each == step.Each && l.Service == service && l.Label == step.Label
+	})
+	if i < 0 {
+		i = len(u.loads)
+		u.loads = append(u.loads, headroom.Load{Shape: placement.ShapeOf(service, step)})
+	}
+	u.loads[i].Held += held
+	u.loads[i].Waiting += waiting
+}
+
+// recordKeptBack records which tasks a decision kept back for urgent work, and which groups it did not start because of a
+// pause. Each decision keeps most of them back again;
+// the metric counts only those that the decision before did not.
+func (h *shard) recordKeptBack(v *placement.View, out *placement.Outcome) {
+	before := h.urgentLoad.keptBack
+	h.urgentLoad.keptBack, h.urgentLoad.paused = map[groupKey]int{}, map[groupKey]bool{}
+	for _, i := range out.Paused {
+		h.urgentLoad.paused[groupKey{v.Demands[i].Job, v.Demands[i].Group}] = true
+	}
+	for _, kept := range out.KeptBack {
+		d := &v.Demands[kept.Demand]
+		key := groupKey{d.Job, d.Group}
+		h.urgentLoad.keptBack[key] = kept.Tasks
+		h.Figures.Add("starts_kept_back", int64(max(kept.Tasks-before[key], 0)))
+	}
+}
+
+// explainHeadroom returns what to add to the reason why a demand of the last decision waits. It is empty if urgent work
+// has nothing to do with it.
+func (h *shard) explainHeadroom(d *placement.Demand) string {
+	key := groupKey{d.Job, d.Group}
+	if n := h.urgentLoad.keptBack[key]; n > 0 {
+		return fmt.Sprintf("; %d tasks would start, but their room is kept for urgent work", n)
+	}
+	if h.urgentLoad.paused[key] {
+		return fmt.Sprintf("; it was stopped for urgent work and pauses for another %s", d.PausedUntil.Sub(h.view.Now).Round(time.Millisecond))
+	}
+	return ""
+}
+
+// HeadroomReport shows an operator how much capacity is kept for urgent work of one shape. All numbers but Each are in
+// tasks.
+type HeadroomReport struct {
+	Service   string
+	Label     string        // Label that workers must have; empty for any worker.
+	Each      job.Resources // What a task needs.
+	Held      int           // Tasks that run.
+	Waiting   int           // Tasks that wait.
+	Mean      float64       // Mean number of tasks that run or wait.
+	Deviation float64       // Standard deviation of that number.
+	Kept      int           // Slots that are kept beyond the tasks that run or wait.
+	Free      int           // Free slots.
+}
+
+// Headroom returns the capacity that is kept for urgent work, by shape, as of the last decision. It is empty if this box
+// does not hold the shard's lease, if there is no urgent work, or if the part is turned off.
+func (s *Scheduler) Headroom() []HeadroomReport {
+	h := s.current.Load()
+	if h == nil || s.Bounds.DisableHeadroom {
+		return nil
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var list []HeadroomReport
+	for _, r := range h.urgentLoad.estimator.Reports() {
+		list = append(list, HeadroomReport{
+			Service: r.Service, Label: r.Label, Each: r.Each, Held: r.Held, Waiting: r.Waiting, Mean: r.Mean, Deviation: r.Deviation,
+			Kept: r.Slots, Free: placement.FreeSlots(&h.view, &r.Shape),
+		})
+	}
+	return list
 }
 
 // stoppedForUrgent is the reason of stops that free capacity for urgent work.
--- a/internal/scheduler/headroom_test.go
+++ b/internal/scheduler/headroom_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/pulleyring/pulleyring/internal/fleet"
 	"github.com/pulleyring/pulleyring/internal/headroom"
 	"github.com/pulleyring/pulleyring/internal/job"
+	"github.com/pulleyring/pulleyring/internal/measure"
 	"github.com/pulleyring/pulleyring/internal/placement"
 )
 
@@ -151,3 +153,46 @@
 	}
 	quicktest.Check(t, h.updateView(now.Add(recentStopPeriod + time.Second)).Allocations[1].RecentStops, quicktest.Equals, 0)
 }
+
+// TestOperatorsSeeHeadroom fails if operators can't see why work waits beside free capacity. The tasks that are kept back
+// count once, not in each decision.
+func TestOperatorsSeeHeadroom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := headroomShard()
+		h.Figures = &measure.Metrics{}
+		h.current.Store(h)
+		quicktest.Check(t, (&Scheduler{}).Headroom(), quicktest.HasLen, 0)
+		for _, w := range h.workers {
+			w.listed, w.clock = true, 1
+		}
+		urgent := addTasks(h, "urgent", 0, 2, 8, false)
+		h.updateView(time.Now())
+		time.Sleep(4 * time.Second) // The urgent gang waits for 4 s, and is then cancelled.
+		h.cancelJob("urgent")
+		addTasks(h, "bulk", 2, 3, 2, false).Request.Steps[0].Gang = false
+		for range 3 {
+			h.decide()
+		}
+		quicktest.Check(t, h.Figures.CounterValue("starts_kept_back"), quicktest.Equals, int64(3))
+		answer := httptest.NewRecorder()
+		h.Figures.ServeHTTP(answer, nil)
+		quicktest.Check(t, answer.Body.String(), quicktest.Contains, "gauge headroom_kept\n  value:              16")
+		lines, _ := h.Why("bulk")
+		quicktest.Check(t, lines, quicktest.DeepEquals, []string{"step 0 waits for room for 3 tasks since 0s: 2 workers are suitable, there is room for 6 now; 3 tasks would start, but their room is kept for urgent work"})
+		each := urgent.Request.Steps[0].Each
+		quicktest.Check(t, h.Headroom(), quicktest.DeepEquals, []HeadroomReport{{Service: "s", Each: each, Mean: 2, Kept: 2, Free: 2}})
+
+		h.jobs["bulk"].urgentStops.pausedUntil = time.Now().Add(time.Second)
+		h.decide() // The pause does not apply while capacity is ample.
+		again, _ := h.Why("bulk")
+		quicktest.Check(t, again, quicktest.DeepEquals, lines)
+		placeTasks(h, addTasks(h, "other", 2, 6, 2, false), "w1", time.Now())
+		h.decide()
+		lines, _ = h.Why("bulk")
+		quicktest.Check(t, lines, quicktest.HasLen, 1)
+		quicktest.Check(t, lines[0], quicktest.Contains, "now; it was stopped for urgent work and pauses for another 1s")
+		h.Bounds.DisableHeadroom = true
+		h.decide()
+		quicktest.Check(t, h.Headroom(), quicktest.HasLen, 0)
+	})
+}
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -55,6 +55,7 @@
 	}
 	out := placement.Decide(view)
 	h.Figures.ObserveDuration("scheduler_pass", time.Since(now))
+	h.recordKeptBack(view, &out)
 	for _, i := range out.Stops {
 		for _, r := range h.allocations.list[i].runs {
 			r.job.urgentStops.record(now)
@@ -106,7 +107,7 @@
 			zap.Int("step", d.Group.Step), zap.Duration("waited", now.Sub(d.ReadySince)), zap.Duration("to_goal", d.Goal.Sub(now)),
 			zap.Int("tasks", w.WaitingTasks), zap.Int("suitable_workers", w.SuitableWorkers), zap.Int("closed_workers", w.ClosedWorkers), zap.Int("fit_now", w.FitNow),
 			zap.Int("fit_in_rack", w.FitInRack), zap.Int("fit_in_empty_rack", w.FitInEmptyRack), zap.Bool("draining", d.ReservedWithoutPreemption),
-			zap.Bool("claimed", d.Reservation != nil))
+			zap.Bool("claimed", d.Reservation != nil), zap.Int("kept_back", h.urgentLoad.keptBack[key]))
 	}
 }
 
--- a/internal/scheduler/why.go
+++ b/internal/scheduler/why.go
@@ -26,7 +26,7 @@
 	lines := h.explainHeldTasks(j)
 	for i := range h.view.Demands {
 		if d := &h.view.Demands[i]; d.Job == id && j.isWaiting(d) {
-			lines = append(lines, explainWait(&h.view, i))
+			lines = append(lines, explainWait(&h.view, i)+h.explainHeadroom(d))
 		}
 	}
 	return lines, true
