Gather the capacity kept for urgent work in few racks

Most urgent gangs need one rack. The slots that were kept were spread over all racks, so that a gang often found fewer in each than it needed and stopped work there. Other work now also leaves the slots in the racks with the most free ones, as many racks as hold the kept slots when empty. It starts elsewhere as long as enough slots are free in total.

--- a/internal/placement/headroom.go
+++ b/internal/placement/headroom.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -46,6 +47,16 @@
 	usable []bool // By worker: may run tasks of this shape.
 	kept   int    // Slots to keep for this shape and larger ones together.
 	free   int    // Free slots on all usable workers.
+	// zone contains the workers of the racks with the most free slots, as many racks as hold the kept slots when empty.
+	// The slots gather there, because most urgent gangs need one rack.
+	zone     []bool // By worker.
+	zoneFree int    // Free slots in the zone.
+}
+
+// slotsLeft is the number of slots of a shape that may still be taken.
+type slotsLeft struct {
+	all  int
+	zone int // In the zone.
 }
 
 // admittingWorkers is a set of workers for one version of the counts.
@@ -59,8 +70,8 @@
 type headroomLimit struct {
 	planner *planner
 	demand  *Demand
-	left    []int // By shape: slots that may still be taken. It is updated as tasks are admitted.
-	refused int   // Number of tasks that fit but were not admitted.
+	left    []slotsLeft // By shape; updated as tasks are admitted.
+	refused int         // Number of tasks that fit but were not admitted.
 }
 
 // mustLeaveHeadroom reports whether a demand must leave capacity to urgent work. Urgent work need not, nor work that
@@ -118,12 +129,12 @@
 		return
 	}
 	pl.updateUrgentRoom()
-	l := &headroomLimit{planner: pl, demand: d, left: make([]int, len(pl.urgent.shapes))}
+	l := &headroomLimit{planner: pl, demand: d, left: make([]slotsLeft, len(pl.urgent.shapes))}
 	limited := false
 	for s := range pl.urgent.shapes {
 		room := &pl.urgent.shapes[s]
-		l.left[s] = room.free - room.kept
-		limited = limited || room.kept > 0 && l.left[s] < len(d.Waiting)*mostSlotsTaken(&room.Shape, d.Step.Each)
+		l.left[s] = slotsLeft{room.free - room.kept, room.zoneFree - room.kept}
+		limited = limited || room.kept > 0 && min(l.left[s].all, l.left[s].zone) < len(d.Waiting)*mostSlotsTaken(&room.Shape, d.Step.Each)
 	}
 	if limited {
 		pl.limit = l
@@ -146,7 +157,8 @@
 // updateUrgentRoom counts the free slots by shape, or updates the counts for the workers that have changed.
 func (pl *planner) updateUrgentRoom() {
 	u := &pl.urgent
-	if u.counted == nil {
+	first := u.counted == nil
+	if first {
 		u.counted, u.reserved, u.admitting = make([]job.Resources, len(pl.free)), make([]job.Resources, len(pl.free)), map[job.Resources]admittingWorkers{}
 		u.shapes = pl.shapesToKeep()
 		for i := range pl.view.Demands {
@@ -163,11 +175,53 @@
 		u.version++
 		for s := range u.shapes {
 			if room := &u.shapes[s]; room.usable[k] {
-				room.free += room.Fitting(pl.free[k]) - room.Fitting(u.counted[k])
+				change := room.Fitting(pl.free[k]) - room.Fitting(u.counted[k])
+				room.free += change
+				if room.zone != nil && room.zone[k] {
+					room.zoneFree += change
+				}
 			}
 		}
 		u.counted[k] = pl.free[k]
 	}
+	if first {
+		for s := range u.shapes {
+			pl.chooseZone(&u.shapes[s])
+		}
+	}
+}
+
+// chooseZone chooses the racks where the slots of a shape are kept. The choice is mostly the same in the next decision,
+// because other work then starts elsewhere.
+func (pl *planner) chooseZone(room *shapeRoom) {
+	room.zone = make([]bool, len(pl.free))
+	if room.kept == 0 {
+		return
+	}
+	type rackSlots struct{ rack, free, empty int }
+	list := make([]rackSlots, 0, len(pl.workersByRack))
+	for r, rack := range pl.workersByRack {
+		slots := rackSlots{rack: r}
+		for _, k := range rack {
+			if room.usable[k] {
+				slots.free += room.Fitting(pl.free[k])
+				slots.empty += room.Fitting(pl.view.Workers[k].Capacity)
+			}
+		}
+		list = append(list, slots)
+	}
+	slices.SortStableFunc(list, func(x, y rackSlots) int { return cmp.Compare(y.free, x.free) })
+	empty := 0
+	for _, slots := range list {
+		if empty >= room.kept {
+			return
+		}
+		empty += slots.empty
+		room.zoneFree += slots.free
+		for _, k := range pl.workersByRack[slots.rack] {
+			room.zone[k] = true
+		}
+	}
 }
 
 // updateReserved updates the capacity that is reserved without preemption at present.
@@ -294,19 +348,24 @@
 	}
 	for s := range shapes {
 		if shapes[s].usable[k] {
-			l.left[s] -= l.planner.urgent.lostSlots(s, k, before, after)
+			lost := l.planner.urgent.lostSlots(s, k, before, after)
+			l.left[s].all -= lost
+			if shapes[s].zone[k] {
+				l.left[s].zone -= lost
+			}
 		}
 	}
 	return true
 }
 
 // isShort reports whether too few slots of a shape would be left if the free capacity of a worker changed.
-func (u *urgentRoom) isShort(s, k int, before, after job.Resources, left int) bool {
-	if room := &u.shapes[s]; room.kept == 0 || !room.usable[k] {
+func (u *urgentRoom) isShort(s, k int, before, after job.Resources, left slotsLeft) bool {
+	room := &u.shapes[s]
+	if room.kept == 0 || !room.usable[k] {
 		return false
 	}
 	lost := u.lostSlots(s, k, before, after)
-	return lost > 0 && left < lost
+	return lost > 0 && (left.all < lost || room.zone[k] && left.zone < lost)
 }
 
 // lostSlots returns how many slots of a shape are lost if the free capacity of a worker changes.
