--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -38,6 +38,8 @@
 	runningJobs     map[job.ID]bool // Jobs of which at least one task runs; built on first use.
 	search          search          // Buffers of planPreemption, reused between calls.
 	speeds          speeds
+	urgent          urgentRoom     // Free slots of urgent work; counted on first use.
+	limit           *headroomLimit // Limits the start of the current demand; nil for no limit.
 }
 
 // Decide returns which demands start where, which allocations are preempted and which capacity is reserved.
@@ -63,6 +65,10 @@
 	d := &pl.view.Demands[i]
 	pl.servedDemands[i] = true
 	pl.setCurrentDemand(d)
+	if pl.isPaused(d) {
+		pl.outcome.Paused = append(pl.outcome.Paused, i)
+		return
+	}
 	pl.excludeUnproven(d)
 	pl.rankSpeeds(d, 1)
 	pl.returnReservation(i)
@@ -297,12 +303,14 @@
 // startFittingTasks starts the tasks of demand i that fit, and reports whether no task of it is left waiting.
 func (pl *planner) startFittingTasks(i int) bool {
 	d := &pl.view.Demands[i]
+	pl.limitByHeadroom(d)
 	var workers map[int]string
 	if d.Step.Gang {
 		workers = pl.assignGang(d)
 	} else {
 		workers = pl.assignSingles(d)
 	}
+	pl.recordKeptBack(i, len(workers))
 	if len(workers) == 0 || d.Step.Gang && pl.wouldUseReserve(d, workers) || pl.prefersFasterWorkers(i, workers) {
 		return false
 	}
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/pulleyring/pulleyring/internal/headroom"
 	"github.com/pulleyring/pulleyring/internal/job"
 )
 
@@ -15,6 +16,8 @@
 	Demands     []Demand
 	Allocations []Allocation
 	Policy      Policy
+	// Headroom is what is kept free for urgent work; nil to keep nothing.
+	Headroom []headroom.Kept
 }
 
 // Policy holds the site's settings that affect decisions.
@@ -86,6 +89,9 @@
 	// runs. The next loss then shows whether they crash workers.
 	Exclusive        bool
 	NoPreemptionPlan bool // A recent search for preemption found no plan.
+	// PausedUntil is set after it was stopped for urgent work. It does not start earlier unless capacity is ample or its
+	// next goal would be missed.
+	PausedUntil time.Time
 }
 
 // Allocation is running work that can only be stopped as a whole: a gang or a single task.
@@ -101,6 +107,8 @@
 	ValueAtRisk       float64       // Value at risk from a restart.
 	Remaining         time.Duration // Expected time to its end.
 	RemainingReported bool          // Remaining comes from reported progress, not from declared run times.
+	SavesCheckpoints  bool          // Continues from its saved state after a stop.
+	RecentStops       int           // How often its job was stopped for urgent work recently.
 }
 
 // Start says on which workers tasks of a demand start.
@@ -124,4 +132,6 @@
 	Reservations        []Reservation
 	WithoutPlan         []int // Indexes of the demands for which no preemption plan was found.
 	DroppedReservations []int // Indexes of the demands whose reservations were used by other demands.
+	KeptBack            []KeptBack
+	Paused              []int // Indexes of the demands that don't start because they were stopped recently.
 }
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -55,9 +55,11 @@
 	}
 	out := placement.Decide(view)
 	h.Figures.ObserveDuration("scheduler_pass", time.Since(now))
+	h.recordKeptBack(view, &out)
 	for _, i := range out.Stops {
 		for _, r := range h.allocations.list[i].runs {
-			h.stop(r.worker, r, "room for urgent work")
+			r.job.urgentStops.record(now)
+			h.stop(r.worker, r, stoppedForUrgent)
 		}
 	}
 	for _, i := range out.DroppedReservations {
@@ -110,7 +112,7 @@
 			zap.Int("tasks", w.WaitingTasks), zap.Int("suitable_workers", w.SuitableWorkers), zap.Int("closed_workers", w.ClosedWorkers), zap.Int("fit_now", w.FitNow),
 			zap.Int("fit_fast_enough", w.FitFastEnough),
 			zap.Int("fit_in_rack", w.FitInRack), zap.Int("fit_in_empty_rack", w.FitInEmptyRack), zap.Bool("draining", d.ReservedWithoutPreemption),
-			zap.Bool("claimed", d.Reservation != nil))
+			zap.Bool("claimed", d.Reservation != nil), zap.Int("kept_back", h.urgentLoad.keptBack[key]))
 	}
 }
 
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -238,6 +238,7 @@
 	if outcome == job.Succeeded {
 		h.sampleEnd(r, begun, time.Now())
 	}
+	h.pauseAfterStop(r, outcome)
 	if outcome == job.FailedRun || outcome == job.NeverRan {
 		j.recordFailure(g, w.ID, outcome == job.FailedRun)
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -46,13 +46,13 @@
 	MaxLease time.Duration // Longest lease that a worker grants.
 	StopTime time.Duration // Longest time that a worker needs to stop a run.
 	// Least time that a departing worker keeps running after its record is removed; 0 if no time is guaranteed.
-	MinStay      time.Duration
-	GangWait     time.Duration // How long a member of a gang waits for the other members.
-	Retain       time.Duration // How long a job is shown after it has ended.
-	EmptiedGrace time.Duration // How long work may still start in a hall after it was emptied; 0 for no limit.
-	// The speeds of workers are neither learned nor used.
-	DisableSpeeds bool
-	Policy        placement.Policy
+	MinStay         time.Duration
+	GangWait        time.Duration // How long a member of a gang waits for the other members.
+	Retain          time.Duration // How long a job is shown after it has ended.
+	EmptiedGrace    time.Duration // How long work may still start in a hall after it was emptied; 0 for no limit.
+	DisableSpeeds   bool          // Does not learn or use the workers' speeds.
+	DisableHeadroom bool          // Keeps no capacity for expected urgent work.
+	Policy          placement.Policy
 }
 
 // Scheduler holds the dependencies and settings of a shard's scheduler. Run does the work.
@@ -121,6 +121,7 @@
 	decisionDue   bool // A change since the last decision calls for a new one.
 	lastDecision  time.Time
 	estimates     estimates
+	urgentLoad    urgentLoad
 	stepTimes     map[groupKey]*stepTimes
 	stepSamples   map[groupKey]stepSamples
 	speeds        speeds
@@ -141,6 +142,7 @@
 	guaranteed    bool                           // The last decision counted it within its workspace's guarantee.
 	lostTogether  map[job.ID]bool                // Up to maxLostTogether jobs whose runs were lost together with this job's.
 	presumedEnded map[runOnIncarnation]time.Time // When runs were presumed ended without a report from their worker.
+	urgentStops   urgentStops
 	// Number of orphaned runs of each task. A task is not started while it has any.
 	orphans map[job.Task]int
 }
--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -46,6 +46,7 @@
 	slices.SortFunc(v.Demands, func(x, y placement.Demand) int {
 		return cmp.Or(cmp.Compare(x.Job, y.Job), cmp.Compare(x.Group.Occurrence, y.Group.Occurrence), cmp.Compare(x.Group.Step, y.Group.Step))
 	})
+	h.updateHeadroom(v, now)
 	return v
 }
 
@@ -134,6 +135,7 @@
 	d.Goal, d.LastGoal = from.Add(allowed), from.Add(lateFactor*allowed)
 	d.Value = h.value(r)
 	d.LateValue = lateShare * d.Value
+	d.PausedUntil = j.urgentStops.pausedUntil
 	d.NoPreemptionPlan = now.Before(h.noPlanUntil[groupKey{r.ID, g}])
 	if c, ok := h.reservations[groupKey{r.ID, g}]; ok && now.Before(c.until) {
 		d.Reservation, d.ReservedWithoutPreemption = c.workers, c.withoutPreemption
