--- a/internal/placement/headroom.go
+++ b/internal/placement/headroom.go
@@ -25,7 +25,7 @@
 	// slots on the worker. A task on the rest of the worker's free capacity takes these slots.
 	reserved  []job.Resources
 	drains    []drain // All reservations without preemption.
-	seenPlans int     // Number of reservations of this decision that drains contains.
+	seenPlans int     // Number of this decision's reservations that have been examined for drains.
 	version   int     // Changes whenever counted or reserved changes.
 	// admitting caches the workers on which at least one task may start, by the resources of the task. Most
 	// waiting tasks of bulk work are alike, and hundreds of demands may wait.
@@ -108,7 +108,8 @@
 	// checkpointPreference is the factor on the cost of stopping work that saves checkpoints. Without it, other work that
 	// has just started is the cheapest to stop, and makes no progress if it is stopped each time.
 	checkpointPreference = 0.8
-	// recentStopPenalty is added to the factor on the cost for each recent stop, up to maxRecentStopPenalty.
+	// recentStopPenalty is added to the factor on the cost for each recent stop, up to maxRecentStopPenalty. Both factors
+	// are chosen so that they decide between stops of similar cost only.
 	recentStopPenalty    = 0.2
 	maxRecentStopPenalty = 0.6
 )
@@ -340,12 +341,10 @@
 		before = before.Sub(each)
 	}
 	after := before.Sub(each)
-	shapes := l.planner.urgent.shapes
-	for s := range shapes {
-		if l.planner.urgent.isShort(s, k, before, after, l.left[s]) {
-			return false
-		}
+	if !l.leavesEnough(k, before, after) {
+		return false
 	}
+	shapes := l.planner.urgent.shapes
 	for s := range shapes {
 		if shapes[s].usable[k] {
 			lost := l.planner.urgent.lostSlots(s, k, before, after)
@@ -358,14 +357,20 @@
 	return true
 }
 
-// isShort reports whether too few slots of a shape would be left if the free capacity of a worker changed.
-func (u *urgentRoom) isShort(s, k int, before, after job.Resources, left slotsLeft) bool {
-	room := &u.shapes[s]
-	if room.kept == 0 || !room.usable[k] {
-		return false
+// leavesEnough reports whether enough slots of each shape would be left if the free capacity of a worker changed.
+func (l *headroomLimit) leavesEnough(k int, before, after job.Resources) bool {
+	u := &l.planner.urgent
+	for s := range u.shapes {
+		room := &u.shapes[s]
+		if room.kept == 0 || !room.usable[k] {
+			continue
+		}
+		lost := u.lostSlots(s, k, before, after)
+		if lost > 0 && (l.left[s].all < lost || room.zone[k] && l.left[s].zone < lost) {
+			return false
+		}
 	}
-	lost := u.lostSlots(s, k, before, after)
-	return lost > 0 && (left.all < lost || room.zone[k] && left.zone < lost)
+	return true
 }
 
 // lostSlots returns how many slots of a shape are lost if the free capacity of a worker changes.
@@ -426,19 +431,7 @@
 		admits = make([]bool, len(pl.free))
 	}
 	for k, free := range pl.free {
-		admits[k] = false
-		if !free.Fits(each) {
-			continue
-		}
-		after := free.Sub(each)
-		short := func(s int) bool { return pl.urgent.isShort(s, k, free, after, l.left[s]) }
-		admits[k] = true
-		for s := range pl.urgent.shapes {
-			if short(s) {
-				admits[k] = false
-				break
-			}
-		}
+		admits[k] = free.Fits(each) && l.leavesEnough(k, free, free.Sub(each))
 	}
 	return admits
 }
