--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -46,11 +46,13 @@
 	MaxLease time.Duration // Longest lease that a worker grants.
 	StopTime time.Duration // Longest time that a worker needs to stop a run.
 	// Least time that a departing worker keeps running after its record is removed; 0 if no time is guaranteed.
-	MinStay      time.Duration
-	GangWait     time.Duration // How long a member of a gang waits for the other members.
-	Retain       time.Duration // How long a job is shown after it has ended.
-	EmptiedGrace time.Duration // How long work may still start in a hall after it was emptied; 0 for no limit.
-	Policy       placement.Policy
+	MinStay         time.Duration
+	GangWait        time.Duration // How long a member of a gang waits for the other members.
+	Retain          time.Duration // How long a job is shown after it has ended.
+	EmptiedGrace    time.Duration // How long work may still start in a hall after it was emptied; 0 for no limit.
+	DisableSpeeds   bool          // Does not learn or use the workers' speeds.
+	DisableHeadroom bool          // Keeps no capacity for expected urgent work.
+	Policy          placement.Policy
 }
 
 // Scheduler holds the dependencies and settings of a shard's scheduler. Run does the work.
