soak: workers of uneven speed, a load above the capacity, and refused work that is submitted again

The soak had workers of one speed, and too little load to make the boxes refuse. It checked that refused work never runs only for clients that give up after a refusal.

One seed in three gives the workers the factors 0.6, 1 and 1.6 on the run time, by turns. One in four (not the large ones) has a burst of 3 to 7 s whose jobs alone need 1 to 1.6 times the capacity; its play may take 15 s longer. Both are drawn from a stream of their own: of 200 seeds those without them give the same scenarios as before, and those that are only uneven differ by one line. No run of a job may begin before the first submission that was not refused was sent, whether or not its client submits it again; this includes the check that it replaces.

--- a/internal/rig/client.go
+++ b/internal/rig/client.go
@@ -32,7 +32,8 @@
 
 	accepted, refused, undecided bool // Outcomes of the attempts to submit the job.
 	acceptedAt, cancelledAt      time.Time
-	cancelSent                   bool // A request to cancel the job was sent.
+	submittedAt                  time.Time // When the first submission that was not refused was sent; zero if there was none.
+	cancelSent                   bool      // A request to cancel the job was sent.
 	state                        string
 	pollingDone                  bool // The client has stopped polling.
 }
@@ -213,6 +214,9 @@
 // recordAnswer records the answer to a call, and reports whether the client knows that the job has ended or was finally
 // refused.
 func (j *submittedJob) recordAnswer(x *call) bool {
+	if x.verb == submitting && !x.Refused() && j.submittedAt.IsZero() {
+		j.submittedAt = x.sent
+	}
 	switch {
 	case x.verb == submitting && x.Status == http.StatusOK:
 		j.accepted, j.acceptedAt = true, x.ended
--- a/internal/rig/draw.go
+++ b/internal/rig/draw.go
@@ -9,6 +9,10 @@
 )
 
 const (
+	// One in unevenIn seeds has workers of uneven speed, and one in overloadIn has a burst above the capacity.
+	unevenIn, overloadIn = 3, 4
+	// meanRunTime is the mean run time of the tasks that drawJob generates.
+	meanRunTime = 3650 * time.Millisecond
 	// Each largeEvery-th seed has as many processes as a machine of 12 cores can run beside other work.
 	largeEvery = 10
 	// Each plannedEvery-th seed has only planned faults.
@@ -19,6 +23,10 @@
 // of the store in between, and 14 s in which jobs end once no fault is active (from the users' pages).
 const settleWithin = 45 * time.Second
 
+// overloadSettleWithin is the additional time in which the jobs of a burst must end: at most 7 s of 1.6 times the
+// capacity, with some of it unused because a job's tasks fill a worker only in part.
+const overloadSettleWithin = 15 * time.Second
+
 // storeParts are the parts of the store that can fail one by one. The repeated entries make the main part more likely.
 var storeParts = []string{"main", "main", "main", "main/0", "main/1", "main/2", "main/3", "main/4", "main/5", "main/6", "main/7"}
 
@@ -58,12 +66,25 @@
 	if seed%largeEvery == 0 {
 		d.boxes, d.workers, gap = 6, 50, 400*time.Millisecond
 	}
+	// A stream of its own keeps the scenarios of the seeds without these conditions as they were before.
+	load := &scenarioDraft{Rand: rand.New(rand.NewPCG(seed, 1)), workers: d.workers, slots: d.slots}
+	uneven, overload, settle := load.IntN(unevenIn) == 0, load.IntN(overloadIn) == 0 && seed%largeEvery != 0, settleWithin
+	if overload {
+		settle += overloadSettleWithin
+	}
 	text := fmt.Sprintf("# Drawn from seed %d, for %s.\nboxes %d\nworkers %d\nslots %d\nalone %d\nheartbeat %s\nlease %s\ndrift %s\nmay_fail 1\nuntil %s\n",
-		seed, length, d.boxes, d.workers, d.slots, d.IntN(2), d.oneOf("300ms", "500ms", "1500ms"), d.oneOf("4s", "6s", "10s"), d.oneOf("0", "0.02"), length+settleWithin)
+		seed, length, d.boxes, d.workers, d.slots, d.IntN(2), d.oneOf("300ms", "500ms", "1500ms"), d.oneOf("4s", "6s", "10s"), d.oneOf("0", "0.02"), length+settle)
+	if uneven {
+		text += "uneven 1\n"
+	}
 	for at := d.upTo(gap); at < length; at += d.upTo(2 * gap) {
 		d.add(at, d.drawJob())
 	}
 	d.drawFaults()
+	if overload {
+		text += load.drawOverload(length)
+		d.steps = append(d.steps, load.steps...)
+	}
 	slices.SortStableFunc(d.steps, func(a, b draftStep) int { return int(a.at - b.at) })
 	for _, s := range d.steps {
 		text += fmt.Sprintf("at %.3fs %s\n", s.at.Seconds(), s.text)
@@ -100,6 +121,20 @@
 	return text
 }
 
+// drawOverload adds a burst of 3 to 7 s in the first half of the scenario. Its jobs alone need 1 to 1.6 times the
+// capacity of all workers. It returns a comment for the scenario.
+func (d *scenarioDraft) drawOverload(length time.Duration) string {
+	from := d.upTo(length / 2)
+	to := min(from+d.between(3*time.Second, 7*time.Second), length)
+	// A job has 1 to 2*slots tasks, so that one job every fullGap uses the whole capacity.
+	fullGap := meanRunTime * time.Duration(2*d.slots+1) / time.Duration(2*d.slots*d.workers)
+	gap := time.Duration(float64(fullGap) / (1 + 0.6*d.Float64()))
+	for at := from + d.upTo(gap); at < to; at += d.upTo(2 * gap) {
+		d.add(at, d.drawJob())
+	}
+	return fmt.Sprintf("# Overload: %d more jobs from %.3fs to %.3fs.\n", len(d.steps), from.Seconds(), to.Seconds())
+}
+
 // drawFaults generates all faults, and heals those that are still active at the end.
 func (d *scenarioDraft) drawFaults() {
 	maxGap := 1800 * time.Millisecond
--- a/internal/rig/promises.go
+++ b/internal/rig/promises.go
@@ -19,6 +19,7 @@
 	v.Checked += len(p.boxes)
 	v.judgeRuns(t)
 	for _, j := range p.jobs {
+		v.judgeRefused(t, j)
 		v.judgeEnd(p, t, j)
 		v.judgeOrder(t, j)
 	}
@@ -48,13 +49,25 @@
 	return list
 }
 
-// judgeEnd checks that a job reached an expected final state, or that it never ran if it was refused.
+// judgeRefused checks that no run of a job began before its client sent a submission that was not refused. A job whose
+// submissions were all refused must never run.
+func (v *Verdict) judgeRefused(t *trace, j *submittedJob) {
+	if !j.refused {
+		return
+	}
+	v.Checked++
+	for _, run := range t.runsOf(j.id) {
+		if j.submittedAt.IsZero() || run.began.Before(j.submittedAt) {
+			v.RanRefused = append(v.RanRefused, fmt.Sprintf("job %s, %s", j.id, run))
+			return
+		}
+	}
+}
+
+// judgeEnd checks that a job reached an expected final state, unless its client gave up after a refusal.
 func (v *Verdict) judgeEnd(p *play, t *trace, j *submittedJob) {
 	v.Checked++
 	if j.once && j.refused && !j.undecided && !j.accepted {
-		if runs := t.runsOf(j.id); len(runs) > 0 {
-			v.RanRefused = append(v.RanRefused, fmt.Sprintf("job %s, %s", j.id, runs[0]))
-		}
 		return
 	}
 	mayFail := p.MayFail != 0 || mayFailCrashLooping(t.runsOf(j.id), time.Now())
--- a/internal/rig/promises_test.go
+++ b/internal/rig/promises_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/frankban/quicktest"
+	"github.com/pulleyring/pulleyring/platform/standin"
 )
 
 // TestMayFail checks which runs of a job permit that it is reported as failed by second 100. Each run is "TASK RUN
@@ -61,3 +62,39 @@
 		})
 	}
 }
+
+// TestRefusedJobs checks that a job must not run before its client sent a submission that was not refused, which
+// includes a job whose client submits it again after a refusal. Each call is "SENT STATUS", where 0 means no answer.
+func TestRefusedJobs(t *testing.T) {
+	for name, c := range map[string]struct {
+		calls  string
+		began  string // Second at which its run began; empty if it did not run.
+		broken bool
+	}{
+		"refused once":                          {"1 503", "", false},
+		"refused with 503, ran":                 {"1 503", "2", true},
+		"refused with 429, ran":                 {"1 429", "2", true},
+		"refused each time, ran":                {"1 503, 2 429, 3 503", "4", true},
+		"ran after a refusal, accepted later":   {"1 503, 3 200", "2", true},
+		"ran after it was accepted":             {"1 503, 3 200", "4", false},
+		"ran after a call without an answer":    {"1 0, 3 503", "2", false},
+		"ran before the call without an answer": {"1 503, 3 0", "2", true},
+		"undecided, ran":                        {"1 504, 3 503, 5 503", "6", false},
+		"accepted":                              {"1 200", "2", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			j := &submittedJob{id: "a"}
+			for _, text := range strings.Split(c.calls, ", ") {
+				fields := strings.Fields(text)
+				j.recordAnswer(&call{verb: submitting, sent: second(t, fields[0]), Answer: standin.Answer{Status: number(t, fields[1])}})
+			}
+			var runs trace
+			if c.began != "" {
+				runs.runs = []*taskRun{{task: "a.0.0.0", run: 1, began: second(t, c.began)}}
+			}
+			var v Verdict
+			v.judgeRefused(&runs, j)
+			quicktest.Check(t, len(v.RanRefused) > 0, quicktest.Equals, c.broken, quicktest.Commentf("%s", v.Broken()))
+		})
+	}
+}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -152,7 +152,20 @@
 }
 
 func (p *play) workerRole(incarnation, id string) Role {
-	return Role{Kind: "worker", Worker: incarnation, ID: id, Slots: int64(p.Slots), Lease: p.Lease, Heartbeat: p.Heartbeat, Drift: p.Drift}
+	return Role{Kind: "worker", Worker: incarnation, ID: id, Slots: int64(p.Slots), Lease: p.Lease, Heartbeat: p.Heartbeat, Drift: p.Drift, TimeFactor: p.timeFactor(incarnation)}
+}
+
+// timeFactors are the factors by which work takes longer on the workers of an uneven site. They are from the users'
+// pages, which give each to a third of the workers.
+var timeFactors = [...]float64{0.6, 1, 1.6}
+
+// timeFactor returns the factor by which work takes longer on a worker. All incarnations of a worker have the same.
+func (p *play) timeFactor(incarnation string) float64 {
+	var number int
+	if _, err := fmt.Sscanf(incarnation, "w%d", &number); err != nil || p.Uneven == 0 {
+		return 1
+	}
+	return timeFactors[number%len(timeFactors)]
 }
 
 // returnWorker restarts a worker behind the same proxy, under its own name or under a new one. It kills the earlier
--- a/internal/rig/role.go
+++ b/internal/rig/role.go
@@ -53,15 +53,16 @@
 
 // Role is the JSON argument that tells one of the rig's own processes what to do.
 type Role struct {
-	Kind      string // store, worker, proxy or busy.
-	Worker    string // Name of one incarnation of a worker, unique in a play.
-	ID        string // Name under which the worker records itself; empty if it is the same as Worker.
-	To        string // Address to which a proxy forwards connections.
-	Port      int    // Port on which a proxy listens.
-	Slots     int64
-	Lease     time.Duration
-	Heartbeat time.Duration
-	Drift     float64 // Fraction by which a worker's clock runs slow.
+	Kind       string // store, worker, proxy or busy.
+	Worker     string // Name of one incarnation of a worker, unique in a play.
+	ID         string // Name under which the worker records itself; empty if it is the same as Worker.
+	To         string // Address to which a proxy forwards connections.
+	Port       int    // Port on which a proxy listens.
+	Slots      int64
+	Lease      time.Duration
+	Heartbeat  time.Duration
+	Drift      float64 // Fraction by which a worker's clock runs slow.
+	TimeFactor float64 // Factor by which work takes longer on a worker.
 }
 
 // printer writes lines, safe for concurrent use.
@@ -186,6 +187,7 @@
 	w.control.Fleet.Observe = w.observe
 	w.control.EndsSent = func(n int64) { out.print(Line{Worker: r.Worker, Event: eventListed, Number: n}) }
 	w.control.Fleet.SetDrift(r.Drift)
+	w.control.TimeFactor = r.TimeFactor
 	*record = w.control.Fleet.Add(*record)
 	return w
 }
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -14,6 +14,7 @@
 	Boxes, Workers int
 	Slots          int     // Number of tasks that fit on a worker.
 	Alone          int     // 1 if boxes don't forward calls to the store through each other.
+	Uneven         int     // 1 if the workers differ in speed.
 	MayFail        int     // 1 if jobs may fail after using up their attempts.
 	Drift          float64 // Fraction by which the workers' clocks run slow.
 	Heartbeat      time.Duration
@@ -70,7 +71,7 @@
 }
 
 func (s *Scenario) parseLine(fields []string, line int) (err error) {
-	numbers := map[string]*int{"boxes": &s.Boxes, "workers": &s.Workers, "slots": &s.Slots, "alone": &s.Alone, "may_fail": &s.MayFail}
+	numbers := map[string]*int{"boxes": &s.Boxes, "workers": &s.Workers, "slots": &s.Slots, "alone": &s.Alone, "uneven": &s.Uneven, "may_fail": &s.MayFail}
 	times := map[string]*time.Duration{"heartbeat": &s.Heartbeat, "lease": &s.Lease, "until": &s.Until}
 	key, values := fields[0], fields[1:]
 	switch {
--- a/internal/rig/soak_test.go
+++ b/internal/rig/soak_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"os"
 	"path/filepath"
 	"strings"
@@ -13,12 +15,12 @@
 	"github.com/pulleyring/pulleyring/internal/rig"
 )
 
-// TestSoak plays the scenarios of two seeds: one with all kinds of faults, and one with planned shutdowns and
-// configuration changes only.
+// TestSoak plays the scenarios of three seeds: one with all kinds of faults, one with planned shutdowns, configuration
+// changes and a load above the capacity only, and one with faults, such a load and workers of uneven speed.
 func TestSoak(t *testing.T) {
 	program, err := os.Executable()
 	quicktest.Assert(t, err, quicktest.IsNil)
-	for name, seed := range map[string]uint64{"faults": 11, "planned": 6} {
+	for name, seed := range map[string]uint64{"faults": 11, "planned": 6, "uneven": 8} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			var out bytes.Buffer
@@ -72,3 +74,29 @@
 		quicktest.Assert(t, err, quicktest.IsNil, quicktest.Commentf("seed %d", seed))
 	}
 }
+
+// unchangedDraws is the SHA-256 of the scenarios of the first 200 seeds without uneven workers and overload, as they
+// were drawn before these were added.
+const unchangedDraws = "8b80370f8c8901ef22234d425d83754e534dfceefce4a0bf58eb042ca3e24491"
+
+// TestDrawUnchanged checks that seeds whose scenarios have neither uneven workers nor an overload give the same
+// scenarios as before these were added, so that violations found earlier can be played again. It also checks that both
+// occur, alone and together.
+func TestDrawUnchanged(t *testing.T) {
+	hash, counts := sha256.New(), map[string]int{}
+	for seed := range uint64(200) {
+		text, kind := rig.Draw(seed, 30*time.Second), ""
+		for _, word := range []string{"uneven", "Overload"} {
+			if strings.Contains(text, word) {
+				kind += word
+			}
+		}
+		if counts[kind]++; kind == "" {
+			hash.Write([]byte(text))
+		}
+	}
+	quicktest.Check(t, hex.EncodeToString(hash.Sum(nil)), quicktest.Equals, unchangedDraws)
+	for _, kind := range []string{"uneven", "Overload", "unevenOverload"} {
+		quicktest.Check(t, counts[kind] > 5, quicktest.IsTrue, quicktest.Commentf("%s: %d", kind, counts[kind]))
+	}
+}
