cli, node: pulleyring speeds, GET /speeds and GET /headroom

Operators could not see what the scheduler has learned of workers' speeds and what it keeps for urgent work.

The metrics address serves both as JSON. "pulleyring speeds" asks one box after another until the one that schedules answers, and fails if none does.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -48,6 +48,7 @@
 		{"apply", "apply -box URL -key FILE [-replaces VERSION] SITE.ini", "put a site configuration in force", runApply},
 		{"halls", "halls [-boxes URL,URL]", "print which halls boxes take as emptied, and how old that is", runHalls},
 		{"why", "why [-boxes URL,URL] JOB", "print how a job stands and what it waits for, or why it has failed", runWhy},
+		{"speeds", "speeds [-box URL,URL]", "print how fast workers are, as the box that schedules has learned", runSpeeds},
 		{"explain", "explain JOB|TASK LOG|DIR...", "print a time line of a job or task from the logs of several boxes", runExplain},
 		{"timeline", "timeline -box URL -key FILE [-job JOB]", "print the events of all boxes in order", runTimeline},
 		{"load", "load -box URL -key FILE -workspace NAME [options]", "send small requests and measure them, against calling the executors directly", runLoad},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -198,12 +198,15 @@
 	}
 }
 
-// metricsHandler serves metrics, the emptied halls, and the state of a job with its reasons.
+// metricsHandler serves metrics, the emptied halls, the state of a job with its reasons, the learned speeds of workers,
+// and the capacity kept for urgent work.
 func (n *Node) metricsHandler() http.Handler {
 	mux := chi.NewRouter()
 	mux.Method(http.MethodGet, "/metrics", &n.Metrics)
 	mux.Get("/halls", n.serveHalls)
 	mux.Get("/why/{job}", n.serveWhy)
+	mux.Get("/speeds", n.serveSpeeds)
+	mux.Get("/headroom", n.serveHeadroom)
 	return mux
 }
 
