--- a/internal/scheduler/headroom.go
+++ b/internal/scheduler/headroom.go
@@ -93,34 +93,36 @@
 	return ""
 }
 
-// HeadroomReport shows an operator how much capacity is kept for urgent work of one shape. All numbers but Each are in
-// tasks.
+// HeadroomReport shows an operator how much capacity is kept for urgent work of one shape. Counts are in tasks of that
+// shape.
 type HeadroomReport struct {
-	Service   string
-	Label     string        // Label that workers must have; empty for any worker.
-	Each      job.Resources // What a task needs.
-	Held      int           // Tasks that run.
-	Waiting   int           // Tasks that wait.
-	Mean      float64       // Mean number of tasks that run or wait.
-	Deviation float64       // Standard deviation of that number.
-	Kept      int           // Slots that are kept beyond the tasks that run or wait.
-	Free      int           // Free slots.
+	Service      string  `json:"service"`
+	Label        string  `json:"label,omitempty"` // Label that workers must have; empty for any worker.
+	MilliCPU     int64   `json:"milli_cpu"`       // What a task needs.
+	MemoryMB     int64   `json:"memory_mb"`
+	Accelerators int64   `json:"accelerators"`
+	Held         int     `json:"held"`    // Tasks that run.
+	Waiting      int     `json:"waiting"` // Tasks that wait.
+	Mean         float64 `json:"mean"`    // Mean number of tasks that run or wait.
+	Deviation    float64 `json:"deviation"`
+	Kept         int     `json:"kept"` // Slots that are kept beyond the tasks that run or wait.
+	Free         int     `json:"free"` // Free slots.
 }
 
 // Headroom returns the capacity that is kept for urgent work, by shape, as of the last decision. It is empty if this box
 // does not hold the shard's lease, if there is no urgent work, or if the part is turned off.
 func (s *Scheduler) Headroom() []HeadroomReport {
+	list := []HeadroomReport{}
 	h := s.current.Load()
 	if h == nil || s.Bounds.DisableHeadroom {
-		return nil
+		return list
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var list []HeadroomReport
 	for _, r := range h.urgentLoad.estimator.Reports() {
 		list = append(list, HeadroomReport{
-			Service: r.Service, Label: r.Label, Each: r.Each, Held: r.Held, Waiting: r.Waiting, Mean: r.Mean, Deviation: r.Deviation,
-			Kept: r.Slots, Free: placement.FreeSlots(&h.view, &r.Shape),
+			Service: r.Service, Label: r.Label, MilliCPU: r.Each.MilliCPU, MemoryMB: r.Each.MemoryMB, Accelerators: r.Each.Accelerators,
+			Held: r.Held, Waiting: r.Waiting, Mean: r.Mean, Deviation: r.Deviation, Kept: r.Slots, Free: placement.FreeSlots(&h.view, &r.Shape),
 		})
 	}
 	return list
--- a/internal/scheduler/speeds.go
+++ b/internal/scheduler/speeds.go
@@ -240,12 +240,12 @@
 	Samples int     `json:"samples"`
 }
 
-// Speeds returns the learned speeds of all workers, sorted by their names. It returns nil if this box does not hold
-// the shard's lease. Factors are 1 where the workers of a service do not differ, or fewer than ten are known.
+// Speeds returns the learned speeds of all workers, sorted by rack and name. It is empty if this box does not hold the
+// shard's lease. Factors are 1 where the workers of a service do not differ, or fewer than ten are known.
 func (s *Scheduler) Speeds() []SpeedReport {
 	h := s.current.Load()
 	if h == nil {
-		return nil
+		return []SpeedReport{}
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -257,6 +257,8 @@
 		}
 		list = append(list, r)
 	}
-	slices.SortFunc(list, func(x, y SpeedReport) int { return cmp.Compare(x.Worker, y.Worker) })
+	slices.SortFunc(list, func(x, y SpeedReport) int {
+		return cmp.Or(cmp.Compare(x.Rack, y.Rack), cmp.Compare(x.Worker, y.Worker))
+	})
 	return list
 }
--- a/internal/scheduler/speeds_test.go
+++ b/internal/scheduler/speeds_test.go
@@ -329,3 +329,15 @@
 		quicktest.Check(t, h.allocationView(r.allocation, r.placed).ValueAtRisk > 0, quicktest.Equals, atRisk, quicktest.Commentf("%v", factor))
 	}
 }
+
+// TestSpeedsAreSorted fails if operators get the workers of a rack apart from each other, or in another order each time.
+func TestSpeedsAreSorted(t *testing.T) {
+	h := offlineShard()
+	for _, w := range []fleet.Worker{{ID: "w3", Rack: "b"}, {ID: "w2", Rack: "a"}, {ID: "w1", Rack: "a"}} {
+		h.workers[w.ID] = workerOf(&w)
+	}
+	h.current.Store(h)
+	quicktest.Check(t, h.Speeds(), quicktest.DeepEquals, []SpeedReport{
+		{Worker: "w1", Rack: "a", Factor: 1, High: 1}, {Worker: "w2", Rack: "a", Factor: 1, High: 1}, {Worker: "w3", Rack: "b", Factor: 1, High: 1},
+	})
+}
