--- a/internal/placement/speed_test.go
+++ b/internal/placement/speed_test.go
@@ -145,7 +145,8 @@
 	return 0
 }
 
-// drawViewWithManyDemands draws a site, running work that may be guaranteed, and demands of all kinds.
+// drawViewWithManyDemands draws a site, running work that may be guaranteed, and demands of all kinds. Bulk work fills
+// most of the workers, so that one in eight decisions stops some of it.
 func drawViewWithManyDemands(r *rapid.T) *View {
 	v := drawViewWithWaitingDemands(r)
 	sometimes := func(what string) bool { return rapid.IntRange(0, 3).Draw(r, what) == 0 }
@@ -157,6 +158,15 @@
 			v.Workers[k].FailureScore = 1
 		}
 	}
+	for k := range v.Workers {
+		if w := &v.Workers[k]; w.Free.Accelerators > 0 && !sometimes("free capacity left") {
+			v.Allocations = append(v.Allocations, Allocation{
+				Job: job.ID(fmt.Sprint("f", k)), Priority: 1 + rapid.IntRange(0, 1).Draw(r, "filled"), Each: w.Free, WorkerIndexes: []int{k},
+				LostWork: float64(rapid.IntRange(0, 50).Draw(r, "loss")), Remaining: 4 * time.Second,
+			})
+			w.Free = job.Resources{}
+		}
+	}
 	for h := range v.Allocations {
 		v.Allocations[h].Guaranteed, v.Allocations[h].Stopping = sometimes("guaranteed"), sometimes("stopping")
 	}
