scheduler: an early poll beside the regular one

Change: a worker gets one more poll when an urgent run on it is 0.78 s old, if no other poll has shown that age, on the same conditions as before.

--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -94,6 +94,7 @@
 		r.starting = false
 		r.confirmed, r.startAnswered = time.Now(), try == 1
 		w.signal()
+		h.pollEarly(w, r)
 		return true
 	}
 	h.Log.Info("scheduler: start not taken", zap.String("task", r.task.String()), zap.Int("run", r.number),
--- a/internal/scheduler/talk.go
+++ b/internal/scheduler/talk.go
@@ -189,7 +189,7 @@
 	if w.clock != 0 && len(w.runs) > 0 && w.failures == 0 && w.isCertain() {
 		poll.Lease = h.renew(w)
 		if !w.hasUnconfirmedRun() {
-			poll.Wait = h.firstPollWait(w, w.pollWait(), time.Now())
+			poll.Wait = w.pollWait()
 		}
 	}
 	return nextPoll{poll: poll, target: w.target(), mark: w.sendState(), timeout: w.capAtLeaseEnd(poll.Wait + w.currentAnswerTimeout())}
