--- a/internal/placement/headroom.go
+++ b/internal/placement/headroom.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -25,7 +24,7 @@
 	// slots on the worker. A task on the rest of the worker's free capacity takes these slots.
 	reserved  []job.Resources
 	drains    []drain // All reservations without preemption.
-	seenPlans int     // Number of this decision's reservations that have been examined for drains.
+	seenPlans int     // Number of reservations of this decision that drains contains.
 	version   int     // Changes whenever counted or reserved changes.
 	// admitting caches the workers on which at least one task may start, by the resources of the task. Most
 	// waiting tasks of bulk work are alike, and hundreds of demands may wait.
@@ -47,16 +46,6 @@
 	usable []bool // By worker: may run tasks of this shape.
 	kept   int    // Slots to keep for this shape and larger ones together.
 	free   int    // Free slots on all usable workers.
-	// zone contains the workers of the racks with the most free slots, as many racks as hold the kept slots when empty.
-	// The slots gather there, because most urgent gangs need one rack.
-	zone     []bool // By worker.
-	zoneFree int    // Free slots in the zone.
-}
-
-// slotsLeft is the number of slots of a shape that may still be taken.
-type slotsLeft struct {
-	all  int
-	zone int // In the zone.
 }
 
 // admittingWorkers is a set of workers for one version of the counts.
@@ -70,14 +59,15 @@
 type headroomLimit struct {
 	planner *planner
 	demand  *Demand
-	left    []slotsLeft // By shape; updated as tasks are admitted.
-	refused int         // Number of tasks that fit but were not admitted.
+	left    []int // By shape: slots that may still be taken. It is updated as tasks are admitted.
+	refused int   // Number of tasks that fit but were not admitted.
 }
 
-// mustLeaveHeadroom reports whether a demand must leave capacity to urgent work. Urgent work need not, nor work that
-// has waited too long while capacity is ample, nor work that must start now to meet its next goal.
+// mustLeaveHeadroom reports whether a demand must leave capacity to urgent work. Bulk work must, except if it has waited
+// too long while capacity is ample, or must start now to meet its next goal. Gangs between urgent and bulk work need not:
+// they wait longest for a rack as it is, and are worth more than bulk work.
 func (pl *planner) mustLeaveHeadroom(d *Demand) bool {
-	if d.Priority == 0 || d.Guaranteed || pl.waitedTooLong {
+	if d.Priority < bulkPriority || d.Guaranteed || pl.waitedTooLong {
 		return false
 	}
 	return pl.hasMissedAllGoals(d) || !pl.mayPreemptNow(d)
@@ -108,8 +98,7 @@
 	// checkpointPreference is the factor on the cost of stopping work that saves checkpoints. Without it, other work that
 	// has just started is the cheapest to stop, and makes no progress if it is stopped each time.
 	checkpointPreference = 0.8
-	// recentStopPenalty is added to the factor on the cost for each recent stop, up to maxRecentStopPenalty. Both factors
-	// are chosen so that they decide between stops of similar cost only.
+	// recentStopPenalty is added to the factor on the cost for each recent stop, up to maxRecentStopPenalty.
 	recentStopPenalty    = 0.2
 	maxRecentStopPenalty = 0.6
 )
@@ -130,12 +119,12 @@
 		return
 	}
 	pl.updateUrgentRoom()
-	l := &headroomLimit{planner: pl, demand: d, left: make([]slotsLeft, len(pl.urgent.shapes))}
+	l := &headroomLimit{planner: pl, demand: d, left: make([]int, len(pl.urgent.shapes))}
 	limited := false
 	for s := range pl.urgent.shapes {
 		room := &pl.urgent.shapes[s]
-		l.left[s] = slotsLeft{room.free - room.kept, room.zoneFree - room.kept}
-		limited = limited || room.kept > 0 && min(l.left[s].all, l.left[s].zone) < len(d.Waiting)*mostSlotsTaken(&room.Shape, d.Step.Each)
+		l.left[s] = room.free - room.kept
+		limited = limited || room.kept > 0 && l.left[s] < len(d.Waiting)*mostSlotsTaken(&room.Shape, d.Step.Each)
 	}
 	if limited {
 		pl.limit = l
@@ -158,8 +147,7 @@
 // updateUrgentRoom counts the free slots by shape, or updates the counts for the workers that have changed.
 func (pl *planner) updateUrgentRoom() {
 	u := &pl.urgent
-	first := u.counted == nil
-	if first {
+	if u.counted == nil {
 		u.counted, u.reserved, u.admitting = make([]job.Resources, len(pl.free)), make([]job.Resources, len(pl.free)), map[job.Resources]admittingWorkers{}
 		u.shapes = pl.shapesToKeep()
 		for i := range pl.view.Demands {
@@ -176,53 +164,11 @@
 		u.version++
 		for s := range u.shapes {
 			if room := &u.shapes[s]; room.usable[k] {
-				change := room.Fitting(pl.free[k]) - room.Fitting(u.counted[k])
-				room.free += change
-				if room.zone != nil && room.zone[k] {
-					room.zoneFree += change
-				}
+				room.free += room.Fitting(pl.free[k]) - room.Fitting(u.counted[k])
 			}
 		}
 		u.counted[k] = pl.free[k]
 	}
-	if first {
-		for s := range u.shapes {
-			pl.chooseZone(&u.shapes[s])
-		}
-	}
-}
-
-// chooseZone chooses the racks where the slots of a shape are kept. The choice is mostly the same in the next decision,
-// because other work then starts elsewhere.
-func (pl *planner) chooseZone(room *shapeRoom) {
-	room.zone = make([]bool, len(pl.free))
-	if room.kept == 0 {
-		return
-	}
-	type rackSlots struct{ rack, free, empty int }
-	list := make([]rackSlots, 0, len(pl.workersByRack))
-	for r, rack := range pl.workersByRack {
-		slots := rackSlots{rack: r}
-		for _, k := range rack {
-			if room.usable[k] {
-				slots.free += room.Fitting(pl.free[k])
-				slots.empty += room.Fitting(pl.view.Workers[k].Capacity)
-			}
-		}
-		list = append(list, slots)
-	}
-	slices.SortStableFunc(list, func(x, y rackSlots) int { return cmp.Compare(y.free, x.free) })
-	empty := 0
-	for _, slots := range list {
-		if empty >= room.kept {
-			return
-		}
-		empty += slots.empty
-		room.zoneFree += slots.free
-		for _, k := range pl.workersByRack[slots.rack] {
-			room.zone[k] = true
-		}
-	}
 }
 
 // updateReserved updates the capacity that is reserved without preemption at present.
@@ -341,36 +287,27 @@
 		before = before.Sub(each)
 	}
 	after := before.Sub(each)
-	if !l.leavesEnough(k, before, after) {
-		return false
-	}
 	shapes := l.planner.urgent.shapes
+	for s := range shapes {
+		if l.planner.urgent.isShort(s, k, before, after, l.left[s]) {
+			return false
+		}
+	}
 	for s := range shapes {
 		if shapes[s].usable[k] {
-			lost := l.planner.urgent.lostSlots(s, k, before, after)
-			l.left[s].all -= lost
-			if shapes[s].zone[k] {
-				l.left[s].zone -= lost
-			}
+			l.left[s] -= l.planner.urgent.lostSlots(s, k, before, after)
 		}
 	}
 	return true
 }
 
-// leavesEnough reports whether enough slots of each shape would be left if the free capacity of a worker changed.
-func (l *headroomLimit) leavesEnough(k int, before, after job.Resources) bool {
-	u := &l.planner.urgent
-	for s := range u.shapes {
-		room := &u.shapes[s]
-		if room.kept == 0 || !room.usable[k] {
-			continue
-		}
-		lost := u.lostSlots(s, k, before, after)
-		if lost > 0 && (l.left[s].all < lost || room.zone[k] && l.left[s].zone < lost) {
-			return false
-		}
+// isShort reports whether too few slots of a shape would be left if the free capacity of a worker changed.
+func (u *urgentRoom) isShort(s, k int, before, after job.Resources, left int) bool {
+	if room := &u.shapes[s]; room.kept == 0 || !room.usable[k] {
+		return false
 	}
-	return true
+	lost := u.lostSlots(s, k, before, after)
+	return lost > 0 && left < lost
 }
 
 // lostSlots returns how many slots of a shape are lost if the free capacity of a worker changes.
@@ -431,7 +368,19 @@
 		admits = make([]bool, len(pl.free))
 	}
 	for k, free := range pl.free {
-		admits[k] = free.Fits(each) && l.leavesEnough(k, free, free.Sub(each))
+		admits[k] = false
+		if !free.Fits(each) {
+			continue
+		}
+		after := free.Sub(each)
+		short := func(s int) bool { return pl.urgent.isShort(s, k, free, after, l.left[s]) }
+		admits[k] = true
+		for s := range pl.urgent.shapes {
+			if short(s) {
+				admits[k] = false
+				break
+			}
+		}
 	}
 	return admits
 }
