internal/entry: a write without an answer ends sooner in an outage

Cause: while no path to the store was left, a call whose write had got no answer was held until its caller's time limit, usually 3 s. The caller had no time left for another box.

Change: the call ends with ErrUndecided (504) once the store has counted as unreachable over all paths for 1.3 s, which is 2 s after its last answer. The attempt in flight is cancelled. A call of which no attempt can have taken effect is refused (503) as before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -67,6 +67,10 @@
 	// refuses some calls and answers others. The limit is about half the time that a client waits, so that the client can
 	// still retry.
 	storeRetryLimit = 1200 * time.Millisecond
+	// outageHold is how long a call whose write got no answer goes on after no path to the store works. The store counts
+	// as unreachable after 0.7 s without an answer, so that an outage of 1.5 s, the longest that callers must not notice,
+	// is over and known to be over by then. A caller that waits 3 s still has 1 s left to try another box.
+	outageHold = 1300 * time.Millisecond
 	// maxSummaryAge is the maximum age of the summary from which Pending answers. Clients may be shown counts that are up
 	// to 2 s old, and the scheduler takes up to 0.3 s to write them. At 0.5 s reading the summary was 6% of all calls to
 	// the store.
@@ -151,11 +155,15 @@
 // writeRepeatedly calls f, which may safely be repeated, until it succeeds or fails with an error that does not come
 // from the store. If the store refuses every attempt for storeRetryLimit, nothing was done, and the error is
 // ErrUnavailable: the client can try another box. An attempt without an answer may have taken effect. After such an
-// attempt, f is repeated until ctx ends, and the error is then ErrUndecided.
+// attempt, f is repeated until ctx ends or no path to the store has worked for outageHold, and the error is then
+// ErrUndecided.
 func (e *Entry) writeRepeatedly(ctx context.Context, f func(ctx context.Context) error) error {
 	if e.StoreUnreachable() {
 		return ErrUnavailable
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go e.cancelInOutage(ctx, cancel)
 	began := time.Now()
 	undecided := false
 	for {
@@ -179,6 +187,23 @@
 	return ErrUnavailable
 }
 
+// cancelInOutage calls cancel once the store has been unreachable for outageHold without a break, so that the attempt in
+// flight ends too. It returns when ctx ends.
+func (e *Entry) cancelInOutage(ctx context.Context, cancel context.CancelFunc) {
+	var since time.Time // When the store became unreachable; zero while it is reachable.
+	for interval.Sleep(ctx, storeRetryPause) {
+		switch {
+		case !e.StoreUnreachable():
+			since = time.Time{}
+		case since.IsZero():
+			since = time.Now()
+		case time.Since(since) >= outageHold:
+			cancel()
+			return
+		}
+	}
+}
+
 // Status is the state of a job as it is shown to a caller.
 type Status struct {
 	State  job.State
--- a/internal/node/accept_test.go
+++ b/internal/node/accept_test.go
@@ -90,6 +90,37 @@
 	})
 }
 
+// TestUndecidedSubmitEndsSoonInOutage fails if a call whose write got no answer is held until its caller's time limit of
+// 3 s although no path to the store is left. The caller must learn that the outcome is unknown while it has time for
+// another box, and must not be told that the job was refused.
+func TestUndecidedSubmitEndsSoonInOutage(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		time.Sleep(3 * time.Second) // The boxes need this time to discover each other.
+		w.store.SetSilent()
+		took, err := submitTimed(w, "box-1", "a")
+		quicktest.Assert(t, err, quicktest.ErrorIs, entry.ErrUndecided)
+		quicktest.Assert(t, took < 2200*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("took %v", took))
+		quicktest.Assert(t, took > 1500*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("took %v", took))
+		w.store.SetUp()
+		time.Sleep(1500 * time.Millisecond)
+		_, err = submitTimed(w, "box-2", "a")
+		quicktest.Assert(t, err, quicktest.IsNil)
+	})
+}
+
+// TestUndecidedSubmitGoesOnWhileStoreAnswers fails if a call whose writes get no answers is given up early although the
+// store answers other calls. Here, all parts that hold requests fail for longer than a call is held in an outage.
+func TestUndecidedSubmitGoesOnWhileStoreAnswers(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		for n := range 8 {
+			w.store.FailPart(fmt.Sprint(Shard, "/", n))
+		}
+		time.AfterFunc(2500*time.Millisecond, w.store.SetUp)
+		_, err := submitTimed(w, "box-1", "a")
+		quicktest.Assert(t, err, quicktest.IsNil)
+	})
+}
+
 func TestSlowStoreAcceptsMany(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
 		w.store.SetLatency(300 * time.Millisecond)
