internal/admission: whether a submission is refused because of the load

Cause: jobs that can no longer earn anything are accepted under load. They take capacity from others, and their callers learn late that they were in vain.

Change: a pure package with the summary of the load, the expected wait of a new job behind other work, and the decision on a submission with its Retry-After. The expected wait is a lower bound: half of the expected work, all capacity used without gaps, work of larger gangs left out. The decision takes the run time as twice the declared one, as declared times are off by half. PeakAccelerators moves from internal/scheduler to job.Request.

--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/pulleyring/pulleyring/internal/admission"
 	"github.com/pulleyring/pulleyring/internal/job"
 	"github.com/pulleyring/pulleyring/internal/loss"
 	"github.com/pulleyring/pulleyring/internal/placement"
@@ -85,7 +86,7 @@
 	sizeCap   = 4
 	// lateFactor limits how late a job may be: it still earns a part of its value if it ends within lateFactor times its
 	// allowed time.
-	lateFactor = 3
+	lateFactor = admission.LateFactor
 )
 
 // demand returns the demand of a waiting group of tasks.
@@ -186,19 +187,10 @@
 		return cmp.Or(cmp.Compare(x.Request.Accepted, y.Request.Accepted), cmp.Compare(x.Request.ID, y.Request.ID))
 	})
 	for _, j := range urgent {
-		need := peakAccelerators(j.Request)
+		need := j.Request.PeakAccelerators()
 		if need <= left[j.Request.Terms.Workspace] {
 			left[j.Request.Terms.Workspace] -= need
 			j.guaranteed = true
 		}
 	}
 }
-
-// peakAccelerators returns the largest number of accelerators that a job can use at once if all its steps run together.
-func peakAccelerators(r *job.Request) int64 {
-	sum := int64(0)
-	for i := range r.Steps {
-		sum += int64(r.Steps[i].Count) * r.Steps[i].Each.Accelerators
-	}
-	return sum
-}
