internal/scheduler: a summary of the load in the table `load`

Cause: boxes can refuse jobs that are in vain only if they know how long new jobs wait.

Change: the scheduler measures the load at most once per second, where it makes the summary of pending jobs. It adds a row to a commit that is made anyway if a new job of a queue and class may have to wait for more than half of the time after which a waiting one earns nothing, and if the last row is outdated (changed by a fifth, or 2 s old). Only work that is surely served first counts: urgent work for other queues, and work of the same queue that can still be on time. Sites without such waits write nothing.

--- a/internal/ledger/lease.go
+++ b/internal/ledger/lease.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/admission"
 	"github.com/pulleyring/pulleyring/internal/job"
 	"github.com/pulleyring/pulleyring/internal/store"
 )
@@ -84,6 +85,7 @@
 type Batch struct {
 	Progress  map[job.ID]*job.Progress
 	Summary   *Summary          // nil to leave it unchanged.
+	Load      *admission.Load   // nil to leave it unchanged.
 	Addresses map[int]Addresses // Complete rows of worker addresses, by row number.
 	Delete    []JobDeletion     // Jobs whose progress is deleted; their requests must be deleted before.
 	Release   bool              // Release the lease.
@@ -224,6 +226,11 @@
 			return nil, err
 		}
 	}
+	if b.Load != nil {
+		if err := add(tableLoad, t.ledger.Shard, b.Load); err != nil {
+			return nil, err
+		}
+	}
 	for row, addresses := range b.Addresses {
 		if err := add(tableAddresses, addressRowName(row), addresses); err != nil {
 			return nil, err
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -116,6 +116,9 @@
 		f.batch.Summary = &ledger.Summary{Pending: pending}
 		h.pendingByQueue = pending
 	}
+	if rows < ledger.MaxBatchRows { // A full batch leaves no room for a further row.
+		h.collectLoad(&f.batch, time.Now())
+	}
 	return f
 }
 
@@ -196,6 +199,9 @@
 	if f.batch.Summary != nil {
 		h.pendingByQueue = nil
 	}
+	if f.batch.Load != nil {
+		h.publishedLoad.uncertain = true
+	}
 	for row := range f.batch.Addresses {
 		h.addresses.touch(row)
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -122,6 +122,7 @@
 	stepTimes     map[groupKey]*stepTimes
 	failureBurst  failureBurst
 	addresses     addresses
+	publishedLoad publishedLoad
 	lastHalls     knownHalls
 	answers       answerTimes
 	background    sync.WaitGroup
