internal/entry: submissions that would end too late are refused

Cause: under load, jobs were accepted that could only end after three times their allowed time. They earn nothing, and their callers could not place them elsewhere in time.

Change: such a submission is answered 503 with a Retry-After in whole seconds before anything is written. Jobs with a schedule, lasting steps and jobs of priority 0 that their workspace's guarantee may cover are never refused; nor are repeats of accepted jobs, which costs up to three reads for each refusal, limited to 0.5 s. The box admits while the store is unhealthy, if these reads fail, and without a current summary. Refusals are counted as `refused_hopeless` and logged with the figures behind them. Entry.DisableRefusals switches them off; the box then does not follow the load either.

TestOverloadRefusesHopelessJobs has the real scheduler, three boxes and 300 urgent gangs on one worker.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/admission"
 	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/pulleyring/pulleyring/internal/job"
 	"github.com/pulleyring/pulleyring/internal/ledger"
@@ -44,15 +45,29 @@
 // Error implements error.
 func (e *InvalidJobError) Error() string { return e.Reason }
 
-// Entry serves the calls of clients. All exported fields but Figures are required.
+// HopelessError is the error of a job that would end too late to be of any value under the present load. Nothing was
+// done.
+type HopelessError struct {
+	RetryAfter time.Duration // Whole seconds after which the caller should try again.
+}
+
+// Error implements error.
+func (e *HopelessError) Error() string {
+	return "entry: under the present load the job would end too late to be of any value"
+}
+
+// Entry serves the calls of clients. All exported fields are required, except those for which the comment says otherwise.
 type Entry struct {
 	Ledger           *ledger.Ledger
 	Configuration    func() *queue.Configuration
 	StoreHealthy     func() bool // Reports whether the store answered the last calls.
 	StoreUnreachable func() bool // Reports whether the store has not answered any call for a while.
 	AllHallsEmptied  func() bool // Reports whether every hall is emptied, so that no job can start.
-	Log              *zap.Logger
-	Figures          *measure.Metrics // May be nil.
+	// Load returns the summary of the load as last read; nil to refuse no job for load.
+	Load            func() *admission.Summary
+	DisableRefusals bool // Refuse no job for load.
+	Log             *zap.Logger
+	Figures         *measure.Metrics // May be nil.
 
 	mu         sync.Mutex
 	workspaces map[job.ID]string // Cached workspaces of stored jobs; saves reading a job's request at each call.
@@ -71,6 +86,9 @@
 	// as unreachable after 0.7 s without an answer, so that an outage of 1.5 s, the longest that callers must not notice,
 	// is over and known to be over by then. A caller that waits 3 s still has 1 s left to try another box.
 	outageHold = 1300 * time.Millisecond
+	// repeatCheckTimeout limits the reads that find out whether a job was accepted before. If they take longer, it is
+	// admitted. The store answers after about 400 ms at its slowest.
+	repeatCheckTimeout = 500 * time.Millisecond
 	// maxSummaryAge is the maximum age of the summary from which Pending answers. Clients may be shown counts that are up
 	// to 2 s old, and the scheduler takes up to 0.3 s to write them. At 0.5 s reading the summary was 6% of all calls to
 	// the store.
@@ -117,6 +135,11 @@
 		e.logCall("submit", r.ID, c, began, ErrClosed)
 		return ErrClosed
 	}
+	if d := e.refusedAsHopeless(ctx, r); d.Refuse {
+		err := &HopelessError{d.RetryAfter}
+		e.logCall("submit", r.ID, c, began, err)
+		return err
+	}
 	err := e.writeRepeatedly(ctx, func(ctx context.Context) error { return e.Ledger.Submit(ctx, r) })
 	e.logCall("submit", r.ID, c, began, err)
 	if errors.Is(err, ledger.ErrCancelled) {
@@ -137,13 +160,45 @@
 	if !e.AllHallsEmptied() || r.Schedule.Times > 0 {
 		return false
 	}
-	if _, known := e.cachedWorkspace(r.ID); known {
+	return e.isNew(ctx, r.ID)
+}
+
+// isNew reports whether a job was not accepted before. It returns false if that can't be read from the store.
+func (e *Entry) isNew(ctx context.Context, id job.ID) bool {
+	if _, known := e.cachedWorkspace(id); known {
 		return false
 	}
-	kept, err := e.Ledger.Request(ctx, r.ID)
+	kept, err := e.Ledger.Request(ctx, id)
 	return err == nil && kept == nil
 }
 
+// refusedAsHopeless decides whether a job is refused because it would end too late under the present load. A job that was
+// accepted before is not refused, and none is while the state of the store is uncertain.
+func (e *Entry) refusedAsHopeless(ctx context.Context, r *job.Request) admission.Decision {
+	c := e.Configuration()
+	if e.DisableRefusals || e.Load == nil || c == nil || !e.StoreHealthy() {
+		return admission.Decision{}
+	}
+	load := e.Load()
+	d := admission.Decide(load, r, c.GuaranteedTo(r.Terms.Workspace), time.Now())
+	if !d.Refuse {
+		return d
+	}
+	// Reads that are cancelled, unlike those that exceed a deadline, do not count as failures of the store.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer time.AfterFunc(repeatCheckTimeout, cancel).Stop()
+	if !e.isNew(ctx, r.ID) {
+		return admission.Decision{}
+	}
+	e.Figures.Count("refused_hopeless")
+	e.Log.Info("entry: refusing a job that would end too late", zap.String("job", string(r.ID)), zap.String("queue", r.Terms.Queue),
+		zap.String("workspace", r.Terms.Workspace), zap.Int("priority", r.Terms.Priority), zap.Duration("expected_wait", d.Wait),
+		zap.Duration("longest_run", d.Run), zap.Duration("max_wait", d.MaxWait), zap.Duration("retry_after", d.RetryAfter),
+		zap.Duration("load_age", time.Since(time.UnixMilli(load.Made))))
+	return d
+}
+
 // Cancel cancels a job. A job that is not submitted yet is cancelled in advance.
 func (e *Entry) Cancel(ctx context.Context, c Caller, id job.ID) error {
 	began := time.Now()
--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -57,9 +57,12 @@
 	return n.platform.Network == nil || n.scheduler.Load() != nil || n.relay.Directory.IsWatcher()
 }
 
-// followLoad keeps the summary of the load up to date. A box that stops watching gets no news for up to loadPoll; it
+// followLoad keeps the summary of the load up to date, unless the box refuses no jobs for load. A box that stops watching gets no news for up to loadPoll; it
 // then admits everything.
 func (n *Node) followLoad(ctx context.Context) {
+	if n.Entry.DisableRefusals {
+		return
+	}
 	changed := make(chan struct{}, 1)
 	var group sync.WaitGroup
 	defer group.Wait()
--- a/internal/node/load_test.go
+++ b/internal/node/load_test.go
@@ -1,12 +1,14 @@
 package node
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pulleyring/pulleyring/internal/admission"
+	"github.com/pulleyring/pulleyring/internal/entry"
 	"github.com/pulleyring/pulleyring/internal/job"
 	"github.com/pulleyring/pulleyring/internal/relay"
 	"github.com/pulleyring/pulleyring/internal/store"
@@ -114,3 +116,44 @@
 		quicktest.Check(t, read(), quicktest.Equals, before)
 	})
 }
+
+// TestOverloadRefusesHopelessJobs fails if jobs that would end too late under the load of the real scheduler are accepted
+// by some box, run although they were refused, or are still refused after the load has gone. Jobs within the guarantee
+// and repeats of accepted jobs must not be refused.
+func TestOverloadRefusesHopelessJobs(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		play(t, w, []string{"workers 1", "sleep 3s"})
+		submit := func(box, id, queue, work string) error {
+			r, err := w.request([]string{id, queue, "desk-key", "gang", "tasks", "3", "work", work})
+			quicktest.Assert(t, err, quicktest.IsNil)
+			err = w.submitAt(w.boxes[box].node, queue, "desk-key", r)
+			if err == nil {
+				w.fleet.RecordAccepted(r.ID)
+			}
+			return err
+		}
+		quicktest.Assert(t, submit("box-1", "before", "normal", "1s"), quicktest.IsNil)
+		for i := range 300 {
+			quicktest.Assert(t, submit("box-1", fmt.Sprint("urgent", i), "urgent", "2s"), quicktest.IsNil)
+			if i == 10 { // From a job that waits, new ones are expected to wait too.
+				quicktest.Assert(t, submit("box-1", "waiting", "normal", "1s"), quicktest.IsNil)
+			}
+		}
+		time.Sleep(2500 * time.Millisecond)
+		for name := range w.boxes {
+			var hopeless *entry.HopelessError
+			quicktest.Check(t, submit(name, "late-"+name, "normal", "1s"), quicktest.ErrorAs, &hopeless, quicktest.Commentf("%s", name))
+			quicktest.Check(t, submit(name, "before", "normal", "1s"), quicktest.IsNil, quicktest.Commentf("%s", name))
+			quicktest.Check(t, submit(name, "urgent-"+name, "urgent", "1s"), quicktest.IsNil, quicktest.Commentf("%s", name))
+			state, err := w.state(job.ID("late-" + name))
+			quicktest.Check(t, err, quicktest.ErrorIs, entry.ErrNoJob, quicktest.Commentf("%s: %v", name, state))
+		}
+		for i := range 300 {
+			quicktest.Assert(t, w.cancel(job.ID(fmt.Sprint("urgent", i))), quicktest.IsNil)
+		}
+		time.Sleep(2 * time.Second)
+		for name := range w.boxes {
+			quicktest.Check(t, submit(name, "later-"+name, "normal", "1s"), quicktest.IsNil, quicktest.Commentf("%s", name))
+		}
+	})
+}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -58,6 +58,16 @@
 	return best
 }
 
+// GuaranteedTo returns the number of accelerators guaranteed to a workspace.
+func (c *Configuration) GuaranteedTo(workspace string) int64 {
+	for i := range c.Workspaces {
+		if c.Workspaces[i].Name == workspace {
+			return c.Workspaces[i].Guaranteed
+		}
+	}
+	return 0
+}
+
 // Authenticate returns the workspace that a key belongs to; false if the key is unknown.
 func (c *Configuration) Authenticate(key string) (string, bool) {
 	if key == "" {
