--- a/internal/ledger/lease.go
+++ b/internal/ledger/lease.go
@@ -6,6 +6,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/admission"
 	"github.com/pulleyring/pulleyring/internal/job"
 	"github.com/pulleyring/pulleyring/internal/store"
 )
@@ -84,6 +85,7 @@
 type Batch struct {
 	Progress  map[job.ID]*job.Progress
 	Summary   *Summary          // nil to leave it unchanged.
+	Load      *admission.Load   // nil to leave it unchanged.
 	Addresses map[int]Addresses // Complete rows of worker addresses, by row number.
 	Speeds    map[int][]Speed   // Complete rows of workers' speeds, by row number; at most MaxSpeedRows.
 	Delete    []JobDeletion     // Jobs whose progress is deleted; their requests must be deleted before.
@@ -119,7 +121,7 @@
 // Limits of one batch. They keep its transaction within the store's limits of 100 entries and 1 MB.
 const (
 	MaxBatchRows   = 70    // Rows of progress, faults and failed runs; the last job may exceed it by two.
-	MaxDeletedRows = 14    // Deleted rows.
+	MaxDeletedRows = 12    // Deleted rows.
 	MaxAddressRows = 8     // Rows of worker addresses.
 	MaxBatchTasks  = 15000 // Tasks in the rows of progress, at about 45 bytes each.
 )
@@ -225,6 +227,11 @@
 			return nil, err
 		}
 	}
+	if b.Load != nil {
+		if err := add(tableLoad, t.ledger.Shard, b.Load); err != nil {
+			return nil, err
+		}
+	}
 	for row, addresses := range b.Addresses {
 		if err := add(tableAddresses, addressRowName(row), addresses); err != nil {
 			return nil, err
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -127,6 +127,7 @@
 	speeds        speeds
 	failureBurst  failureBurst
 	addresses     addresses
+	publishedLoad publishedLoad
 	lastHalls     knownHalls
 	answers       answerTimes
 	background    sync.WaitGroup
