placement: urgent work takes capacity that drains for a gang only if it fits nowhere else

Change: among workers and racks that are alike otherwise, urgent work prefers those without a reservation that waits for room.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -26,6 +26,7 @@
 	// By demand: its reservation was dropped because another demand used the reserved capacity.
 	droppedReservations      []bool
 	deductedReservations     []bool          // By demand: its reservation is deducted from free.
+	draining                 []bool          // By worker: result of drainingWorkers; built on first use.
 	stoppedAllocations       []bool          // By allocation: stopped by this decision.
 	capacityFreeSoonByWorker []job.Resources // By worker: capacity that comes free within the time that a stop takes.
 	// By worker: a job suspected of crashing workers that has just started there or starts by this decision.
--- a/internal/placement/layout.go
+++ b/internal/placement/layout.go
@@ -155,15 +155,15 @@
 
 // rackRank is the sort key of a rack in which a gang fits. Racks with fewer tasks on risky workers come first,
 // then those whose slowest chosen worker is better by its speed key, then those with fewer tasks on workers that tight
-// work needs, then those with the least free capacity.
+// work needs, then those with fewer tasks on capacity that drains for other work, then those with the least free capacity.
 type rackRank struct {
-	risky, slow, fast int
-	free              int64
+	risky, slow, fast, draining int
+	free                        int64
 }
 
 // isPreferredTo reports whether r is preferred to o.
 func (r rackRank) isPreferredTo(o rackRank) bool {
-	return cmp.Or(cmp.Compare(r.risky, o.risky), cmp.Compare(r.slow, o.slow), cmp.Compare(r.fast, o.fast), cmp.Compare(r.free, o.free)) < 0
+	return cmp.Or(cmp.Compare(r.risky, o.risky), cmp.Compare(r.slow, o.slow), cmp.Compare(r.fast, o.fast), cmp.Compare(r.draining, o.draining), cmp.Compare(r.free, o.free)) < 0
 }
 
 // assignGang returns workers for a whole gang, by task index, or nil if the gang does not fit. It takes the
@@ -180,7 +180,7 @@
 		if workers == nil {
 			continue
 		}
-		rank := rackRank{pl.riskyTasks(workers), pl.worstSpeedKey(workers), pl.tasksOnFastWorkers(workers), pl.freeAccelerators(rack)}
+		rank := rackRank{pl.riskyTasks(workers), pl.worstSpeedKey(workers), pl.tasksOnFastWorkers(workers), pl.drainingTasks(d, workers), pl.freeAccelerators(rack)}
 		if best == nil || rank.isPreferredTo(bestRank) {
 			best, bestRank = workers, rank
 		}
@@ -288,7 +288,7 @@
 // fullestFirst returns those of the given workers on which at least one task fits, the preferred ones first.
 // Workers that the demand avoids come last, then those with a job that it has anti-affinity to. Among the rest
 // a low failure score is preferred, then a proven worker, then one that is not very slow, then one that is fast enough
-// for the goal, then the least free capacity.
+// for the goal, then for urgent work one that does not drain for other work, then the least free capacity.
 func (pl *planner) fullestFirst(d *Demand, among []int) []int {
 	var order []int
 	for _, k := range among {
@@ -302,6 +302,7 @@
 			cmp.Compare(pl.view.Workers[x].FailureScore, pl.view.Workers[y].FailureScore),
 			cmp.Compare(unprovenRank(&pl.view.Workers[x]), unprovenRank(&pl.view.Workers[y])),
 			cmp.Compare(pl.speedKey(x), pl.speedKey(y)),
+			cmp.Compare(pl.drainingRank(d, x), pl.drainingRank(d, y)),
 			cmp.Compare(pl.free[x].Cores(), pl.free[y].Cores()))
 		if c != 0 { // Comparing names is the costly part.
 			return c
--- a/internal/placement/reservation.go
+++ b/internal/placement/reservation.go
@@ -170,3 +170,44 @@
 	}
 	return list
 }
+
+// drainingWorkers returns by worker whether any of its capacity is reserved without preemption.
+func (pl *planner) drainingWorkers() []bool {
+	draining := make([]bool, len(pl.view.Workers))
+	for i := range pl.view.Demands {
+		if !pl.view.Demands[i].ReservedWithoutPreemption {
+			continue
+		}
+		for _, worker := range pl.view.Demands[i].Reservation {
+			if k, ok := pl.workerIndex(worker); ok {
+				draining[k] = true
+			}
+		}
+	}
+	return draining
+}
+
+// drainingRank returns 1 for a worker that an urgent demand uses only if it fits nowhere else, because capacity drains
+// there for other work, and 0 for others, to sort by. Urgent gangs may use such capacity. When they did not avoid it,
+// they took the idle workers of racks that drained for large gangs, which then waited for up to 17 s.
+func (pl *planner) drainingRank(d *Demand, k int) int {
+	if d.Priority > 0 {
+		return 0
+	}
+	if pl.draining == nil {
+		pl.draining = pl.drainingWorkers()
+	}
+	if pl.draining[k] {
+		return 1
+	}
+	return 0
+}
+
+// drainingTasks returns how many of the assigned tasks are on workers that an urgent demand should avoid.
+func (pl *planner) drainingTasks(d *Demand, workers map[int]string) int {
+	n := 0
+	for _, worker := range workers {
+		n += pl.drainingRank(d, pl.mustWorkerIndex(worker))
+	}
+	return n
+}
