speed: idle workers no longer hide how much the others differ

The variance that chance explains of an estimate grows without bound as the estimate ages. One worker of 60 without samples for 740 s made the spread of the site 0, so that placement stopped to use the speeds. Workers now count by the square of their certainty.

--- a/internal/speed/speed.go
+++ b/internal/speed/speed.go
@@ -155,28 +155,41 @@
 	known    int     // Number of workers that it was computed from.
 }
 
-// Update computes how much the workers differ at a given time, and moves their estimates so that their mean is that of a usual worker.
+// Update computes how much the workers differ at a given time, and moves their estimates so that their mean is that of
+// a usual worker. Each worker counts by the square of its certainty, the inverse variance of its squared deviation: the
+// part of chance in a nearly forgotten estimate has no bound.
 func (s *Site) Update(workers iter.Seq[*Worker], at time.Time) {
-	n, sum, squares, chance, logs := 0.0, 0.0, 0.0, 0.0, 0.0
+	s.known, s.variance = 0, 0
+	logs, weights, weightSquares, sum, squares, chance := 0.0, 0.0, 0.0, 0.0, 0.0, 0.0
 	for w := range workers {
 		w.age(at)
 		if w.samples < minSiteSamples || w.certainty <= 0 {
 			continue
 		}
 		// The mean of the samples alone. The estimate is nearer to that of a usual worker.
-		x := w.log / (w.Variance() * w.precision())
+		x := w.log * initialVariance / w.certainty
 		x = min(max(x, -MaxSpread), MaxSpread)
-		n, sum, squares, chance, logs = n+1, sum+x, squares+x*x, chance+1/w.precision(), logs+w.log
+		weight := w.certainty * w.certainty
+		s.known++
+		logs += w.log
+		weights += weight
+		weightSquares += weight * weight
+		sum += weight * x
+		squares += weight * x * x
+		chance += w.certainty * initialVariance * w.Variance() // The weight divided by the precision.
 	}
-	s.known, s.variance = int(n), 0
-	if n < minSiteWorkers {
+	// A few certain workers among nearly forgotten ones are too few. weights^2 / weightSquares is the number of workers
+	// that would count as much as these do, if their certainties were the same.
+	if s.known < minSiteWorkers || 2*weights*weights < minSiteWorkers*weightSquares {
 		return
 	}
-	mean := sum / n
-	s.variance = min(max((squares-n*mean*mean)/(n-1)-chance/n, 0), MaxSpread*MaxSpread)
+	mean := sum / weights
+	// With equal weights, the divisor is the weight of all workers but one.
+	divisor := weights - weightSquares/weights
+	s.variance = min(max((squares-sum*mean)/divisor-chance/weights, 0), MaxSpread*MaxSpread)
 	for w := range workers {
 		if w.samples > 0 {
-			w.setLog(w.log - recentering*logs/n)
+			w.setLog(w.log - recentering*logs/float64(s.known))
 		}
 	}
 }
--- a/internal/speed/speed_test.go
+++ b/internal/speed/speed_test.go
@@ -201,3 +201,23 @@
 		}
 	}
 }
+
+// TestIdleWorkersKeepSpread fails if workers without recent samples hide how much the others differ. The part that
+// chance explains of a nearly forgotten estimate has no bound, and one idle worker of 60 made the spread 0.
+func TestIdleWorkersKeepSpread(t *testing.T) {
+	for _, idle := range []int{1, 20} {
+		for seconds := 10.0; seconds < 1000; seconds += 10 {
+			r := rand.New(rand.NewPCG(1, 2))
+			workers := site(r, 60, 10, 0.6, 1, 1.6)
+			for n, w := range workers[idle:] {
+				for k := range 10 {
+					w.Observe(noisy(r, []float64{0.6, 1, 1.6}[(n+idle)%3]), testVariance, at(seconds+float64(k)))
+				}
+			}
+			var s Site
+			s.Update(slices.Values(workers), at(seconds+10))
+			spread := s.Spread()
+			quicktest.Check(t, spread > 0.34 && spread < 0.46, quicktest.IsTrue, quicktest.Commentf("%d idle for %v s: %v", idle, seconds, spread))
+		}
+	}
+}
