scheduler: a worker gets one early poll for all members of a gang on it

Two members on the same worker led to two early polls at the same time, because only the answer of the first one marked the worker as polled.

--- a/internal/scheduler/early_poll.go
+++ b/internal/scheduler/early_poll.go
@@ -15,15 +15,15 @@
 )
 
 // pollEarly polls the worker of a run that has just started once more, so that a hung or slow member of an urgent gang
-// is noticed while a restart elsewhere still meets the goal. The regular poll in flight may wait for another 1.5 s. With
-// regular polls alone, gangs of 2.5 s that must end within 4 s were restarted after 1.6 s, and were then late: most of
-// the 46 late jobs of a day on which a tenth of the workers hung for 5 s.
+// is noticed while a restart elsewhere still meets the goal. The regular poll in flight may wait for another 1.5 s.
+// With regular polls alone, gangs of 2.5 s that must end within 4 s were restarted after 1.6 s, and were then late: most
+// of the 46 late jobs of a day on which a tenth of the workers hung for 5 s.
 func (h *shard) pollEarly(w *workerState, r *run) {
 	if !h.needsEarlyPoll(r) {
 		return
 	}
 	h.background.Go(func() {
-		if interval.Sleep(h.ctx, speedMinAge+earlyPollMargin) && h.isEarlyPollDue(w, r) {
+		if interval.Sleep(h.ctx, speedMinAge+earlyPollMargin) && h.claimEarlyPoll(w, r) {
 			h.Figures.Count("polls_early")
 			h.pollOnce(w, answerTimeout)
 		}
@@ -48,12 +48,23 @@
 	return speedMinAge+earlyPollMargin <= spare && spare < pollWait+earlyPollMargin
 }
 
-// isEarlyPollDue reports whether a run still runs and was not polled when it was old enough to show its speed. Another
-// run on the same worker may have been polled for meanwhile.
-func (h *shard) isEarlyPollDue(w *workerState, r *run) bool {
+// claimEarlyPoll reports whether the early poll of a run is still due, and records that it is sent. It also serves the
+// other runs on the worker that are old enough by then, such as further members of the gang.
+func (h *shard) claimEarlyPoll(w *workerState, r *run) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return w.runs[r.task] == r && !r.stopping && w.failures == 0 && w.polledAt.Before(r.confirmed.Add(speedMinAge))
+	if !w.isEarlyPollDue(r) {
+		return false
+	}
+	w.earlyPolledAt = time.Now()
+	return true
+}
+
+// isEarlyPollDue reports whether a run still runs and no poll was made when it was old enough to show its speed. Another
+// run on the same worker may have been polled for meanwhile.
+func (w *workerState) isEarlyPollDue(r *run) bool {
+	oldEnough := r.confirmed.Add(speedMinAge)
+	return w.runs[r.task] == r && !r.stopping && w.failures == 0 && w.polledAt.Before(oldEnough) && w.earlyPolledAt.Before(oldEnough)
 }
 
 // isSpeedUncertain reports whether placement uses the speeds of workers and hardly knows that of this one.
--- a/internal/scheduler/early_poll_test.go
+++ b/internal/scheduler/early_poll_test.go
@@ -63,16 +63,35 @@
 // member has covered, or for a run that has ended.
 func TestEarlyPollIsSentOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h, r := shardWithStartedRun(urgentGang(2500), tight(0))
+		_, r := shardWithStartedRun(urgentGang(2500), tight(0))
 		time.Sleep(speedMinAge + earlyPollMargin)
-		quicktest.Check(t, h.isEarlyPollDue(r.worker, r), quicktest.IsTrue)
+		quicktest.Check(t, r.worker.isEarlyPollDue(r), quicktest.IsTrue)
 		r.worker.polledAt = r.confirmed.Add(speedMinAge - time.Millisecond)
-		quicktest.Check(t, h.isEarlyPollDue(r.worker, r), quicktest.IsTrue)
+		quicktest.Check(t, r.worker.isEarlyPollDue(r), quicktest.IsTrue)
 		r.worker.polledAt = r.confirmed.Add(speedMinAge)
-		quicktest.Check(t, h.isEarlyPollDue(r.worker, r), quicktest.IsFalse)
+		quicktest.Check(t, r.worker.isEarlyPollDue(r), quicktest.IsFalse)
 		r.worker.polledAt = time.Time{}
 		delete(r.worker.runs, r.task)
-		quicktest.Check(t, h.isEarlyPollDue(r.worker, r), quicktest.IsFalse)
+		quicktest.Check(t, r.worker.isEarlyPollDue(r), quicktest.IsFalse)
+	})
+}
+
+// TestEarlyPollCoversAllRunsOfWorker fails if two members of a gang on the same worker lead to two early polls, because
+// the first one has not been answered yet when the second one is due.
+func TestEarlyPollCoversAllRunsOfWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, r := shardWithStartedRun(urgentGang(2500), tight(0))
+		other := *r
+		other.task.Index = 1
+		r.worker.runs[other.task] = &other
+		time.Sleep(speedMinAge + earlyPollMargin)
+		quicktest.Check(t, h.claimEarlyPoll(r.worker, r), quicktest.IsTrue)
+		quicktest.Check(t, h.claimEarlyPoll(r.worker, &other), quicktest.IsFalse)
+		later := other
+		later.confirmed = time.Now()
+		r.worker.runs[other.task] = &later
+		time.Sleep(speedMinAge + earlyPollMargin)
+		quicktest.Check(t, h.claimEarlyPoll(r.worker, &later), quicktest.IsTrue)
 	})
 }
 
--- a/internal/scheduler/talk.go
+++ b/internal/scheduler/talk.go
@@ -19,6 +19,7 @@
 	reportClock     int64     // The clock in the newest report.
 	outdatedReports outdatedReports
 	polledAt        time.Time     // When the last poll was answered.
+	earlyPolledAt   time.Time     // When the last early poll was sent.
 	patientPoll     bool          // A poll with a long timeout is in flight.
 	cancelPoll      func()        // Cancels the regular poll in flight.
 	answerDelay     time.Duration // How much longer than its own wait a recent poll took.
