scheduler: keep waiting speed samples of a worker that is lost and comes back

Samples wait up to 3 s for others of their step. If their worker was declared lost and tracked again meanwhile, they counted for the state that is no longer tracked.

--- a/internal/scheduler/speed_samples.go
+++ b/internal/scheduler/speed_samples.go
@@ -258,6 +258,11 @@
 		log, variance float64
 	}
 	var ready []comparison
+	for _, x := range s {
+		if w := h.workers[x.worker.ID]; w != nil {
+			x.worker = w // It was declared lost and has come back since.
+		}
+	}
 	open := slices.DeleteFunc(slices.Clone(s), func(x *speedSample) bool { return x.counted })
 	for _, group := range open.byWorker() {
 		if log, variance, ok := s.usualWithout(group[0].worker, noise); ok {
--- a/internal/scheduler/speed_samples_test.go
+++ b/internal/scheduler/speed_samples_test.go
@@ -42,3 +42,35 @@
 		}
 	})
 }
+
+// TestSamplesOfReturnedWorker fails if a sample that waits for others of its step is lost when its worker is declared
+// lost and comes back meanwhile, or if it is then compared with later samples of the same worker.
+func TestSamplesOfReturnedWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := offlineShard()
+		request := &job.Request{ID: "j", Steps: []job.Step{{Count: 4, Each: job.Resources{Accelerators: 1}}}, Terms: job.Terms{Queue: "q", Attempts: 9}}
+		h.addJob(request, nil)
+		d := h.demand(h.jobs["j"], job.Group{}, time.Now())
+		records := map[string]*fleet.Worker{}
+		for _, name := range []string{"w0", "w1", "w2"} {
+			records[name] = &fleet.Worker{ID: name, Born: 1, Capacity: job.Resources{Accelerators: 8}}
+			h.workers[name] = workerOf(records[name])
+		}
+		h.place(&d, map[int]string{0: "w0", 1: "w0", 2: "w1", 3: "w2"}, time.Now())
+		first := h.workers["w0"]
+		for _, r := range first.runs {
+			h.addSample(r, 3*time.Second, 2*time.Second)
+		}
+		h.declareLost(first, leasesExpired)
+		back := workerOf(records["w0"])
+		h.speeds.restoreSpeed(back)
+		h.workers["w0"] = back
+		for _, name := range []string{"w1", "w2"} {
+			for _, r := range h.workers[name].runs {
+				h.addSample(r, 2*time.Second, time.Second)
+			}
+		}
+		quicktest.Check(t, back.speed.estimate.Samples(), quicktest.Equals, 1)
+		quicktest.Check(t, back.speed.estimate.Log() > 0, quicktest.IsTrue)
+	})
+}
