scheduler: tell the two estimates of workers' speeds apart in comments

learnSpeed, which updates slowness, is now learnSlowness. Long lines are wrapped, and the creation of a sample is separate from its comparison. No change of behaviour.

--- a/internal/scheduler/early_poll.go
+++ b/internal/scheduler/early_poll.go
@@ -16,8 +16,8 @@
 
 // pollEarly polls the worker of a run that has just started once more, so that a hung or slow member of an urgent gang
 // is noticed while a restart elsewhere still meets the goal. The regular poll in flight may wait for another 1.5 s.
-// With regular polls alone, gangs of 2.5 s that must end within 4 s were restarted after 1.6 s, and were then late: most
-// of the 46 late jobs of a day on which a tenth of the workers hung for 5 s.
+// With regular polls alone, gangs of 2.5 s that must end within 4 s were restarted after 1.6 s, and were then late:
+// most of the 46 late jobs of a day on which a tenth of the workers hung for 5 s.
 func (h *shard) pollEarly(w *workerState, r *run) {
 	if !h.needsEarlyPoll(r) {
 		return
@@ -31,8 +31,8 @@
 }
 
 // needsEarlyPoll reports whether anything depends on an early poll of a run. A restart does not if one after a regular
-// poll meets the goal too, or if even one after the early poll is late. The speed of a worker that is hardly known does:
-// urgent runs may be too short for a regular poll.
+// poll meets the goal too, or if even one after the early poll is late. What is learned of a worker that is hardly
+// known does: urgent runs may be too short for a regular poll.
 func (h *shard) needsEarlyPoll(r *run) bool {
 	request := r.job.Request
 	step := &request.Steps[r.task.Step]
@@ -60,11 +60,12 @@
 	return true
 }
 
-// isEarlyPollDue reports whether a run still runs and no poll was made when it was old enough to show its speed. Another
-// run on the same worker may have been polled for meanwhile.
+// isEarlyPollDue reports whether a run still runs and no poll was made when it was old enough to show its speed.
+// Another run on the same worker may have been polled for meanwhile.
 func (w *workerState) isEarlyPollDue(r *run) bool {
 	oldEnough := r.confirmed.Add(speedMinAge)
-	return w.runs[r.task] == r && !r.stopping && w.failures == 0 && w.polledAt.Before(oldEnough) && w.earlyPolledAt.Before(oldEnough)
+	polled := !w.polledAt.Before(oldEnough) || !w.earlyPolledAt.Before(oldEnough)
+	return w.runs[r.task] == r && !r.stopping && w.failures == 0 && !polled
 }
 
 // isSpeedUncertain reports whether placement uses the speeds of workers and hardly knows that of this one.
--- a/internal/scheduler/failure_score.go
+++ b/internal/scheduler/failure_score.go
@@ -81,7 +81,7 @@
 			if !r.usedForEstimate && !r.remote {
 				h.estimates.addRun(r.job.Request, r.task.Step, scale(now.Sub(r.placed), 1/r.endFactor()))
 			}
-			h.learnSpeed(w, r, now.Sub(r.placed))
+			h.learnSlowness(w, r, now.Sub(r.placed))
 		}
 	case job.FailedRun:
 		w.failureScore.add(h.failureWeight(w, r, now), now)
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -106,7 +106,8 @@
 	if r.confirmed.IsZero() || r.stopping || r.job.Request.Steps[r.task.Step].Lasting {
 		return 0
 	}
-	return r.progress.stalledFor(scale(h.estimates.taskTime(r.job.Request, r.task.Step), h.Bounds.Policy.RemoteFactor*max(r.timeFactor(), 1)))
+	slowest := h.Bounds.Policy.RemoteFactor * max(r.timeFactor(), 1) // Its location may slow it down, too.
+	return r.progress.stalledFor(scale(h.estimates.taskTime(r.job.Request, r.task.Step), slowest))
 }
 
 // hasStalledTask reports whether a single task is stalled on a worker, so that nothing new should start there. Members
--- a/internal/scheduler/slow_members.go
+++ b/internal/scheduler/slow_members.go
@@ -45,9 +45,8 @@
 }
 
 // slowMembers returns the members of a gang that are far slower than the others, beyond the known speeds of their
-// workers, and how long the gang's whole
-// work takes its slowest other member. It returns nil if the speeds of fewer than two members, or of fewer than
-// half of them, are known.
+// workers, and how long the gang's whole work takes its slowest other member. It returns nil if the speeds of fewer
+// than two members, or of fewer than half of them, are known.
 func (x *allocation) slowMembers() (slow []*run, whole time.Duration) {
 	var paces []float64
 	for _, r := range x.runs {
--- a/internal/scheduler/speed.go
+++ b/internal/scheduler/speed.go
@@ -5,10 +5,16 @@
 	"time"
 )
 
+// This file holds the older estimate of workers' speeds, slowness. It is learned only from ended single tasks that are
+// compared with the mean of their step, and placement uses it to avoid far slower workers (Worker.Slowness). The newer
+// estimate, workerSpeed in speeds.go, says by how much a worker differs from a usual one and how certain that is.
+// Placement uses that one (Worker.TimeFactor) only where the differences are material.
+
 const (
-	// speedWeight is the weight of the newest run in the estimate of a worker's speed.
+	// speedWeight is the weight of the newest run in slowness.
 	speedWeight = 0.2
-	// minSpeedSamples is how many tasks of a step must have ended before further runs are compared with their mean.
+	// minSpeedSamples is how many tasks of a step must have ended before further runs are compared with their mean for
+	// slowness.
 	minSpeedSamples = 3
 )
 
@@ -39,17 +45,17 @@
 // stepKey returns the key of a run's step. It is the same for all occurrences.
 func (r *run) stepKey() groupKey { return stepOf(r.task.Job, r.task.Step) }
 
-// slowness holds how many times longer work takes on a worker than on others. The zero value is a worker of normal
-// speed.
+// slowness holds how many times longer work takes on a worker than on others, by the older estimate. The zero value is
+// a worker of normal speed.
 type slowness struct {
 	logFactor float64 // Natural logarithm of the factor.
 }
 
 func (s slowness) factor() float64 { return math.Exp(s.logFactor) }
 
-// learnSpeed updates a worker's speed by comparing a successful run with the other tasks of its step, which do
-// similar work.
-func (h *shard) learnSpeed(w *workerState, r *run, took time.Duration) {
+// learnSlowness updates a worker's slowness by comparing a successful run with the other tasks of its step, which do
+// similar work. addSample does this for workerSpeed.
+func (h *shard) learnSlowness(w *workerState, r *run, took time.Duration) {
 	step := &r.job.Request.Steps[r.task.Step]
 	if step.Gang || r.saved != "" || r.adopted || took <= 0 {
 		return
--- a/internal/scheduler/speed_rows.go
+++ b/internal/scheduler/speed_rows.go
@@ -35,6 +35,7 @@
 	written time.Time    // When a row was last written.
 }
 
+// touch marks a row as one that has to be written.
 func (s *speedRows) touch(row int) {
 	if s.stale == nil {
 		s.stale = map[int]bool{}
@@ -82,7 +83,8 @@
 		log := own.estimate.Log()
 		own.stored = log
 		list = append(list, ledger.Speed{
-			Incarnation: own.incarnation, Log: thousandths(log), Variance: thousandths(own.estimate.Variance()), Samples: own.estimate.Samples(),
+			Incarnation: own.incarnation, Log: thousandths(log),
+			Variance: thousandths(own.estimate.Variance()), Samples: own.estimate.Samples(),
 		})
 	}
 	for id, w := range h.workers {
@@ -97,7 +99,8 @@
 		add(id, &former.workerSpeed)
 	}
 	slices.SortFunc(list, func(x, y ledger.Speed) int {
-		return cmp.Or(cmp.Compare(max(y.Log, -y.Log), max(x.Log, -x.Log)), cmp.Compare(x.Incarnation.Worker, y.Incarnation.Worker))
+		byDifference := cmp.Compare(max(y.Log, -y.Log), max(x.Log, -x.Log))
+		return cmp.Or(byDifference, cmp.Compare(x.Incarnation.Worker, y.Incarnation.Worker))
 	})
 	return ledger.FitSpeeds(list)
 }
@@ -127,7 +130,8 @@
 			restored++
 		}
 	}
-	h.Log.Info("scheduler: read the speeds of workers", zap.Int("stored", len(list)), zap.Int("restored", restored), zap.Ints("unreadable_rows", unreadable))
+	h.Log.Info("scheduler: read the speeds of workers",
+		zap.Int("stored", len(list)), zap.Int("restored", restored), zap.Ints("unreadable_rows", unreadable))
 	h.speeds.updatedAt = time.Time{} // The next update takes them into account at once.
 	h.signal()
 }
@@ -137,7 +141,8 @@
 func (h *shard) restoreStored(stored *ledger.Speed, now time.Time) bool {
 	log, variance := float64(stored.Log)/perUnit, float64(stored.Variance)/perUnit
 	id := stored.Incarnation.Worker
-	own := workerSpeed{incarnation: stored.Incarnation, estimate: speed.Restored(log, variance+storedVariance, stored.Samples, now), stored: log}
+	estimate := speed.Restored(log, variance+storedVariance, stored.Samples, now)
+	own := workerSpeed{incarnation: stored.Incarnation, estimate: estimate, stored: log}
 	if id == "" || own.estimate.Samples() == 0 {
 		return false
 	}
--- a/internal/scheduler/speed_samples.go
+++ b/internal/scheduler/speed_samples.go
@@ -58,8 +58,8 @@
 type stepSamples []*speedSample
 
 // usualWithout returns the logarithm of the run time of a usual worker, from the samples of other workers than w, and
-// its variance. It returns false if there are too few that agree. The worker's own samples would pull its factor towards
-// 1. The samples of one worker share the error of its estimate, so each worker counts once, by its certainty.
+// its variance. It returns false if there are too few that agree. The worker's own samples would pull its factor
+// towards 1. The samples of one worker share the error of its estimate, so each worker counts once, by its certainty.
 func (s stepSamples) usualWithout(w *workerState, noise float64) (log, variance float64, ok bool) {
 	var others stepSamples
 	for _, x := range s {
@@ -91,7 +91,9 @@
 	}
 	slices.Sort(residuals)
 	median := (residuals[len(residuals)/2] + residuals[(len(residuals)-1)/2]) / 2
-	return slices.DeleteFunc(slices.Clone(s), func(x *speedSample) bool { return math.Abs(x.residual()-median) > math.Log(maxSampleFactor) })
+	return slices.DeleteFunc(slices.Clone(s), func(x *speedSample) bool {
+		return math.Abs(x.residual()-median) > math.Log(maxSampleFactor)
+	})
 }
 
 // byWorker returns the samples of each worker, in the order of their first samples.
@@ -127,8 +129,9 @@
 	return l.speedNoise
 }
 
-// addNoise updates that variance by a squared difference, of which a part is explained by other causes. A difference
-// counts as at most a factor of e: single tasks take seven times as long.
+// addNoise updates the value of noise by the squared difference between a sample and the time of a usual worker.
+// explained is the part of it that other uncertainties explain. A difference counts as at most a factor of e: single
+// tasks take seven times as long.
 func (l *queueEstimates) addNoise(squared, explained float64) {
 	l.speedNoise = l.noise() + noiseWeight*(min(squared, 1)-explained-l.noise())
 	l.speedNoise = min(max(l.speedNoise, minNoise), maxNoise)
@@ -185,11 +188,8 @@
 
 // takesSamples reports whether the run time of a run tells about its worker's speed.
 func (h *shard) takesSamples(r *run) bool {
-	switch {
-	case h.Bounds.DisableSpeeds, r.sampled, r.worker == nil, r.orphaned, r.stopping, r.job.Request.Steps[r.task.Step].Lasting:
-		return false
-	}
-	return !r.isFar()
+	excluded := h.Bounds.DisableSpeeds || r.sampled || r.worker == nil || r.orphaned || r.stopping
+	return !excluded && !r.job.Request.Steps[r.task.Step].Lasting && !r.isFar()
 }
 
 // sampleProgress learns the speed of a worker from the progress of a run, once per run.
@@ -203,8 +203,9 @@
 	}
 }
 
-// sampleEnd learns the speed of a worker from the end of a successful run whose progress has shown no rate. A gang takes
-// as long as its slowest member, so the end of a member tells nothing about its own worker.
+// sampleEnd learns the speed of a worker from the end of a successful run whose progress has shown no rate. begun is
+// when it began, by run.begun. A gang takes as long as its slowest member, so the end of a member tells nothing about
+// its own worker.
 func (h *shard) sampleEnd(r *run, begun, now time.Time) {
 	took := now.Sub(begun)
 	if !begun.IsZero() && took >= minSampleTime && !r.job.Request.Steps[r.task.Step].Gang && h.takesSamples(r) {
@@ -212,17 +213,25 @@
 	}
 }
 
-// addSample compares the run time of a run with those of the other runs of its step. Steps with too few tasks are
-// compared with the expected time of their queue.
-func (h *shard) addSample(r *run, whole, observed time.Duration) {
-	r.sampled = true
+// newSample returns the sample of a run whose whole work takes the time whole, as computed from a part of it that was
+// observed for the time observed.
+func (r *run) newSample(whole, observed time.Duration) *speedSample {
 	delay := reportDelay.Seconds() / observed.Seconds()
 	begun := r.confirmed
 	if begun.IsZero() {
 		begun = r.placed
 	}
-	queue := r.job.Request.Terms.Queue
-	x := &speedSample{worker: r.worker, incarnation: r.incarnation, queue: queue, log: math.Log(whole.Seconds()), variance: delay * delay, begun: begun, taken: time.Now()}
+	return &speedSample{
+		worker: r.worker, incarnation: r.incarnation, queue: r.job.Request.Terms.Queue,
+		log: math.Log(whole.Seconds()), variance: delay * delay, begun: begun, taken: time.Now(),
+	}
+}
+
+// addSample compares the run time of a run with those of the other runs of its step. Steps with too few tasks are
+// compared with the expected time of their queue.
+func (h *shard) addSample(r *run, whole, observed time.Duration) {
+	r.sampled = true
+	x := r.newSample(whole, observed)
 	step := &r.job.Request.Steps[r.task.Step]
 	if step.Count*r.job.Request.Occurrences() <= minOtherSamples {
 		if log, variance, ok := h.estimates.usualTime(r.job.Request, r.task.Step); ok {
@@ -237,7 +246,7 @@
 	s = s[max(len(s)-maxStepSamples, 0):]
 	h.stepSamples[r.stepKey()] = s
 	if len(s) >= min(step.Count, maxStepSamples) || s.longestWait(x.taken) >= maxSampleWait {
-		h.countSamples(s, h.estimates.ofQueue(queue).noise())
+		h.countSamples(s, h.estimates.ofQueue(x.queue).noise())
 	}
 }
 
@@ -283,7 +292,9 @@
 	for _, x := range s {
 		x.counted = true
 	}
-	s = slices.DeleteFunc(slices.Clone(s), func(x *speedSample) bool { return !x.incarnation.Matches(w.incarnation) })
+	s = slices.DeleteFunc(slices.Clone(s), func(x *speedSample) bool {
+		return !x.incarnation.Matches(w.incarnation)
+	})
 	for _, x := range s {
 		off := x.residual() - usual
 		l.addNoise(off*off, own.estimate.Variance()+variance+x.variance)
@@ -315,7 +326,8 @@
 	if l.runTimes.mean.count < minSteps || expected <= 0 {
 		return 0, 0, false
 	}
-	return math.Log(expected.Seconds()), max(queueVariance, min(l.runTimes.meanError.value, l.runTimes.declaredError.value)), true
+	variance = max(queueVariance, min(l.runTimes.meanError.value, l.runTimes.declaredError.value))
+	return math.Log(expected.Seconds()), variance, true
 }
 
 // finishSamples counts the samples of a job's steps that still wait for others, and drops all of them.
--- a/internal/scheduler/speeds.go
+++ b/internal/scheduler/speeds.go
@@ -48,7 +48,8 @@
 	since time.Time
 }
 
-// workerSpeed is the estimated speed of a worker. The zero value is unknown.
+// workerSpeed is the estimated speed of a worker, for placement's Worker.TimeFactor. The zero value is unknown. The
+// older estimate in speed.go, slowness, is learned separately.
 type workerSpeed struct {
 	estimate    speed.Worker
 	incarnation incarnation.ID // The incarnation that it was learned from.
@@ -124,7 +125,8 @@
 		}
 		sites[service] = s
 		s.Update(estimatesOf(workers), now)
-		h.updateMaterial(s, service, leastStretch(configuration, func(q *queue.Queue) bool { return q.Service == service }))
+		stretch := leastStretch(configuration, func(q *queue.Queue) bool { return q.Service == service })
+		h.updateMaterial(s, service, stretch)
 		for _, w := range workers {
 			w.updateTimeFactor(s)
 		}
@@ -160,8 +162,9 @@
 		return
 	}
 	s.material = material
-	h.Log.Info("scheduler: use of the workers' speeds in placement has changed", zap.String("service", service), zap.Bool("used", material),
-		zap.Float64("spread", s.Spread()), zap.Float64("threshold", threshold), zap.Float64("least_stretch", stretch), zap.Int("known_workers", s.Known()))
+	h.Log.Info("scheduler: use of the workers' speeds in placement has changed",
+		zap.String("service", service), zap.Bool("used", material), zap.Float64("spread", s.Spread()),
+		zap.Float64("threshold", threshold), zap.Float64("least_stretch", stretch), zap.Int("known_workers", s.Known()))
 }
 
 // leastStretch returns the least stretch of the queues that match; 0 if there is none.
@@ -178,12 +181,14 @@
 	return least
 }
 
-// tightFactor returns the value of placement.Policy.TightFactor.
+// tightFactor returns the least stretch of the queues of priority 0, for placement.Policy.TightFactor; 0 if there is
+// none.
 func (h *shard) tightFactor() float64 {
 	return leastStretch(h.Configuration(), func(q *queue.Queue) bool { return q.Priority == 0 })
 }
 
-// updateTimeFactor updates what placement uses of a worker's speed.
+// updateTimeFactor updates the factors that placement uses of a worker. If the expected one has changed, the forecasts
+// of the worker's runs are out of date. s is of the worker's service; nil if nothing is known of that.
 func (w *workerState) updateTimeFactor(s *siteSpeeds) {
 	expected, high := 0.0, 0.0
 	own := w.speedOf()
@@ -206,6 +211,7 @@
 	s.addFormer(w.ID, w.speed, now)
 }
 
+// addFormer keeps the speed of a worker that is not tracked, unless maxFormerSpeeds others are kept.
 func (s *speeds) addFormer(id string, own workerSpeed, now time.Time) {
 	if s.former == nil {
 		s.former = map[string]formerSpeed{}
