--- a/internal/scheduler/incarnations.go
+++ b/internal/scheduler/incarnations.go
@@ -152,6 +152,7 @@
 	w.previous = previousIncarnation{record: w.Worker, incarnation: w.incarnation, lastSeen: w.lastSeen(), missedAt: w.missedAt, answeredAt: w.clockAt}
 	h.addresses.markChanged(w.ID)
 	w.incarnation, w.uncertainSince = next, time.Time{}
+	w.updateTimeFactor(h.speeds.sites[w.Service])
 	if w.cancelPoll != nil {
 		w.cancelPoll() // The incarnation that it was sent to may never answer.
 	}
--- a/internal/scheduler/speeds_test.go
+++ b/internal/scheduler/speeds_test.go
@@ -341,3 +341,18 @@
 		{Worker: "w1", Rack: "a", Factor: 1, High: 1}, {Worker: "w2", Rack: "a", Factor: 1, High: 1}, {Worker: "w3", Rack: "b", Factor: 1, High: 1},
 	})
 }
+
+// TestRestartedWorkerIsUncertainAtOnce fails if decisions treat the speed of a restarted worker as certain until the
+// next update of all speeds, a second later.
+func TestRestartedWorkerIsUncertainAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := learnedSite(t)
+		w := c.h.workers[c.names[0]]
+		before := w.view(time.Now())
+		c.h.trackLaterIncarnation(w, incarnation.ID{Worker: w.ID, Born: w.incarnation.Born + 1})
+		after := w.view(time.Now())
+		quicktest.Check(t, after.TimeFactorHigh > 1.2*before.TimeFactorHigh, quicktest.IsTrue,
+			quicktest.Commentf("%v and %v", before.TimeFactorHigh, after.TimeFactorHigh))
+		quicktest.Check(t, w.isSpeedUncertain(), quicktest.IsTrue)
+	})
+}
