placement: urgent work no longer waits beside its own free reservation

A demand that had reserved fast workers waited for them until its goal was missed if the order of workers preferred a slow one for its failure score, or if a reserved worker had become very slow.

--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -286,7 +286,7 @@
 		return false
 	}
 	if reserved := pl.reservationOf(i); reserved != nil {
-		return !pl.mustCrossRacks(d) && pl.isReservationInTime(d, reserved)
+		return !pl.mustCrossRacks(d) && pl.isReservationInTime(d, reserved) && !pl.isReservationFree(d, reserved)
 	}
 	if d.NoPreemptionPlan || pl.mustPreemptForGuarantee(d) {
 		return false
@@ -298,13 +298,32 @@
 // isReservationInTime reports whether a demand would meet its goal if it started on its reserved workers now.
 func (pl *planner) isReservationInTime(d *Demand, reserved map[int]string) bool {
 	for _, w := range reserved {
-		if k, ok := pl.workerIndex(w); !ok || !pl.isSuitable(k) {
+		if k, ok := pl.workerIndex(w); !ok || !pl.isSuitable(k) || pl.slowLevel(k) > 0 {
 			return false
 		}
 	}
 	return !pl.isTooSlowOn(d, reserved)
 }
 
+// isReservationFree reports whether all reserved capacity of the current demand is free. If so, and the demand would
+// start elsewhere, it prefers other workers for a reason that counts more than speed, and waiting gains nothing.
+func (pl *planner) isReservationFree(d *Demand, reserved map[int]string) bool {
+	tasks := map[int]int{}
+	for _, w := range reserved {
+		k, ok := pl.workerIndex(w)
+		if !ok {
+			return false
+		}
+		tasks[k]++
+	}
+	for k, n := range tasks {
+		if pl.countFitting(d, k, pl.free[k], n) < n {
+			return false
+		}
+	}
+	return true
+}
+
 // planWorthWaitingFor returns a preemption plan by which a demand earns more than by a start on the given workers, even
 // after the cost and the time of the stops; nil if there is none. Its workers are fast enough for the goal in nine cases
 // of ten, because stopped work is lost for certain. None of them is more likely to fail than the given ones.
