placement: a bulk gang starts on workers that headroom does not concern

If the fullest workers had to stay free for urgent work, a gang was kept back although it fitted on other workers that admit its tasks. Single tasks already passed over such workers.

--- a/internal/placement/headroom.go
+++ b/internal/placement/headroom.go
@@ -320,6 +320,27 @@
 	return max(lost, room.Fitting(before.Add(reserved))-room.Fitting(after.Add(reserved)))
 }
 
+// packGang assigns the gang's tasks to workers in the given order, passing over those that do not admit a task. It
+// returns nil if not all of the tasks are admitted somewhere.
+func (l *headroomLimit) packGang(order []int) map[int]string {
+	left := slices.Clone(l.left)
+	defer func() { l.left = left }()
+	pl, d := l.planner, l.demand
+	workers := map[int]string{}
+	for _, k := range order {
+		for n := range pl.fittingTasks(d, k, pl.free[k]) {
+			if !l.admit(k, n) {
+				break
+			}
+			workers[d.Waiting[len(workers)]] = pl.view.Workers[k].ID
+			if len(workers) == len(d.Waiting) {
+				return workers
+			}
+		}
+	}
+	return nil
+}
+
 // admitsGang reports whether a gang may start on the given workers. It is held back as a whole.
 func (l *headroomLimit) admitsGang(workers map[int]string) bool {
 	if l == nil {
--- a/internal/placement/layout.go
+++ b/internal/placement/layout.go
@@ -266,9 +266,12 @@
 			workers[d.Waiting[len(workers)]] = pl.view.Workers[k].ID
 		}
 	}
-	if len(workers) < need || !pl.limit.admitsGang(workers) {
+	if len(workers) < need {
 		return nil
 	}
+	if !pl.limit.admitsGang(workers) {
+		return pl.limit.packGang(order)
+	}
 	return workers
 }
 
