headroom: shapes without accelerators are ordered by processors and memory

Only accelerators were compared, so all shapes of a site without them counted as equally large. A slot of a small task was kept as a slot of every larger shape too, and tasks of untracked shapes counted as the shape that came first.

--- a/internal/headroom/headroom.go
+++ b/internal/headroom/headroom.go
@@ -3,6 +3,7 @@
 package headroom
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -50,6 +51,14 @@
 	return int(n)
 }
 
+// CompareSize orders shapes by size: by accelerators, then by processors, then by memory.
+func (s *Shape) CompareSize(o *Shape) int {
+	return cmp.Or(
+		cmp.Compare(s.Each.Accelerators, o.Each.Accelerators),
+		cmp.Compare(s.Each.MilliCPU, o.Each.MilliCPU),
+		cmp.Compare(s.Each.MemoryMB, o.Each.MemoryMB))
+}
+
 // Load is the urgent work of one shape at one time, in tasks.
 type Load struct {
 	Shape
@@ -145,11 +154,11 @@
 	largest.Waiting += (l.Waiting + perTask - 1) / perTask
 }
 
-// largest returns the tracked shape of a service with the most accelerators, or nil if there is none.
+// largest returns the largest tracked shape of a service, or nil if there is none.
 func (e *Estimator) largest(service string) *estimate {
 	var best *estimate
 	for i := range e.shapes {
-		if s := &e.shapes[i]; s.Service == service && (best == nil || s.Each.Accelerators > best.Each.Accelerators) {
+		if s := &e.shapes[i]; s.Service == service && (best == nil || s.CompareSize(&best.Shape) > 0) {
 			best = s
 		}
 	}
--- a/internal/headroom/headroom_test.go
+++ b/internal/headroom/headroom_test.go
@@ -121,3 +121,17 @@
 	}
 	quicktest.Check(t, fmt.Sprint(held, waiting), quicktest.Equals, fmt.Sprint(maxShapes+10+2, 1))
 }
+
+// TestFurtherShapesWithoutAccelerators fails if tasks of untracked shapes do not count as the largest where no task needs
+// accelerators. They counted as the shape that came first, of which no larger task could hold them.
+func TestFurtherShapesWithoutAccelerators(t *testing.T) {
+	var loads []Load
+	for n := range int64(maxShapes + 1) {
+		loads = append(loads, Load{Shape: Shape{Service: "s", Each: job.Resources{MilliCPU: 1000 * (n + 1)}}, Held: 1})
+	}
+	c := &clock{}
+	c.run(time.Second, func(time.Duration) []Load { return loads })
+	reports := c.Reports()
+	quicktest.Check(t, reports[0].Held, quicktest.Equals, 1)
+	quicktest.Check(t, reports[maxShapes-1].Held, quicktest.Equals, 2)
+}
--- a/internal/placement/headroom.go
+++ b/internal/placement/headroom.go
@@ -224,7 +224,7 @@
 		}
 		for o := range pl.view.Headroom {
 			other := &pl.view.Headroom[o]
-			if other.Service != room.Service || other.Each.Accelerators < room.Each.Accelerators || room.Label != "" && other.Label != room.Label {
+			if other.Service != room.Service || other.CompareSize(&room.Shape) < 0 || room.Label != "" && other.Label != room.Label {
 				continue
 			}
 			room.kept += (other.Slots + waiting[other.Shape]) * max(room.Fitting(other.Each), 1)
--- a/internal/placement/headroom_test.go
+++ b/internal/placement/headroom_test.go
@@ -282,3 +282,20 @@
 		}
 	})
 }
+
+// TestSmallerShapesWithoutAccelerators fails if the slots of small tasks count as as many slots of larger ones where
+// no task needs accelerators. A site of processors only then kept many times what urgent work needs.
+func TestSmallerShapesWithoutAccelerators(t *testing.T) {
+	cpus := func(n int64) job.Resources { return job.Resources{MilliCPU: 1000 * n, MemoryMB: 1000 * n} }
+	v := &View{
+		Now:     time.Unix(1000, 0),
+		Workers: []Worker{{ID: "w1", Service: "s", Capacity: cpus(32), Free: cpus(24), AcceptsRuns: true}},
+		Headroom: []headroom.Kept{
+			{Shape: headroom.Shape{Service: "s", Each: cpus(1)}, Slots: 4},
+			{Shape: headroom.Shape{Service: "s", Each: cpus(8)}, Slots: 1},
+		},
+	}
+	goal := v.Now.Add(time.Hour)
+	v.Demands = []Demand{{Job: "a", Service: "s", Priority: 2, Step: &job.Step{Each: cpus(1)}, Waiting: []int{0}, ReadySince: v.Now, Goal: goal, LastGoal: goal, Value: 1, Work: 1}}
+	quicktest.Check(t, Decide(v).Starts, quicktest.DeepEquals, []Start{{Workers: map[int]string{0: "w1"}}})
+}
