--- a/internal/placement/headroom_test.go
+++ b/internal/placement/headroom_test.go
@@ -155,12 +155,17 @@
 		d.Goal, d.LastGoal = v.Now.Add(time.Hour), v.Now.Add(2*time.Hour)
 		v.Demands = append(v.Demands, d)
 	}
+	drawHeadroom(r, v)
+	return v
+}
+
+// drawHeadroom draws the slots to keep for tasks of several sizes.
+func drawHeadroom(r *rapid.T, v *View) {
 	for _, n := range []int64{1, 2, 4, 8} {
 		if slots := rapid.IntRange(-1, 12).Draw(r, "slots"); slots >= 0 {
 			v.Headroom = append(v.Headroom, headroom.Kept{Shape: headroom.Shape{Service: "s", Each: gpus(n)}, Slots: slots})
 		}
 	}
-	return v
 }
 
 // TestHeadroomKeepsRules fails if a start with headroom uses more than the free capacity, starts a part of a gang, or
--- a/internal/placement/waits_test.go
+++ b/internal/placement/waits_test.go
@@ -23,6 +23,8 @@
 		v := drawViewWithWaitingDemands(r)
 		drawSpeeds(r, v)
 		v.Demands[0].TaskTime = time.Duration(rapid.Float64Range(0, 1.2).Draw(r, "task time") * float64(v.Demands[0].Remaining))
+		drawHeadroom(r, v)
+		drawReservation(r, v)
 		if !hasAmpleCapacity(v, &v.Demands[0]) {
 			r.Skip("no room")
 		}
@@ -37,6 +39,19 @@
 	})
 }
 
+// drawReservation draws capacity that is reserved for the first demand.
+func drawReservation(r *rapid.T, v *View) {
+	if !rapid.Bool().Draw(r, "reserved") {
+		return
+	}
+	d := &v.Demands[0]
+	d.Reservation = map[int]string{}
+	for _, i := range d.Waiting {
+		d.Reservation[i] = fmt.Sprint("w", rapid.IntRange(0, len(v.Workers)).Draw(r, "reserved on")) // May be unknown.
+	}
+	d.ReservedWithoutPreemption = d.Step.Gang && d.Priority > 0 && rapid.Bool().Draw(r, "draining")
+}
+
 // hasAmpleCapacity reports whether there is capacity for two tasks of a demand, or for the gang twice, and
 // less than half of its service is in use.
 func hasAmpleCapacity(v *View, d *Demand) bool {
