--- a/internal/placement/headroom.go
+++ b/internal/placement/headroom.go
@@ -63,26 +63,33 @@
 	refused int   // Number of tasks that fit but were not admitted.
 }
 
-// mustLeaveHeadroom reports whether a demand must leave capacity to urgent work. Bulk work must, except if it has waited
-// too long while capacity is ample, or must start now to meet its next goal. Gangs between urgent and bulk work need not:
-// they wait longest for a rack as it is, and are worth more than bulk work.
+// mustLeaveHeadroom reports whether a demand must leave capacity to urgent work. Bulk work must, except if it has
+// waited too long while capacity is ample, must start now to meet its next goal, or holds capacity for which other work
+// was stopped. Gangs between urgent and bulk work need not: they wait longest for a rack as it is, and are worth more
+// than bulk work.
 func (pl *planner) mustLeaveHeadroom(d *Demand) bool {
-	if d.Priority < bulkPriority || d.Guaranteed || pl.waitedTooLong {
+	if d.Priority < bulkPriority || d.Guaranteed || pl.waitedTooLong || d.holdsFreedCapacity() {
 		return false
 	}
 	return pl.hasMissedAllGoals(d) || !pl.mayPreemptNow(d)
 }
 
+// holdsFreedCapacity reports whether a demand has reserved capacity for which other work was stopped. No other demand
+// may use that capacity, so it is idle until the demand starts.
+func (d *Demand) holdsFreedCapacity() bool {
+	return len(d.Reservation) > 0 && !d.ReservedWithoutPreemption
+}
+
 // hasMissedAllGoals reports whether a demand can't meet any goal, even if it starts now.
 func (pl *planner) hasMissedAllGoals(d *Demand) bool {
 	return pl.view.Now.Add(d.Remaining).After(d.LastGoal)
 }
 
 // isPaused reports whether a demand that was stopped for urgent work must not start yet. If it started at once, it would
-// often be stopped again: one job was stopped 194 times. The pause ends early if capacity is ample, and if the demand
-// would miss its next goal because of it.
+// often be stopped again: one job was stopped 194 times. The pause ends early if capacity is ample, if the demand
+// holds capacity for which other work was stopped, and if it would miss its next goal because of the pause.
 func (pl *planner) isPaused(d *Demand) bool {
-	if d.Priority == 0 || !pl.view.Now.Before(d.PausedUntil) || pl.hasAmpleCapacity(d) {
+	if d.Priority == 0 || !pl.view.Now.Before(d.PausedUntil) || d.holdsFreedCapacity() || pl.hasAmpleCapacity(d) {
 		return false
 	}
 	return pl.hasMissedAllGoals(d) || !pl.latestStart(d).Before(d.PausedUntil)
