placement: split the files on speed and headroom by topic; shorter lines

No decision changes. urgent_room.go counts the slots of urgent work, and faster_plan.go decides whether to wait for faster workers. packTasks shares assignTasks with the preemption plans.

--- a/internal/headroom/headroom_test.go
+++ b/internal/headroom/headroom_test.go
@@ -122,8 +122,8 @@
 	quicktest.Check(t, fmt.Sprint(held, waiting), quicktest.Equals, fmt.Sprint(maxShapes+10+2, 1))
 }
 
-// TestFurtherShapesWithoutAccelerators fails if tasks of untracked shapes do not count as the largest where no task needs
-// accelerators. They counted as the shape that came first, of which no larger task could hold them.
+// TestFurtherShapesWithoutAccelerators fails if tasks of untracked shapes do not count as the largest where no task
+// needs accelerators. They counted as the shape that came first, however small.
 func TestFurtherShapesWithoutAccelerators(t *testing.T) {
 	var loads []Load
 	for n := range int64(maxShapes + 1) {
--- a/internal/placement/decide_bench_test.go
+++ b/internal/placement/decide_bench_test.go
@@ -25,8 +25,8 @@
 	}
 }
 
-// BenchmarkDecideUneven measures a decision for the site of BenchmarkDecide if a third of the workers take 1.7 times the
-// usual time and a third take 0.6 times.
+// BenchmarkDecideUneven measures a decision for the site of BenchmarkDecide if a third of the workers take 1.7 times
+// the usual time and a third take 0.6 times.
 func BenchmarkDecideUneven(b *testing.B) {
 	for _, size := range []struct{ workers, tasks int }{{48, 500}, {350, 5000}, {1100, 2000}, {1100, 20000}, {3100, 25000}} {
 		b.Run(fmt.Sprintf("workers=%d/tasks=%d", size.workers, size.tasks), func(b *testing.B) {
--- a/internal/placement/headroom.go
+++ b/internal/placement/headroom.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/pulleyring/pulleyring/internal/headroom"
 	"github.com/pulleyring/pulleyring/internal/job"
@@ -14,40 +13,6 @@
 	Tasks  int
 }
 
-// urgentRoom counts the free slots of urgent work during a decision, by shape. The counts are made once, for the
-// first demand that must leave capacity to urgent work, and are then updated for each worker whose free capacity
-// has changed.
-type urgentRoom struct {
-	shapes  []shapeRoom
-	counted []job.Resources // By worker: the free capacity that the counts contain.
-	// By worker: capacity that is free, but reserved without preemption. Urgent work may use it, so it is a part of the
-	// slots on the worker. A task on the rest of the worker's free capacity takes these slots.
-	reserved  []job.Resources
-	drains    []drain // All reservations without preemption.
-	seenPlans int     // Number of reservations of this decision that drains contains.
-	version   int     // Changes whenever counted or reserved changes.
-	// admitting caches the workers on which at least one task may start, by the resources of the task. Most
-	// waiting tasks of bulk work are alike, and hundreds of demands may wait.
-	admitting map[job.Resources]admittingWorkers
-}
-
-// drain is a reservation without preemption.
-type drain struct {
-	demand  int  // Index of the demand.
-	isNew   bool // Made by this decision.
-	active  bool // Contained in reserved.
-	each    job.Resources
-	workers []int // Index of the worker of each task.
-}
-
-// shapeRoom holds the free slots of one shape.
-type shapeRoom struct {
-	headroom.Shape
-	usable []bool // By worker: may run tasks of this shape.
-	kept   int    // Slots to keep for this shape and larger ones together.
-	free   int    // Free slots on all usable workers.
-}
-
 // admittingWorkers is a set of workers for one version of the counts.
 type admittingWorkers struct {
 	version int
@@ -80,45 +45,6 @@
 	return len(d.Reservation) > 0 && !d.ReservedWithoutPreemption
 }
 
-// hasMissedAllGoals reports whether a demand can't meet any goal, even if it starts now.
-func (pl *planner) hasMissedAllGoals(d *Demand) bool {
-	return pl.view.Now.Add(d.Remaining).After(d.LastGoal)
-}
-
-// isPaused reports whether a demand that was stopped for urgent work must not start yet. If it started at once, it would
-// often be stopped again: one job was stopped 194 times. The pause ends early if capacity is ample, if the demand
-// holds capacity for which other work was stopped, and if it would miss its next goal because of the pause.
-func (pl *planner) isPaused(d *Demand) bool {
-	if d.Priority == 0 || !pl.view.Now.Before(d.PausedUntil) || d.holdsFreedCapacity() || pl.hasAmpleCapacity(d) {
-		return false
-	}
-	return pl.hasMissedAllGoals(d) || !pl.latestStart(d).Before(d.PausedUntil)
-}
-
-// latestStart returns the time by which a demand must start to meet its next goal.
-func (pl *planner) latestStart(d *Demand) time.Time {
-	_, goal := pl.valueAtStake(d)
-	return goal.Add(-time.Duration(runTimeMargin * float64(d.Remaining)))
-}
-
-const (
-	// checkpointPreference is the factor on the cost of stopping work that saves checkpoints. Without it, other work that
-	// has just started is the cheapest to stop, and makes no progress if it is stopped each time.
-	checkpointPreference = 0.8
-	// recentStopPenalty is added to the factor on the cost for each recent stop, up to maxRecentStopPenalty.
-	recentStopPenalty    = 0.2
-	maxRecentStopPenalty = 0.6
-)
-
-// preferenceFactor returns the factor on the cost of stopping an allocation by which others are preferred to it.
-func preferenceFactor(h *Allocation) float64 {
-	factor := 1 + min(recentStopPenalty*float64(h.RecentStops), maxRecentStopPenalty)
-	if h.SavesCheckpoints {
-		factor *= checkpointPreference
-	}
-	return factor
-}
-
 // limitByHeadroom sets the limit for the start of a demand.
 func (pl *planner) limitByHeadroom(d *Demand) {
 	pl.limit = nil
@@ -151,137 +77,6 @@
 	return int(most)
 }
 
-// updateUrgentRoom counts the free slots by shape, or updates the counts for the workers that have changed.
-func (pl *planner) updateUrgentRoom() {
-	u := &pl.urgent
-	if u.counted == nil {
-		u.counted, u.reserved, u.admitting = make([]job.Resources, len(pl.free)), make([]job.Resources, len(pl.free)), map[job.Resources]admittingWorkers{}
-		u.shapes = pl.shapesToKeep()
-		for i := range pl.view.Demands {
-			if d := &pl.view.Demands[i]; d.ReservedWithoutPreemption {
-				u.drains = append(u.drains, pl.drainOf(i, d.Reservation, false))
-			}
-		}
-	}
-	pl.updateReserved()
-	for k := range pl.free {
-		if pl.free[k] == u.counted[k] {
-			continue
-		}
-		u.version++
-		for s := range u.shapes {
-			if room := &u.shapes[s]; room.usable[k] {
-				room.free += room.Fitting(pl.free[k]) - room.Fitting(u.counted[k])
-			}
-		}
-		u.counted[k] = pl.free[k]
-	}
-}
-
-// updateReserved updates the capacity that is reserved without preemption at present.
-func (pl *planner) updateReserved() {
-	u := &pl.urgent
-	for ; u.seenPlans < len(pl.outcome.Reservations); u.seenPlans++ {
-		if r := &pl.outcome.Reservations[u.seenPlans]; r.WithoutPreemption {
-			u.drains = append(u.drains, pl.drainOf(r.Demand, r.Workers, true))
-		}
-	}
-	changed := false
-	for i := range u.drains {
-		r := &u.drains[i]
-		active := r.isNew || pl.deductedReservations[r.demand]
-		changed, r.active = changed || active != r.active, active
-	}
-	if !changed {
-		return
-	}
-	u.version++
-	clear(u.reserved)
-	for _, r := range u.drains {
-		if !r.active {
-			continue
-		}
-		for _, k := range r.workers {
-			u.reserved[k] = u.reserved[k].Add(r.each)
-		}
-	}
-}
-
-// drainOf returns the reservation without preemption of demand i.
-func (pl *planner) drainOf(i int, workers map[int]string, isNew bool) drain {
-	r := drain{demand: i, isNew: isNew, each: pl.view.Demands[i].Step.Each}
-	for _, worker := range workers {
-		if k, ok := pl.workerIndex(worker); ok {
-			r.workers = append(r.workers, k)
-		}
-	}
-	return r
-}
-
-// shapesToKeep returns the shapes of urgent work with the slots to keep for each, and no slot counted as free. A slot
-// of a larger shape counts as the slots of the smaller shape that it holds.
-func (pl *planner) shapesToKeep() []shapeRoom {
-	waiting := pl.unservedUrgentTasks()
-	shapes := make([]shapeRoom, len(pl.view.Headroom))
-	for s := range shapes {
-		room := &shapes[s]
-		room.Shape, room.usable = pl.view.Headroom[s].Shape, make([]bool, len(pl.free))
-		for k := range pl.view.Workers {
-			room.usable[k] = pl.view.Workers[k].mayRun(&room.Shape)
-		}
-		for o := range pl.view.Headroom {
-			other := &pl.view.Headroom[o]
-			if other.Service != room.Service || other.CompareSize(&room.Shape) < 0 || room.Label != "" && other.Label != room.Label {
-				continue
-			}
-			room.kept += (other.Slots + waiting[other.Shape]) * max(room.Fitting(other.Each), 1)
-		}
-	}
-	return shapes
-}
-
-// mayRun reports whether a worker may run tasks of a shape, whether it has free capacity or not.
-func (w *Worker) mayRun(s *headroom.Shape) bool {
-	return w.AcceptsRuns && w.Service == s.Service && (s.Label == "" || slices.Contains(w.Labels, s.Label))
-}
-
-// FreeSlots returns how many tasks of a shape fit into the free capacity of a view, reserved capacity included.
-func FreeSlots(v *View, s *headroom.Shape) int {
-	free := 0
-	for k := range v.Workers {
-		if w := &v.Workers[k]; w.mayRun(s) {
-			free += s.Fitting(w.Free)
-		}
-	}
-	return free
-}
-
-// unservedUrgentTasks returns the number of urgent tasks, by shape, that this decision neither starts nor reserves
-// capacity for. If bulk work took the slots that a waiting gang lacks only a few of, the gang would preempt more.
-func (pl *planner) unservedUrgentTasks() map[headroom.Shape]int {
-	served := map[int]int{}
-	for _, s := range pl.outcome.Starts {
-		served[s.Demand] += len(s.Workers)
-	}
-	for _, r := range pl.outcome.Reservations {
-		served[r.Demand] += len(r.Workers)
-	}
-	waiting := map[headroom.Shape]int{}
-	for i := range pl.view.Demands {
-		d := &pl.view.Demands[i]
-		if d.Priority > 0 || len(pl.reservationOf(i)) > 0 || pl.hasMissedAllGoals(d) {
-			continue
-		}
-		waiting[ShapeOf(d.Service, d.Step)] += max(len(d.Waiting)-served[i], 0)
-	}
-	return waiting
-}
-
-// ShapeOf returns the shape of a step's tasks.
-func ShapeOf(service string, step *job.Step) headroom.Shape {
-	return headroom.Shape{Service: service, Label: step.Label, Each: step.Each}
-}
-
 // admit reports whether a further task may start on a worker where the given number of tasks of this start have been
 // admitted. If it may, it counts the slots that the task takes.
 func (l *headroomLimit) admit(k, admitted int) bool {
@@ -308,25 +103,6 @@
 	return true
 }
 
-// isShort reports whether too few slots of a shape would be left if the free capacity of a worker changed.
-func (u *urgentRoom) isShort(s, k int, before, after job.Resources, left int) bool {
-	if room := &u.shapes[s]; room.kept == 0 || !room.usable[k] {
-		return false
-	}
-	lost := u.lostSlots(s, k, before, after)
-	return lost > 0 && left < lost
-}
-
-// lostSlots returns how many slots of a shape are lost if the free capacity of a worker changes.
-func (u *urgentRoom) lostSlots(s, k int, before, after job.Resources) int {
-	room, reserved := &u.shapes[s], u.reserved[k]
-	lost := room.Fitting(before) - room.Fitting(after)
-	if reserved == (job.Resources{}) {
-		return lost
-	}
-	return max(lost, room.Fitting(before.Add(reserved))-room.Fitting(after.Add(reserved)))
-}
-
 // packGang assigns the gang's tasks to workers in the given order, passing over those that do not admit a task. It
 // returns nil if not all of the tasks are admitted somewhere.
 func (l *headroomLimit) packGang(order []int) map[int]string {
@@ -417,7 +193,10 @@
 // leave to urgent work anyway don't count.
 func (l *headroomLimit) countRefused(k, admitted int) {
 	pl := l.planner
-	if l.refused >= len(l.demand.Waiting) || pl.idleCount <= pl.idleReserve && pl.isIdle(k) && pl.mustLeaveReserve(l.demand) {
+	if l.refused >= len(l.demand.Waiting) {
+		return
+	}
+	if pl.idleCount <= pl.idleReserve && pl.isIdle(k) && pl.mustLeaveReserve(l.demand) {
 		return
 	}
 	l.refused += pl.fittingTasks(l.demand, k, pl.free[k]) - admitted
--- a/internal/placement/headroom_test.go
+++ b/internal/placement/headroom_test.go
@@ -265,8 +265,8 @@
 	})
 }
 
-// TestAdmittingWorkersFollowChanges fails if the cached set of workers that admit a task is used after the free capacity
-// has changed. Work was then held back although slots had come free.
+// TestAdmittingWorkersFollowChanges fails if the cached set of workers that admit a task is used after the free
+// capacity has changed. Work was then held back although slots had come free.
 func TestAdmittingWorkersFollowChanges(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		v := drawViewWithHeadroom(r)
--- a/internal/placement/layout.go
+++ b/internal/placement/layout.go
@@ -13,9 +13,10 @@
 // Without that, a task that had failed on the only worker with its label was never retried, and one that must
 // run alone waited for 3 s.
 func (pl *planner) setCurrentDemand(d *Demand) {
+	shape := ShapeOf(d.Service, d.Step)
 	for k := range pl.view.Workers {
 		w := &pl.view.Workers[k]
-		pl.suitable[k] = w.AcceptsRuns && w.Service == d.Service && (d.Step.Label == "" || slices.Contains(w.Labels, d.Step.Label))
+		pl.suitable[k] = w.mayRun(&shape)
 		pl.avoided[k] = pl.suitable[k] && (d.Avoid[w.ID] || pl.needsIsolation(d, k))
 		pl.hasAntiAffinity[k] = len(d.AntiAffinity) > 0 && pl.runsAntiAffine(d, k)
 	}
@@ -155,7 +156,8 @@
 
 // rackRank is the sort key of a rack in which a gang fits. Racks with fewer tasks on risky workers come first,
 // then those whose slowest chosen worker is better by its speed key, then those with fewer tasks on workers that tight
-// work needs, then those with fewer tasks on capacity that drains for other work, then those with the least free capacity.
+// work needs, then those with fewer tasks on capacity that drains for other work, then those with the least free
+// capacity.
 type rackRank struct {
 	risky, slow, fast, draining int
 	free                        int64
@@ -163,7 +165,9 @@
 
 // isPreferredTo reports whether r is preferred to o.
 func (r rackRank) isPreferredTo(o rackRank) bool {
-	return cmp.Or(cmp.Compare(r.risky, o.risky), cmp.Compare(r.slow, o.slow), cmp.Compare(r.fast, o.fast), cmp.Compare(r.draining, o.draining), cmp.Compare(r.free, o.free)) < 0
+	return cmp.Or(
+		cmp.Compare(r.risky, o.risky), cmp.Compare(r.slow, o.slow), cmp.Compare(r.fast, o.fast),
+		cmp.Compare(r.draining, o.draining), cmp.Compare(r.free, o.free)) < 0
 }
 
 // assignGang returns workers for a whole gang, by task index, or nil if the gang does not fit. It takes the
@@ -171,22 +175,25 @@
 // rack could ever hold it, or if it must not wait any longer.
 func (pl *planner) assignGang(d *Demand) map[int]string {
 	if !d.Step.RackLocal {
-		return pl.packTasks(d, pl.allWorkers, len(d.Waiting))
+		return pl.packTasks(d, pl.allWorkers)
 	}
 	var best map[int]string
 	var bestRank rackRank
 	for _, rack := range pl.workersByRack {
-		workers := pl.packTasks(d, rack, len(d.Waiting))
+		workers := pl.packTasks(d, rack)
 		if workers == nil {
 			continue
 		}
-		rank := rackRank{pl.riskyTasks(workers), pl.worstSpeedKey(workers), pl.tasksOnFastWorkers(workers), pl.drainingTasks(d, workers), pl.freeAccelerators(rack)}
+		rank := rackRank{
+			risky: pl.riskyTasks(workers), slow: pl.worstSpeedKey(workers), fast: pl.tasksOnFastWorkers(workers),
+			draining: pl.drainingTasks(d, workers), free: pl.freeAccelerators(rack),
+		}
 		if best == nil || rank.isPreferredTo(bestRank) {
 			best, bestRank = workers, rank
 		}
 	}
 	if best == nil && (pl.mustCrossRacks(d) || !pl.fitsAnyEmptyRack(d)) {
-		pl.acrossRacks(d, func() { best = pl.packTasks(d, pl.allWorkers, len(d.Waiting)) })
+		pl.withRemoteRanks(d, func() { best = pl.packTasks(d, pl.allWorkers) })
 	}
 	return best
 }
@@ -250,25 +257,14 @@
 	return 0
 }
 
-// packTasks assigns need tasks of a demand to the given workers, those with the least free capacity first. It
-// returns nil if not all of the tasks fit.
-func (pl *planner) packTasks(d *Demand, among []int, need int) map[int]string {
-	if pl.fittingTasksAmong(d, among, pl.free) < need {
+// packTasks assigns the waiting tasks of a gang to the given workers, the preferred ones first. It returns nil if not all
+// of the tasks fit, or if some are kept back for urgent work.
+func (pl *planner) packTasks(d *Demand, among []int) map[int]string {
+	if pl.fittingTasksAmong(d, among, pl.free) < len(d.Waiting) {
 		return nil
 	}
 	order := pl.fullestFirst(d, among)
-	workers := map[int]string{}
-	for _, k := range order {
-		for range pl.fittingTasks(d, k, pl.free[k]) {
-			if len(workers) == need {
-				break
-			}
-			workers[d.Waiting[len(workers)]] = pl.view.Workers[k].ID
-		}
-	}
-	if len(workers) < need {
-		return nil
-	}
+	workers := pl.assignTasks(d, order, pl.free)
 	if !pl.limit.admitsGang(workers) {
 		return pl.limit.packGang(order)
 	}
--- a/internal/placement/preemption.go
+++ b/internal/placement/preemption.go
@@ -48,7 +48,7 @@
 func (pl *planner) cheapestPlan(d *Demand) *preemptionPlan {
 	best := pl.cheapestPlanInPlace(d)
 	if best == nil && d.Step.Gang && d.Step.RackLocal && pl.mustCrossRacks(d) {
-		pl.acrossRacks(d, func() { best = pl.planPreemption(d, pl.allWorkers) })
+		pl.withRemoteRanks(d, func() { best = pl.planPreemption(d, pl.allWorkers) })
 	}
 	return best
 }
@@ -93,3 +93,21 @@
 func (pl *planner) mayPreempt(d *Demand, h *Allocation) bool {
 	return h.Priority > d.Priority || pl.mustPreemptForGuarantee(d)
 }
+
+const (
+	// checkpointPreference is the factor on the cost of stopping work that saves checkpoints. Without it, other work that
+	// has just started is the cheapest to stop, and makes no progress if it is stopped each time.
+	checkpointPreference = 0.8
+	// recentStopPenalty is added to the factor on the cost for each recent stop, up to maxRecentStopPenalty.
+	recentStopPenalty    = 0.2
+	maxRecentStopPenalty = 0.6
+)
+
+// preferenceFactor returns the factor on the cost of stopping an allocation by which others are preferred to it.
+func preferenceFactor(h *Allocation) float64 {
+	factor := 1 + min(recentStopPenalty*float64(h.RecentStops), maxRecentStopPenalty)
+	if h.SavesCheckpoints {
+		factor *= checkpointPreference
+	}
+	return factor
+}
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -89,8 +89,8 @@
 	// runs. The next loss then shows whether they crash workers.
 	Exclusive        bool
 	NoPreemptionPlan bool // A recent search for preemption found no plan.
-	// PausedUntil is set after it was stopped for urgent work. It does not start earlier unless capacity is ample or its
-	// next goal would be missed.
+	// PausedUntil is set after it was stopped for urgent work. It does not start earlier unless capacity is ample, its next
+	// goal would be missed, or it holds capacity for which other work was stopped.
 	PausedUntil time.Time
 }
 
--- a/internal/placement/wait.go
+++ b/internal/placement/wait.go
@@ -21,9 +21,7 @@
 	if d.Priority == 0 {
 		return true
 	}
-	_, goal := pl.valueAtStake(d)
-	last := goal.Add(-time.Duration(runTimeMargin * float64(d.Remaining)))
-	return pl.view.Now.Add(pl.view.Policy.MaxStopTime + preemptionLeadTime).After(last)
+	return pl.view.Now.Add(pl.view.Policy.MaxStopTime + preemptionLeadTime).After(pl.latestStart(d))
 }
 
 // rackWaitShare is the share of the start limit of guaranteed work for which it waits for capacity in one rack.
@@ -94,3 +92,25 @@
 	}
 	return pl.runningJobs[id]
 }
+
+// hasMissedAllGoals reports whether a demand can't meet any goal, even if it starts now.
+func (pl *planner) hasMissedAllGoals(d *Demand) bool {
+	return pl.view.Now.Add(d.Remaining).After(d.LastGoal)
+}
+
+// isPaused reports whether a demand that was stopped for urgent work must not start yet. If it started at once, it
+// would often be stopped again: one job was stopped 194 times. The pause ends early if capacity is ample, if the
+// demand holds capacity for which other work was stopped, and if it would miss its next goal because of the pause.
+func (pl *planner) isPaused(d *Demand) bool {
+	if d.Priority == 0 || !pl.view.Now.Before(d.PausedUntil) || d.holdsFreedCapacity() || pl.hasAmpleCapacity(d) {
+		return false
+	}
+	return pl.hasMissedAllGoals(d) || !pl.latestStart(d).Before(d.PausedUntil)
+}
+
+// latestStart returns the time by which a demand must start to meet its next goal, even if its run time is
+// underestimated.
+func (pl *planner) latestStart(d *Demand) time.Time {
+	_, goal := pl.valueAtStake(d)
+	return goal.Add(-time.Duration(runTimeMargin * float64(d.Remaining)))
+}
--- a/internal/scheduler/headroom.go
+++ b/internal/scheduler/headroom.go
@@ -63,9 +63,8 @@
 	u.loads[i].Waiting += waiting
 }
 
-// recordKeptBack records which tasks a decision kept back for urgent work, and which groups it did not start because of a
-// pause. Each decision keeps most of them back again;
-// the metric counts only those that the decision before did not.
+// recordKeptBack records which tasks a decision kept back for urgent work, and which groups it did not start because of
+// a pause. Each decision keeps most of them back again; the metric counts only those that the decision before did not.
 func (h *shard) recordKeptBack(v *placement.View, out *placement.Outcome) {
 	before := h.urgentLoad.keptBack
 	h.urgentLoad.keptBack, h.urgentLoad.paused = map[groupKey]int{}, map[groupKey]bool{}
@@ -88,7 +87,8 @@
 		return fmt.Sprintf("; %d tasks would start, but their room is kept for urgent work", n)
 	}
 	if h.urgentLoad.paused[key] {
-		return fmt.Sprintf("; it was stopped for urgent work and pauses for another %s", d.PausedUntil.Sub(h.view.Now).Round(time.Millisecond))
+		left := d.PausedUntil.Sub(h.view.Now).Round(time.Millisecond)
+		return fmt.Sprintf("; it was stopped for urgent work and pauses for another %s", left)
 	}
 	return ""
 }
@@ -109,8 +109,8 @@
 	Free         int     `json:"free"` // Free slots.
 }
 
-// Headroom returns the capacity that is kept for urgent work, by shape, as of the last decision. It is empty if this box
-// does not hold the shard's lease, if there is no urgent work, or if the part is turned off.
+// Headroom returns the capacity that is kept for urgent work, by shape, as of the last decision. It is empty if this
+// box does not hold the shard's lease, if there is no urgent work, or if the part is turned off.
 func (s *Scheduler) Headroom() []HeadroomReport {
 	list := []HeadroomReport{}
 	h := s.current.Load()
@@ -121,8 +121,10 @@
 	defer h.mu.Unlock()
 	for _, r := range h.urgentLoad.estimator.Reports() {
 		list = append(list, HeadroomReport{
-			Service: r.Service, Label: r.Label, MilliCPU: r.Each.MilliCPU, MemoryMB: r.Each.MemoryMB, Accelerators: r.Each.Accelerators,
-			Held: r.Held, Waiting: r.Waiting, Mean: r.Mean, Deviation: r.Deviation, Kept: r.Slots, Free: placement.FreeSlots(&h.view, &r.Shape),
+			Service: r.Service, Label: r.Label,
+			MilliCPU: r.Each.MilliCPU, MemoryMB: r.Each.MemoryMB, Accelerators: r.Each.Accelerators,
+			Held: r.Held, Waiting: r.Waiting, Mean: r.Mean, Deviation: r.Deviation, Kept: r.Slots,
+			Free: placement.FreeSlots(&h.view, &r.Shape),
 		})
 	}
 	return list
@@ -176,7 +178,10 @@
 
 // pauseAfterStop pauses a job once a run of it has ended by a stop for urgent work. Urgent jobs don't pause.
 func (h *shard) pauseAfterStop(r *run, outcome job.Outcome) {
-	if outcome == job.Succeeded || r.stopReason != stoppedForUrgent || r.job.Request.Terms.Priority == 0 || h.Bounds.DisableHeadroom {
+	if h.Bounds.DisableHeadroom || r.job.Request.Terms.Priority == 0 {
+		return
+	}
+	if outcome == job.Succeeded || r.stopReason != stoppedForUrgent {
 		return
 	}
 	r.job.urgentStops.pause(time.Now())
