--- a/internal/placement/headroom_test.go
+++ b/internal/placement/headroom_test.go
@@ -155,12 +155,17 @@
 		d.Goal, d.LastGoal = v.Now.Add(time.Hour), v.Now.Add(2*time.Hour)
 		v.Demands = append(v.Demands, d)
 	}
+	drawHeadroom(r, v)
+	return v
+}
+
+// drawHeadroom draws the slots to keep for tasks of several sizes.
+func drawHeadroom(r *rapid.T, v *View) {
 	for _, n := range []int64{1, 2, 4, 8} {
 		if slots := rapid.IntRange(-1, 12).Draw(r, "slots"); slots >= 0 {
 			v.Headroom = append(v.Headroom, headroom.Kept{Shape: headroom.Shape{Service: "s", Each: gpus(n)}, Slots: slots})
 		}
 	}
-	return v
 }
 
 // TestHeadroomKeepsRules fails if a start with headroom uses more than the free capacity, starts a part of a gang, or
@@ -260,8 +265,8 @@
 	})
 }
 
-// TestAdmittingWorkersFollowChanges fails if the cached set of workers that admit a task is used after the free capacity
-// has changed. Work was then held back although slots had come free.
+// TestAdmittingWorkersFollowChanges fails if the cached set of workers that admit a task is used after the free
+// capacity has changed. Work was then held back although slots had come free.
 func TestAdmittingWorkersFollowChanges(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		v := drawViewWithHeadroom(r)
@@ -282,3 +287,20 @@
 		}
 	})
 }
+
+// TestSmallerShapesWithoutAccelerators fails if the slots of small tasks count as as many slots of larger ones where
+// no task needs accelerators. A site of processors only then kept many times what urgent work needs.
+func TestSmallerShapesWithoutAccelerators(t *testing.T) {
+	cpus := func(n int64) job.Resources { return job.Resources{MilliCPU: 1000 * n, MemoryMB: 1000 * n} }
+	v := &View{
+		Now:     time.Unix(1000, 0),
+		Workers: []Worker{{ID: "w1", Service: "s", Capacity: cpus(32), Free: cpus(24), AcceptsRuns: true}},
+		Headroom: []headroom.Kept{
+			{Shape: headroom.Shape{Service: "s", Each: cpus(1)}, Slots: 4},
+			{Shape: headroom.Shape{Service: "s", Each: cpus(8)}, Slots: 1},
+		},
+	}
+	goal := v.Now.Add(time.Hour)
+	v.Demands = []Demand{{Job: "a", Service: "s", Priority: 2, Step: &job.Step{Each: cpus(1)}, Waiting: []int{0}, ReadySince: v.Now, Goal: goal, LastGoal: goal, Value: 1, Work: 1}}
+	quicktest.Check(t, Decide(v).Starts, quicktest.DeepEquals, []Start{{Workers: map[int]string{0: "w1"}}})
+}
