internal/node: reloaded settings turn refusals for load on and off

The setting was read only at the start of a box, so that admission.refuse_hopeless=false with SIGHUP, as docs/OPERATIONS.md describes it, had no effect. The setting moves to scheduler.Bounds, because the scheduler needs it too.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -64,10 +64,10 @@
 	StoreUnreachable func() bool // Reports whether the store has not answered any call for a while.
 	AllHallsEmptied  func() bool // Reports whether every hall is emptied, so that no job can start.
 	// Load returns the summary of the load as last read; nil to refuse no job for load.
-	Load            func() *admission.Summary
-	DisableRefusals bool // Refuse no job for load.
-	Log             *zap.Logger
-	Figures         *measure.Metrics // May be nil.
+	Load             func() *admission.Summary
+	RefusalsDisabled func() bool // Reports whether no job may be refused for load.
+	Log              *zap.Logger
+	Figures          *measure.Metrics // May be nil.
 
 	mu         sync.Mutex
 	workspaces map[job.ID]string // Cached workspaces of stored jobs; saves reading a job's request at each call.
@@ -176,7 +176,7 @@
 // accepted before is not refused, and none is while the state of the store is uncertain.
 func (e *Entry) refusedAsHopeless(ctx context.Context, r *job.Request) admission.Decision {
 	c := e.Configuration()
-	if e.DisableRefusals || e.Load == nil || c == nil || !e.StoreHealthy() {
+	if e.Load == nil || e.RefusalsDisabled() || c == nil || !e.StoreHealthy() {
 		return admission.Decision{}
 	}
 	load := e.Load()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -20,8 +20,9 @@
 // box is an entry whose queues are overloaded, and its store.
 type box struct {
 	*Entry
-	store   *emulator.Store
-	healthy bool
+	store    *emulator.Store
+	healthy  bool
+	disabled bool // Refusals are switched off.
 }
 
 func newBox() *box {
@@ -37,6 +38,7 @@
 	b.Entry = &Entry{
 		Ledger:        &ledger.Ledger{Store: b.store.For("box-1", &emulator.Gate{}), Shard: "main"},
 		Configuration: func() *queue.Configuration { return config }, StoreHealthy: func() bool { return b.healthy },
+		RefusalsDisabled: func() bool { return b.disabled },
 		StoreUnreachable: func() bool { return false }, AllHallsEmptied: func() bool { return false },
 		Load: func() *admission.Summary { return load }, Log: zap.NewNop(), Figures: &measure.Metrics{},
 	}
@@ -89,7 +91,7 @@
 		"old summary":     {queue.Queue{Name: "normal", Priority: 1}, func(*box) { time.Sleep(admission.MaxAge + time.Millisecond) }},
 		"no summary":      {queue.Queue{Name: "normal", Priority: 1}, func(b *box) { b.Load = func() *admission.Summary { return &admission.Summary{} } }},
 		"no source":       {queue.Queue{Name: "normal", Priority: 1}, func(b *box) { b.Load = nil }},
-		"switched off":    {queue.Queue{Name: "normal", Priority: 1}, func(b *box) { b.DisableRefusals = true }},
+		"switched off":    {queue.Queue{Name: "normal", Priority: 1}, func(b *box) { b.disabled = true }},
 		"unhealthy store": {queue.Queue{Name: "normal", Priority: 1}, func(b *box) { b.healthy = false }},
 	} {
 		synctest.Test(t, func(t *testing.T) {
@@ -106,9 +108,9 @@
 func TestRepeatOfAcceptedJobIsNotRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBox()
-		b.DisableRefusals = true
+		b.disabled = true
 		quicktest.Assert(t, b.submit("a", &queue.Queue{Name: "normal", Priority: 1}), quicktest.IsNil)
-		b.DisableRefusals = false
+		b.disabled = false
 		quicktest.Check(t, b.submit("a", &queue.Queue{Name: "normal", Priority: 1}), quicktest.IsNil)
 		other := b.another()
 		quicktest.Check(t, other.submit("a", &queue.Queue{Name: "normal", Priority: 1}), quicktest.IsNil)
--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -57,12 +57,12 @@
 	return n.platform.Network == nil || n.scheduler.Load() != nil || n.relay.Directory.IsWatcher()
 }
 
-// followLoad keeps the summary of the load up to date, unless the box refuses no jobs for load. A box that stops watching gets no news for up to loadPoll; it
-// then admits everything.
+// refusalsDisabled reports whether the settings in force turn off refusals for load.
+func (n *Node) refusalsDisabled() bool { return n.settings.Load().Bounds.DisableRefusals }
+
+// followLoad keeps the summary of the load up to date while the box may refuse jobs for load. A box that stops watching
+// gets no news for up to loadPoll; it then admits everything.
 func (n *Node) followLoad(ctx context.Context) {
-	if n.Entry.DisableRefusals {
-		return
-	}
 	changed := make(chan struct{}, 1)
 	var group sync.WaitGroup
 	defer group.Wait()
@@ -76,6 +76,8 @@
 func (n *Node) readLoad(ctx context.Context) time.Duration {
 	from, pause := &n.watchedLoad.copies, minCopyInterval
 	switch {
+	case n.refusalsDisabled():
+		return roleCheckInterval
 	case n.watchesLoad():
 		from, pause = &n.watchedLoad.direct, loadPoll
 	case !n.relay.Directory.CandidatesKnown():
@@ -116,12 +118,13 @@
 
 // loadFeed returns a feed that reports changes of the load.
 func (n *Node) loadFeed() *feed {
+	needed := func() bool { return !n.refusalsDisabled() && n.watchesLoad() }
 	return &feed{
-		Needed: n.watchesLoad,
+		Needed: needed,
 		Wait: func(ctx context.Context, since int64) (int64, error) {
 			for {
 				version, changed, err := n.ledger.WatchLoad(ctx, since, feedWait)
-				if err != nil || changed || !n.watchesLoad() {
+				if err != nil || changed || !needed() {
 					return version, err
 				}
 				since = version // Changes of other tables only.
--- a/internal/node/load_test.go
+++ b/internal/node/load_test.go
@@ -157,3 +157,40 @@
 		}
 	})
 }
+
+// TestReloadSwitchesRefusals fails if a box goes on refusing jobs for load, or reading the load, after its settings were
+// reloaded with refusals turned off, or refuses none after they were turned on again.
+func TestReloadSwitchesRefusals(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		time.Sleep(3 * time.Second)
+		n := w.boxes["box-1"].node
+		submit := func(id string) error {
+			r, err := w.request([]string{id, "normal", "desk-key", "gang", "tasks", "3", "work", "1s"})
+			quicktest.Assert(t, err, quicktest.IsNil)
+			err = w.submitAt(n, "normal", "desk-key", r)
+			if err == nil {
+				w.fleet.RecordAccepted(r.ID)
+			}
+			return err
+		}
+		disable := func(disabled bool) {
+			s := *n.settings.Load()
+			s.Bounds.DisableRefusals = disabled
+			n.Reload(&s)
+			time.Sleep(time.Second)
+			w.writeLoad(t, overload("normal"))
+			time.Sleep(time.Second)
+		}
+		var hopeless *entry.HopelessError
+		disable(false)
+		quicktest.Check(t, submit("first"), quicktest.ErrorAs, &hopeless)
+		disable(true)
+		made := n.Load().Made
+		quicktest.Check(t, submit("second"), quicktest.IsNil)
+		w.writeLoad(t, overload("normal"))
+		time.Sleep(15 * time.Second)
+		quicktest.Check(t, n.Load().Made, quicktest.Equals, made)
+		disable(false)
+		quicktest.Check(t, submit("third"), quicktest.ErrorAs, &hopeless)
+	})
+}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -20,6 +20,5 @@
 	// ConfigurationWithin is the time within which a new configuration must be in force; 0 if unknown.
 	ConfigurationWithin time.Duration
 	Means               Resources
-	DisableRefusals     bool // Refuses no job because it would end too late.
 	Bounds              scheduler.Bounds
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -52,6 +52,7 @@
 	EmptiedGrace    time.Duration // How long work may still start in a hall after it was emptied; 0 for no limit.
 	DisableSpeeds   bool          // Does not learn or use the workers' speeds.
 	DisableHeadroom bool          // Keeps no capacity for expected urgent work.
+	DisableRefusals bool          // Publishes no summary of the load; boxes refuse no job for load.
 	Policy          placement.Policy
 }
 
