--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -29,10 +29,11 @@
 	uncertain bool           // The batch with current may not have been written.
 }
 
-// collectLoad adds a summary of the load to a batch if the last one is outdated. A summary alone triggers no batch.
+// collectLoad adds a summary of the load to a batch if the last one is outdated, unless refusals are turned off. A
+// summary alone triggers no batch.
 func (h *shard) collectLoad(b *ledger.Batch, now time.Time) {
 	p := &h.publishedLoad
-	if now.Sub(p.measured) < loadInterval && !p.uncertain {
+	if h.Bounds.DisableRefusals || now.Sub(p.measured) < loadInterval && !p.uncertain {
 		return
 	}
 	p.measured = now
--- a/internal/scheduler/load_test.go
+++ b/internal/scheduler/load_test.go
@@ -200,3 +200,16 @@
 		quicktest.Check(t, loadIn(h), quicktest.IsNil)
 	})
 }
+
+// TestNoLoadIsPublishedWithoutRefusals fails if summaries are written, which cost calls and bytes, although the settings
+// turn off the refusals that they are for.
+func TestNoLoadIsPublishedWithoutRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := shardWithWorkers(1)
+		h.Bounds.DisableRefusals = true
+		addGangs(h, "urgent", 0, 100)
+		addGangs(h, "build", 1, 1)
+		letWait(h, time.Second)
+		quicktest.Check(t, loadIn(h), quicktest.IsNil)
+	})
+}
