internal/entry: an attempt under way is not answered as not run

A repeat of a submission was refused (503) while an earlier attempt at the same box was still written, or after one had ended without an answer. The job could then be stored, and run, although its caller had been told that it never would. The box records such attempts and admits their repeats. This holds for refusals for load and for those while all halls are emptied. A repeat at another box can't know of the attempt.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -71,8 +71,10 @@
 
 	mu         sync.Mutex
 	workspaces map[job.ID]string // Cached workspaces of stored jobs; saves reading a job's request at each call.
-	summary    *ledger.Summary   // Cached for Pending; read at summaryAt.
-	summaryAt  time.Time
+	// Number of attempts to submit a job that are under way or got no answer from the store. They may still be stored.
+	attempts  map[job.ID]int
+	summary   *ledger.Summary // Cached for Pending; read at summaryAt.
+	summaryAt time.Time
 }
 
 const (
@@ -95,6 +97,9 @@
 	maxSummaryAge = 1200 * time.Millisecond
 	// maxCachedWorkspaces limits the number of jobs in Entry.workspaces. Each takes about 100 bytes.
 	maxCachedWorkspaces = 20000
+	// maxCachedAttempts limits the number of jobs in Entry.attempts. Only those without an answer from the store remain in
+	// it for longer than a call.
+	maxCachedAttempts = 20000
 )
 
 // Caller identifies the client of a call and the queue that it calls.
@@ -140,7 +145,11 @@
 		e.logCall("submit", r.ID, c, began, err)
 		return err
 	}
+	e.beginAttempt(r.ID)
 	err := e.writeRepeatedly(ctx, func(ctx context.Context) error { return e.Ledger.Submit(ctx, r) })
+	if !errors.Is(err, ErrUndecided) {
+		defer e.endAttempt(r.ID)
+	}
 	e.logCall("submit", r.ID, c, began, err)
 	if errors.Is(err, ledger.ErrCancelled) {
 		return nil // It was cancelled before it was submitted.
@@ -163,13 +172,14 @@
 	return e.isNew(ctx, r.ID)
 }
 
-// isNew reports whether a job was not accepted before. It returns false if that can't be read from the store.
+// isNew reports whether a job was not accepted before and no earlier attempt at this box may still be stored. It returns
+// false if that can't be read from the store.
 func (e *Entry) isNew(ctx context.Context, id job.ID) bool {
-	if _, known := e.cachedWorkspace(id); known {
+	if e.maybeStored(id) {
 		return false
 	}
 	kept, err := e.Ledger.Request(ctx, id)
-	return err == nil && kept == nil
+	return err == nil && kept == nil && !e.maybeStored(id) // An attempt may have begun during the read.
 }
 
 // refusedAsHopeless decides whether a job is refused because it would end too late under the present load. A job that was
@@ -199,6 +209,33 @@
 	return d
 }
 
+// maybeStored reports whether this box knows that a job is stored, or that an attempt to submit it may still be stored.
+func (e *Entry) maybeStored(id job.ID) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, stored := e.workspaces[id]
+	return stored || e.attempts[id] > 0
+}
+
+// beginAttempt records an attempt to submit a job. It first empties the record if that holds maxCachedAttempts jobs.
+func (e *Entry) beginAttempt(id job.ID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.attempts == nil || len(e.attempts) >= maxCachedAttempts {
+		e.attempts = map[job.ID]int{}
+	}
+	e.attempts[id]++
+}
+
+// endAttempt forgets an attempt whose outcome is known.
+func (e *Entry) endAttempt(id job.ID) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.attempts[id]--; e.attempts[id] <= 0 {
+		delete(e.attempts, id)
+	}
+}
+
 // Cancel cancels a job. A job that is not submitted yet is cancelled in advance.
 func (e *Entry) Cancel(ctx context.Context, c Caller, id job.ID) error {
 	began := time.Now()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -137,3 +138,47 @@
 		quicktest.Check(t, time.Since(began) <= 1200*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%v", time.Since(began)))
 	})
 }
+
+// TestSubmissionUnderWayIsNotRefused fails if a caller that repeats a submission is told that it was refused, although
+// an earlier attempt at this box is still under way, or ended without an answer, and is stored later.
+func TestSubmissionUnderWayIsNotRefused(t *testing.T) {
+	q := queue.Queue{Name: "normal", Priority: 1}
+	for name, unavailable := range map[string]func(b *box, refused bool){
+		"load": func(b *box, refused bool) {
+			b.disabled, b.Load = !refused, newBox().Load // The summary is new at each call.
+		},
+		"halls": func(b *box, refused bool) { b.disabled, b.AllHallsEmptied = true, func() bool { return refused } },
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newBox()
+			unavailable(b, false)
+			b.store.SetCommitDelay(time.Second)
+			var group sync.WaitGroup
+			first := q
+			group.Go(func() { quicktest.Check(t, b.submit("a", &first), quicktest.IsNil) })
+			time.Sleep(100 * time.Millisecond)
+			synctest.Wait()
+			unavailable(b, true)
+			second := q
+			quicktest.Check(t, b.submit("a", &second), quicktest.IsNil, quicktest.Commentf("%s: under way", name))
+			group.Wait()
+			quicktest.Check(t, b.store.Rows("jobs"), quicktest.Equals, 1)
+
+			unavailable(b, false)
+			b.store.SetSilent()
+			third := q
+			quicktest.Check(t, b.submit("b", &third), quicktest.ErrorIs, ErrUndecided)
+			b.store.SetUp()
+			unavailable(b, true)
+			quicktest.Check(t, b.submit("b", &third), quicktest.IsNil, quicktest.Commentf("%s: without an answer", name))
+
+			unavailable(b, false)
+			b.store.SetBusy()
+			quicktest.Check(t, b.submit("c", &third), quicktest.ErrorIs, ErrUnavailable)
+			b.store.SetUp()
+			unavailable(b, true)
+			quicktest.Check(t, b.submit("c", &third), quicktest.IsNotNil, quicktest.Commentf("%s: never sent to the store", name))
+			quicktest.Check(t, b.store.Rows("jobs"), quicktest.Equals, 2)
+		})
+	}
+}
