--- a/internal/placement/urgent_room.go
+++ b/internal/placement/urgent_room.go
@@ -134,6 +134,18 @@
 	return shapes
 }
 
+// CapacitySlots returns how many tasks of a shape fit on the workers of a view if these are empty. Workers that accept no
+// runs at present are included.
+func CapacitySlots(v *View, s *headroom.Shape) int {
+	slots := 0
+	for k := range v.Workers {
+		if w := &v.Workers[k]; w.Service == s.Service && w.hasLabel(s.Label) {
+			slots += s.Fitting(w.Capacity)
+		}
+	}
+	return slots
+}
+
 // unservedUrgentTasks returns the number of urgent tasks, by shape, that this decision neither starts nor reserves
 // capacity for. If bulk work took the slots that a waiting gang lacks only a few of, the gang would preempt more.
 func (pl *planner) unservedUrgentTasks() map[headroom.Shape]int {
@@ -157,9 +169,12 @@
 
 // mayRun reports whether a worker may run tasks of a shape, whether it has free capacity or not.
 func (w *Worker) mayRun(s *headroom.Shape) bool {
-	return w.AcceptsRuns && w.Service == s.Service && (s.Label == "" || slices.Contains(w.Labels, s.Label))
+	return w.AcceptsRuns && w.Service == s.Service && w.hasLabel(s.Label)
 }
 
+// hasLabel reports whether a worker has a label. Every worker has the empty one.
+func (w *Worker) hasLabel(label string) bool { return label == "" || slices.Contains(w.Labels, label) }
+
 // ShapeOf returns the shape of a step's tasks.
 func ShapeOf(service string, step *job.Step) headroom.Shape {
 	return headroom.Shape{Service: service, Label: step.Label, Each: step.Each}
--- a/internal/scheduler/headroom.go
+++ b/internal/scheduler/headroom.go
@@ -37,6 +37,7 @@
 			u.add(d.Service, d.Step, 0, len(d.Waiting))
 		}
 	}
+	u.limitWaiting(v)
 	u.estimator.Update(now, u.loads)
 	v.Headroom = u.estimator.Kept()
 	accelerators := int64(0)
@@ -63,6 +64,16 @@
 	u.loads[i].Waiting += waiting
 }
 
+// limitWaiting limits the tasks that wait to those that fit on the workers beside the tasks that run. Without the limit,
+// more than the whole service was kept for more than 20 s after a backlog of ten times its capacity.
+func (u *urgentLoad) limitWaiting(v *placement.View) {
+	for i := range u.loads[:min(len(u.loads), maxMergedLoads)] {
+		if l := &u.loads[i]; l.Waiting > 0 {
+			l.Waiting = min(l.Waiting, max(placement.CapacitySlots(v, &l.Shape)-l.Held, 0))
+		}
+	}
+}
+
 // recordKeptBack records which tasks a decision kept back for urgent work, and which groups it did not start because of
 // a pause. Each decision keeps most of them back again; the metric counts only those that the decision before did not.
 func (h *shard) recordKeptBack(v *placement.View, out *placement.Outcome) {
--- a/internal/scheduler/headroom_test.go
+++ b/internal/scheduler/headroom_test.go
@@ -72,6 +72,19 @@
 	quicktest.Check(t, h.updateView(now.Add(4*time.Second)).Headroom, quicktest.HasLen, 0)
 }
 
+// TestBacklogKeepsNoMoreThanTheSite fails if waiting work for which the site has no capacity counts as load. After a
+// backlog of ten times the capacity, the whole site was then kept free for more than 20 s.
+func TestBacklogKeepsNoMoreThanTheSite(t *testing.T) {
+	h, now := headroomShard(), time.Now()
+	addTasks(h, "backlog", 0, 80, 2, false)
+	h.updateView(now)
+	h.updateView(now.Add(10 * time.Second))
+	h.cancelJob("backlog")
+	v := h.updateView(now.Add(10 * time.Second))
+	quicktest.Assert(t, v.Headroom, quicktest.HasLen, 1)
+	quicktest.Check(t, v.Headroom[0].Slots, quicktest.Equals, 8)
+}
+
 // TestStoppedJobPauses fails if a job that was stopped for urgent work may start again at once, or if its pause does not
 // grow with its recent stops. Of the runs of a decision, each is stopped, but they count once.
 func TestStoppedJobPauses(t *testing.T) {
