internal/node: a summary of unknown age is not used

After a start, or a gap in the reads, a box took the time of its first read for the time at which the summary was written. If the clock of the writer was 30 s ahead, a box that started 30 s later refused jobs by that summary.

--- a/internal/admission/decide.go
+++ b/internal/admission/decide.go
@@ -25,7 +25,7 @@
 // Summary is a summary of the load as a box has received it.
 type Summary struct {
 	*Load           // nil if there is none.
-	Seen  time.Time // When the box first saw this summary.
+	Seen  time.Time // When the box first saw this summary; zero if it may be of any age.
 }
 
 // isCurrent reports whether a summary may be used. The time since the box first saw it bounds its age whatever the
--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -34,6 +34,7 @@
 type watchedLoad struct {
 	direct ledger.Ledger
 	copies ledger.Ledger
+	readAt time.Time // Time of the last successful read.
 }
 
 func newWatchedLoad(n *Node) watchedLoad {
@@ -96,13 +97,19 @@
 	return pause
 }
 
-// applyLoad records the summary of the load as last read; nil if there is none that can be read.
+// applyLoad records the summary of the load as last read; nil if there is none that can be read. A summary that is read
+// after a start or a long gap may be of any age, as the clock of the box that wrote it may be ahead. It is not used.
 func (n *Node) applyLoad(load *admission.Load) {
-	old := n.Load()
+	old, seen := n.Load(), time.Now()
+	afterGap := seen.Sub(n.watchedLoad.readAt) > maxLoadCopyAge
+	n.watchedLoad.readAt = seen
 	if load != nil && old.Load != nil && load.Made == old.Made {
 		return // It was seen before.
 	}
-	n.load.Store(&admission.Summary{Load: load, Seen: time.Now()})
+	if afterGap {
+		seen = time.Time{}
+	}
+	n.load.Store(&admission.Summary{Load: load, Seen: seen})
 	if load != nil && len(load.Queues) > 0 && (old.Load == nil || len(old.Queues) == 0) {
 		n.log.Info("node: new jobs of some queues may be refused", zap.Int("queues", len(load.Queues)), zap.Int64("made", load.Made))
 	}
--- a/internal/node/load_test.go
+++ b/internal/node/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
@@ -194,3 +195,29 @@
 		quicktest.Check(t, submit("third"), quicktest.ErrorAs, &hopeless)
 	})
 }
+
+// TestSummaryOfUnknownAgeIsNotUsed fails if a box refuses jobs by a summary that was written long before the box read it.
+// If the clock of the box that wrote it was ahead, its own time does not show its age.
+func TestSummaryOfUnknownAgeIsNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		refuses := func(n *Node) bool {
+			r := &job.Request{Steps: []job.Step{{Count: 1, Estimate: time.Second}}, Terms: job.Terms{Queue: "normal", Priority: 1, Stretch: 3}}
+			return admission.Decide(n.Load(), r, 0, time.Now()).Refuse
+		}
+		load := overload("normal")
+		load.Made += (30 * time.Second).Milliseconds()
+		time.Sleep(30 * time.Second)
+		n := &Node{log: zap.NewNop()}
+		n.applyLoad(&load)
+		quicktest.Check(t, refuses(n), quicktest.IsFalse, quicktest.Commentf("after a start"))
+		time.Sleep(time.Second)
+		next := overload("normal")
+		n.applyLoad(&next)
+		quicktest.Check(t, refuses(n), quicktest.IsTrue, quicktest.Commentf("written since the last read"))
+		load = overload("normal")
+		load.Made += (30 * time.Second).Milliseconds()
+		time.Sleep(30 * time.Second)
+		n.applyLoad(&load)
+		quicktest.Check(t, refuses(n), quicktest.IsFalse, quicktest.Commentf("after an outage"))
+	})
+}
