--- a/internal/admission/decide.go
+++ b/internal/admission/decide.go
@@ -28,14 +28,15 @@
 	Seen  time.Time // When the box first saw this summary; zero if it may be of any age.
 }
 
-// isCurrent reports whether a summary may be used. The time since the box first saw it bounds its age whatever the
-// clock of the scheduler's box shows.
-func (s *Summary) isCurrent(now time.Time) bool {
-	if s.Load == nil || now.Sub(s.Seen) > MaxAge {
-		return false
+// age returns the time since a summary was made; false if the summary is not current. The time since the box first saw
+// it is a lower bound of its age, whatever the clock of the scheduler's box shows.
+func (s *Summary) age(now time.Time) (age time.Duration, current bool) {
+	if s.Load == nil {
+		return 0, false
 	}
-	age := now.Sub(time.UnixMilli(s.Made))
-	return age <= MaxAge && age >= -maxClockLead
+	byWriter, bySight := now.Sub(time.UnixMilli(s.Made)), now.Sub(s.Seen)
+	age = max(byWriter, bySight, 0)
+	return age, age <= MaxAge && byWriter >= -maxClockLead
 }
 
 // Decision tells whether a submission is refused, and from which figures that follows.
@@ -50,7 +51,8 @@
 // Decide decides on a submission with its terms. guaranteed is the number of accelerators that are guaranteed to its
 // workspace. It refuses only what surely can't end within LateFactor times its allowed time.
 func Decide(s *Summary, r *job.Request, guaranteed int64, now time.Time) Decision {
-	if !s.isCurrent(now) || isExempt(r, guaranteed) {
+	age, current := s.age(now)
+	if !current || isExempt(r, guaranteed) {
 		return Decision{}
 	}
 	q, known := s.Queues[r.Terms.Queue]
@@ -58,9 +60,9 @@
 	if !known || run <= 0 {
 		return Decision{}
 	}
-	wait := q.waitOf(r)
+	wait := q.waitOf(r) - age.Seconds() // The work that comes first may have progressed since.
 	most := LateFactor*(r.Terms.Stretch*run+r.Terms.Objective.Seconds()) - run
-	d := Decision{Refuse: wait > 0 && wait > most, Wait: seconds(wait), Run: seconds(run), MaxWait: seconds(most)}
+	d := Decision{Refuse: wait > 0 && wait > most, Wait: seconds(max(wait, 0)), Run: seconds(run), MaxWait: seconds(most)}
 	if d.Refuse {
 		d.RetryAfter = retryAfter(wait-most, r)
 	}
