--- a/internal/admission/load.go
+++ b/internal/admission/load.go
@@ -117,7 +117,8 @@
 // smaller returns the smaller of each of the resources.
 func smaller(x, y job.Resources) job.Resources {
 	return job.Resources{
-		MilliCPU: min(x.MilliCPU, y.MilliCPU), MemoryMB: min(x.MemoryMB, y.MemoryMB), Accelerators: min(x.Accelerators, y.Accelerators),
+		MilliCPU: min(x.MilliCPU, y.MilliCPU), MemoryMB: min(x.MemoryMB, y.MemoryMB),
+		Accelerators: min(x.Accelerators, y.Accelerators),
 	}
 }
 
@@ -125,7 +126,8 @@
 // ignore summaries older than MaxAge.
 const refreshInterval = 2 * time.Second
 
-// A wait has changed materially if it differs by more than changedShare of the published one and by more than changedMs.
+// A wait has changed materially if it differs by more than changedShare of the published one, and by more than
+// changedMs.
 const (
 	changedShare = 0.2
 	changedMs    = 500
@@ -150,6 +152,7 @@
 	return len(l.Queues) > 0 && newer.Made-l.Made >= refreshInterval.Milliseconds()
 }
 
+// changed reports whether a wait has changed materially.
 func changed(old, now *Wait) bool {
 	by := now.Ms - old.Ms
 	return old.Least != now.Least || max(by, -by) > max(changedMs, int64(changedShare*float64(old.Ms)))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -56,7 +56,8 @@
 	return "entry: under the present load the job would end too late to be of any value"
 }
 
-// Entry serves the calls of clients. All exported fields are required, except those for which the comment says otherwise.
+// Entry serves the calls of clients. All exported fields are required, except those for which the comment says
+// otherwise.
 type Entry struct {
 	Ledger           *ledger.Ledger
 	Configuration    func() *queue.Configuration
@@ -172,8 +173,8 @@
 	return e.isNew(ctx, r.ID)
 }
 
-// isNew reports whether a job was not accepted before and no earlier attempt at this box may still be stored. It returns
-// false if that can't be read from the store.
+// isNew reports whether a job was not accepted before and no earlier attempt at this box may still be stored. It
+// returns false if that can't be read from the store.
 func (e *Entry) isNew(ctx context.Context, id job.ID) bool {
 	if e.maybeStored(id) {
 		return false
@@ -182,8 +183,8 @@
 	return err == nil && kept == nil && !e.maybeStored(id) // An attempt may have begun during the read.
 }
 
-// refusedAsHopeless decides whether a job is refused because it would end too late under the present load. A job that was
-// accepted before is not refused, and none is while the state of the store is uncertain.
+// refusedAsHopeless decides whether a job is refused because it would end too late under the present load. A job that
+// was accepted before is not refused, and none is while the state of the store is uncertain.
 func (e *Entry) refusedAsHopeless(ctx context.Context, r *job.Request) admission.Decision {
 	c := e.Configuration()
 	if e.Load == nil || e.RefusalsDisabled() || c == nil || !e.StoreHealthy() {
@@ -202,9 +203,9 @@
 		return admission.Decision{}
 	}
 	e.Figures.Count("refused_hopeless")
-	e.Log.Info("entry: refusing a job that would end too late", zap.String("job", string(r.ID)), zap.String("queue", r.Terms.Queue),
-		zap.String("workspace", r.Terms.Workspace), zap.Int("priority", r.Terms.Priority), zap.Duration("expected_wait", d.Wait),
-		zap.Duration("longest_run", d.Run), zap.Duration("max_wait", d.MaxWait), zap.Duration("retry_after", d.RetryAfter),
+	e.Log.Info("entry: refusing a job that would end too late", zap.String("job", string(r.ID)),
+		zap.String("queue", r.Terms.Queue), zap.String("workspace", r.Terms.Workspace), zap.Int("priority", r.Terms.Priority),
+		zap.Duration("expected_wait", d.Wait), zap.Duration("longest_run", d.Run), zap.Duration("max_wait", d.MaxWait), zap.Duration("retry_after", d.RetryAfter),
 		zap.Duration("load_age", time.Since(time.UnixMilli(load.Made))))
 	return d
 }
@@ -279,8 +280,8 @@
 	return ErrUnavailable
 }
 
-// cancelInOutage calls cancel once the store has been unreachable for outageHold without a break, so that the attempt in
-// flight ends too. It returns when ctx ends.
+// cancelInOutage calls cancel once the store has been unreachable for outageHold without a break, so that the attempt
+// in flight ends too. It returns when ctx ends.
 func (e *Entry) cancelInOutage(ctx context.Context, cancel context.CancelFunc) {
 	var since time.Time // When the store became unreachable; zero while it is reachable.
 	for interval.Sleep(ctx, storeRetryPause) {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -121,8 +121,8 @@
 	})
 }
 
-// TestNothingIsRefusedWhileRepeatsCannotBeRead fails if a job is refused although the store does not tell whether it was
-// accepted before, or if the caller waits long for that.
+// TestNothingIsRefusedWhileRepeatsCannotBeRead fails if a job is refused although the store does not tell whether it
+// was accepted before, or if the caller waits long for that.
 func TestNothingIsRefusedWhileRepeatsCannotBeRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBox()
--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -16,8 +16,8 @@
 // ErrUnreadable means that a row is truncated or was written by another version.
 var ErrUnreadable = errors.New("ledger: unreadable row")
 
-// Load reads the latest summary of the load; nil if there is none. The version is the newest one in the store. The error
-// is ErrUnreadable or one of the store.
+// Load reads the latest summary of the load; nil if there is none. The version is the newest one in the store. The
+// error is ErrUnreadable or one of the store.
 func (l *Ledger) Load(ctx context.Context) (load *admission.Load, version int64, err error) {
 	page, err := l.readOne(ctx, l.key(tableLoad, l.Shard))
 	if err != nil || len(page.Rows) == 0 {
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -43,7 +43,8 @@
 	}
 	for name, q := range load.Queues {
 		h.Log.Info("scheduler: new jobs may have to wait for too long", zap.String("queue", name),
-			zap.Int64("single_ms", q.Waits[0].Ms), zap.Int64("small_gang_ms", q.Waits[1].Ms), zap.Int64("large_gang_ms", q.Waits[2].Ms))
+			zap.Int64("single_ms", q.Waits[0].Ms), zap.Int64("small_gang_ms", q.Waits[1].Ms),
+			zap.Int64("large_gang_ms", q.Waits[2].Ms))
 	}
 	p.current, p.uncertain = load, false
 	b.Load = &load
@@ -119,8 +120,9 @@
 }
 
 // workAhead returns the work of a service that is served before a new job with the terms and steps of r. Urgent work is
-// served before all other work. Of the rest, only work of the same queue that can still be on time counts, as its time
-// is shorter than that of a new job. Urgent work that runs is not stopped.
+// served before all other work. Of the rest, only work of the same queue that can still be on time counts, as it has
+// less time left than a new job of about the same size. A much smaller one may be served before it. Urgent work that
+// runs is not stopped.
 func (h *shard) workAhead(r *job.Request, now time.Time) []admission.Work {
 	var ahead []admission.Work
 	for i := range h.view.Demands {
@@ -135,7 +137,9 @@
 		first := d.Priority <= 0 && r.Terms.Priority > 0 || d.Guaranteed
 		onTime := j.Request.Terms.Queue == r.Terms.Queue && !now.Add(d.Remaining).After(d.Goal)
 		if first || onTime {
-			ahead = append(ahead, admission.Work{Class: admission.ClassOf(d.Step), Tasks: tasks, Each: d.Step.Each, Time: d.TaskTime})
+			ahead = append(ahead, admission.Work{
+				Class: admission.ClassOf(d.Step), Tasks: tasks, Each: d.Step.Each, Time: d.TaskTime,
+			})
 		}
 	}
 	for _, x := range h.allocations.list {
@@ -143,7 +147,8 @@
 		if terms := &run.job.Request.Terms; terms.Priority > 0 || terms.Service != r.Terms.Service {
 			continue
 		}
-		ahead = append(ahead, admission.Work{Tasks: len(x.runs), Each: run.each, Time: h.allocationView(x, now).Remaining, Runs: true})
+		remaining := h.allocationView(x, now).Remaining
+		ahead = append(ahead, admission.Work{Tasks: len(x.runs), Each: run.each, Time: remaining, Runs: true})
 	}
 	return ahead
 }
