scheduler: work of the same queue is no longer expected to come before a new job

Placement serves work of a class by its value for the capacity that it takes. Change: only urgent work before other work, and guaranteed work, counts as ahead.

--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -119,10 +119,9 @@
 	return n
 }
 
-// workAhead returns the work of a service that is served before a new job with the terms and steps of r. Urgent work is
-// served before all other work. Of the rest, only work of the same queue that can still be on time counts, as it has
-// less time left than a new job of about the same size. A much smaller one may be served before it. Urgent work that
-// runs is not stopped.
+// workAhead returns the work of a service that is surely served before a new job with the terms and steps of r: urgent
+// work before all other work, and guaranteed work. Work of the same class is served by its value for the capacity that it
+// takes, so a small new job comes before large ones that wait. Urgent work that runs is not stopped.
 func (h *shard) workAhead(r *job.Request, now time.Time) []admission.Work {
 	var ahead []admission.Work
 	for i := range h.view.Demands {
@@ -130,13 +129,8 @@
 		if d.Service != r.Terms.Service || !isOrdinary(d) {
 			continue
 		}
-		j, tasks := h.jobs[d.Job], h.countWaiting(d)
-		if tasks == 0 {
-			continue
-		}
 		first := d.Priority <= 0 && r.Terms.Priority > 0 || d.Guaranteed
-		onTime := j.Request.Terms.Queue == r.Terms.Queue && !now.Add(d.Remaining).After(d.Goal)
-		if first || onTime {
+		if tasks := h.countWaiting(d); first && tasks > 0 {
 			ahead = append(ahead, admission.Work{
 				Class: admission.ClassOf(d.Step), Tasks: tasks, Each: d.Step.Each, Time: d.TaskTime,
 			})
