--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -69,9 +69,9 @@
 // Worker.TimeFactorHigh.
 const maxMissShare = 0.1
 
-// deviationsOf returns by how much more than its high factor, in logarithms, a worker must be able to exceed its
-// expected factor for a demand. A gang is as slow as its slowest member: if each member exceeded its high factor in one
-// case of ten, four of ten gangs of five would miss their goal.
+// deviationsOf returns the multiple of a worker's span, in logarithms, that is added to its expected factor to decide
+// whether the worker is fast enough for a demand. A gang is as slow as its slowest member: if each member could exceed
+// its high factor in one case of ten, four of ten gangs of five would miss their goal.
 func deviationsOf(d *Demand) float64 {
 	if !d.Step.Gang || len(d.Waiting) < 2 {
 		return 1
