relay: a refresh of the peers no longer writes what calls read without the lock

Change: a refresh leaves the address, by which the peer was found, as it is. The test fails under race without the change.

--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -45,6 +45,12 @@
 	failed  bool      // The last call through the peer failed.
 }
 
+// refresh applies a newer row of the same address. The address itself is not written again: calls read it without the
+// lock.
+func (p *peer) refresh(a *announcement) {
+	p.box, p.hall, p.written, p.takeoverTime, p.version = a.box, a.hall, a.written, a.takeoverTime, a.version
+}
+
 // announcement is the content of a box's row.
 type announcement struct {
 	box, address string
@@ -246,7 +252,7 @@
 			added = append(added, p.box)
 			continue
 		}
-		old.announcement = p.announcement
+		old.refresh(&p.announcement)
 		found[i] = old
 	}
 	if len(added) > 0 || len(found) != len(b.peers) {
