--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 	}
 	cases := map[string]func(j *journal, trouble bool) (int, error){
 		"cancel": playCancel,
+		"crash":  playCrash,
 	}
 	play := cases[os.Args[1]]
 	j, err := newJournal(os.Args[2])
