--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,8 +21,9 @@
 		os.Exit(exitNotRun)
 	}
 	cases := map[string]func(j *journal, trouble bool) (int, error){
-		"cancel": playCancel,
-		"crash":  playCrash,
+		"cancel":     playCancel,
+		"crash":      playCrash,
+		"standstill": playStandstill,
 	}
 	play := cases[os.Args[1]]
 	j, err := newJournal(os.Args[2])
