--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,7 +22,7 @@
 	}
 	cases := map[string]func(j *journal, trouble bool) (int, error){
 		"cancel":     playCancel,
-		"crash":      playCrash,
+		"freeze":     playFreeze,
 		"standstill": playStandstill,
 	}
 	play := cases[os.Args[1]]
