scheduler: a request that arrives after its cancellation is cancelled

Cause: a request and its cancellation each go to the first of three parts of the store that takes them. A condition excludes the request after the cancellation inside one part only. The scheduler kept a cancellation without a request in a map that nothing read when the request came. It was applied only at the next read of all rows, which steady traffic prevents. When status_s was over, the rows of the running job were deleted.

Change: the early cancellation is applied when the request arrives. It is kept for status_s from its first arrival; reads of all rows no longer renew that time. Rows of forgotten jobs are ignored for cancellations too, or a stale read would cancel a later job of the same name. Rows that arrive while a cancellation is deleted keep their job.

It works for any order, as the scheduler is the only reader that acts on requests, and reads both rows by feed or by a read of all rows: whichever comes second now meets the first.

--- a/internal/emulator/checker.go
+++ b/internal/emulator/checker.go
@@ -14,6 +14,7 @@
 	running map[job.Task]incarnation.ID // The worker incarnation that runs a task now.
 	endRecords
 	waitChecks
+	cancelledAt    map[job.ID]time.Time // When the cancellation of a job was acknowledged.
 	emptiedAt      map[string]time.Time // By hall: the time at which it was emptied.
 	crashedWorkers map[job.Task]int     // Number of workers that crashed under a poisoned task.
 	// Number of lost runs of a task after which its job may fail as crash-looping; 0 for never.
@@ -34,6 +35,7 @@
 	LateDuplicates []string
 	UnknownStarts  []string // Starts of tasks that nobody submitted, or with another payload.
 	TooEarly       []string // Starts before an earlier step was done.
+	AfterCancel    []string // Starts and runs of jobs that were cancelled long before.
 	InEmptiedHall  []string // Starts in a hall more than EmptyWithin after it was emptied.
 	// Starts of a task after too many workers had crashed under it, or after all its attempts had failed.
 	OverBudget   []string
@@ -169,6 +171,7 @@
 	}
 	f.checkOrder(a)
 	f.checkHall(w, a)
+	f.checkCancelled(w, a)
 	f.checkCrashBudget(w, a)
 	f.checkAttempts(w, a)
 	f.checker.running[a.task] = w.incarnation
--- a/internal/emulator/waits.go
+++ b/internal/emulator/waits.go
@@ -62,11 +62,15 @@
 // them.
 func (f *Fleet) checkWaits() {
 	var waiting []job.ID
-	if capacities := f.capacities(); capacities != nil {
+	capacities := f.capacities()
+	if capacities != nil {
 		waiting = f.waiting(capacities)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if capacities != nil {
+		f.checkCancelledRuns()
+	}
 	before := f.checker.idleSince
 	f.checker.idleSince = map[job.ID]time.Time{}
 	for _, id := range waiting {
--- a/internal/node/commands_test.go
+++ b/internal/node/commands_test.go
@@ -482,6 +482,9 @@
 		w.network.Heal()
 	case "part_out":
 		w.store.FailPart("") // This part holds the rows of the operator.
+	case "requests_out":
+		w.store.FailPart(Shard + "/0")
+		w.store.FailPart(Shard + "/3")
 	case "compact":
 		w.store.Compact()
 	case "deaf":
--- a/internal/node/random_test.go
+++ b/internal/node/random_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -118,8 +119,10 @@
 // minute after its end.
 func (w *world) awaitAll(within time.Duration) (map[job.ID]job.State, error) {
 	ended := map[job.ID]job.State{}
-	for end := time.Now().Add(within); len(ended) < len(w.accepted); time.Sleep(200 * time.Millisecond) {
-		for id := range w.accepted {
+	accepted := w.acceptedJobs()
+	for end := time.Now().Add(within); len(ended) < len(accepted); time.Sleep(200 * time.Millisecond) {
+		accepted = w.acceptedJobs()
+		for _, id := range accepted {
 			if _, known := ended[id]; known {
 				continue
 			}
@@ -136,6 +139,13 @@
 	return ended, nil
 }
 
+// acceptedJobs returns the jobs that were accepted so far. Submissions that no command waits for may add more.
+func (w *world) acceptedJobs() []job.ID {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Collect(maps.Keys(w.accepted))
+}
+
 // script is a random script that is being generated.
 type script struct {
 	*rapid.T
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -83,7 +83,7 @@
 //	drain WORKER DURATION               the worker announces that it leaves after that time
 //	leave_unsaid WORKER DURATION        the departure of the worker is unannounced: its record is removed, and its
 //	                                    process runs on for that time
-//	store busy|silent|up|compact|deaf|part_out|slow D|commits D|lose SHARE|cut BOX|refuse BOX|thin D
+//	store busy|silent|up|compact|deaf|part_out|requests_out|slow D|commits D|lose SHARE|cut BOX|refuse BOX|thin D
 //	                                    set a fault of the store, or end all of them (up)
 //	part BOX                            cut the network between a box and the other boxes until "store up"
 //	holder                              fail if the lease is not held by the box that the store cut off or refused
@@ -96,6 +96,9 @@
 //	reads TABLE N                       fail if a table was read more often
 //	records_read N                      fail if readers that follow the records of workers got more answers
 //	cancel ID
+//	leave ID BOX QUEUE KEY [WORDS]      submit a job at a box without waiting for the answer, as a client that leaves
+//	withdraw ID BOX                     begin to cancel a job at a box; repeat it there until it is acknowledged
+//	traffic EVERY FOR                   begin to submit small jobs at all boxes in turn, without waiting
 //	state ID STATE within DURATION      wait for a state of a job; fail if it is not reached
 //	never ID STATE                      fail if the job is in this state
 //	gone ID                             fail if the job is still shown
@@ -232,6 +235,7 @@
 	broken = append(broken, v.Duplicates...)
 	broken = append(broken, v.UnknownStarts...)
 	broken = append(broken, v.InEmptiedHall...)
+	broken = append(broken, v.AfterCancel...)
 	broken = append(broken, v.OverBudget...)
 	broken = append(broken, v.LongWaits...)
 	return append(broken, v.TooEarly...)
@@ -313,6 +317,8 @@
 		return w.checkLeaseTerms(words[1])
 	case "cancel":
 		return w.cancel(job.ID(words[1]))
+	case "leave", "withdraw", "traffic":
+		return w.clientCommand(words)
 	case "state":
 		return w.await(job.ID(words[1]), words[2], words[4])
 	case "never":
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -255,6 +255,7 @@
 		err = n.Entry.Cancel(ctx, c, id)
 		cancel()
 		if err == nil {
+			w.fleet.RecordCancelled(id)
 			return nil
 		}
 	}
--- a/internal/scheduler/forget.go
+++ b/internal/scheduler/forget.go
@@ -17,10 +17,9 @@
 
 // pastJobs is the state of jobs that are not tracked, or that were deleted a short time ago.
 type pastJobs struct {
-	// Cancellations that arrived before their requests, with the time of arrival.
-	earlyCancellations map[job.ID]time.Time
-	otherParts         map[job.ID][]string     // Parts of the store, other than the first one, that hold rows of a job.
-	forgotten          map[job.ID]forgottenJob // Jobs whose rows were deleted recently.
+	earlyCancellations map[job.ID]earlyCancellation // Cancellations of jobs whose requests have not arrived.
+	otherParts         map[job.ID][]string          // Parts of the store, other than the first one, that hold rows of a job.
+	forgotten          map[job.ID]forgottenJob      // Jobs whose rows were deleted recently.
 }
 
 // forgetLoop deletes the rows of old jobs: the requests first and the progress after them, so that a successor
@@ -43,18 +42,27 @@
 			continue
 		}
 		h.mu.Lock()
-		for _, id := range old {
-			h.droppedJobs = append(h.droppedJobs, h.deletionOf(id))
-			h.forget(id)
-		}
+		h.dropDeleted(old)
 		h.mu.Unlock()
 	}
 }
 
+// dropDeleted drops the state of jobs whose requests were deleted, except those that came back meanwhile: the request
+// of a job that was cancelled before may arrive during the deletion.
+func (h *shard) dropDeleted(ids []job.ID) {
+	for _, id := range ids {
+		if j := h.jobs[id]; j != nil && !h.isOld(j) {
+			continue
+		}
+		h.droppedJobs = append(h.droppedJobs, h.deletionOf(id))
+		h.forget(id)
+	}
+}
+
 // forgottenJob is a job whose rows were deleted. A read that began before the deletion may still return the rows, and
 // the job must not start again by them. A new request with the same name has a newer version and does start.
 type forgottenJob struct {
-	version int64 // Newest version of the request's rows.
+	version int64 // Newest version of the rows of the request and of the cancellation.
 	at      time.Time
 }
 
@@ -70,16 +78,28 @@
 	return ledger.JobDeletion{ID: id}
 }
 
-// forget deletes the shard's state of a job, except for its version, which stays in shard.forgotten.
+// isForgotten reports whether a change is a row of a job that was forgotten, which a read returned that began before
+// the row was deleted.
+func (h *shard) isForgotten(c *ledger.Change) bool {
+	f, found := h.forgotten[c.ID]
+	return found && c.Version <= f.version
+}
+
+// recordVersion records the version of a row of the job's request or of its cancellation.
+func (j *trackedJob) recordVersion(version int64) { j.version = max(j.version, version) }
+
+// forget deletes the shard's state of a job, or of a cancellation without a job. The version stays in shard.forgotten.
 func (h *shard) forget(id job.ID) {
+	version := h.earlyCancellations[id].version
 	if j := h.jobs[id]; j != nil {
-		h.forgotten[id] = forgottenJob{j.version, time.Now()}
+		version = max(version, j.version)
 		for s := range j.Request.Steps {
 			delete(h.stepTimes, stepOf(id, s))
 		}
 		h.estimates.forgetJob(j.Request)
 		h.finishSamples(j.Request)
 	}
+	h.forgotten[id] = forgottenJob{version, time.Now()}
 	delete(h.jobs, id)
 	delete(h.dirtyJobs, id)
 	delete(h.earlyCancellations, id)
@@ -93,13 +113,13 @@
 	var ids []job.ID
 	rows := 0
 	for id, j := range h.jobs {
-		if rows < ledger.MaxDeletedRows && j.Progress.State.Final() && j.Progress.EndedAt < oldest.UnixMilli() && len(j.Running()) == 0 && h.isCommitted(id) {
+		if rows < ledger.MaxDeletedRows && h.isOld(j) && len(j.Running()) == 0 && h.isCommitted(id) {
 			ids = append(ids, id)
 			rows += ledger.ProgressRows(&j.Progress)
 		}
 	}
-	for id, at := range h.earlyCancellations {
-		if rows < ledger.MaxDeletedRows && at.Before(oldest) {
+	for id, e := range h.earlyCancellations {
+		if rows < ledger.MaxDeletedRows && e.at.Before(oldest) {
 			ids = append(ids, id)
 			rows++
 		}
@@ -107,6 +127,11 @@
 	return ids
 }
 
+// isOld reports whether a job ended so long ago that it need not be shown any more.
+func (h *shard) isOld(j *trackedJob) bool {
+	return j.Progress.State.Final() && j.Progress.EndedAt < time.Now().Add(-h.Bounds.Retain).UnixMilli()
+}
+
 // takeDropped returns the deleted jobs whose progress rows the next batch deletes, and removes them from the list.
 // While commits fail, more accumulate than fit into one batch.
 func (h *shard) takeDropped() []ledger.JobDeletion {
--- a/internal/scheduler/forget_test.go
+++ b/internal/scheduler/forget_test.go
@@ -16,7 +16,7 @@
 func TestForgottenJobStaysForgotten(t *testing.T) {
 	h := &shard{
 		Scheduler: &Scheduler{Log: zap.NewNop()}, wake: make(chan struct{}, 1), jobs: map[job.ID]*trackedJob{},
-		pastJobs: pastJobs{earlyCancellations: map[job.ID]time.Time{}, otherParts: map[job.ID][]string{}, forgotten: map[job.ID]forgottenJob{}},
+		pastJobs: pastJobs{earlyCancellations: map[job.ID]earlyCancellation{}, otherParts: map[job.ID][]string{}, forgotten: map[job.ID]forgottenJob{}},
 	}
 	stale := []ledger.Change{{ID: "a", Request: request("a", time.Second), Version: 5}, {ID: "a", Request: request("a", time.Second), Version: 7, FallbackPart: "p"}}
 	h.applyChanges(stale, nil)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -137,7 +137,7 @@
 // trackedJob is a job that the scheduler tracks.
 type trackedJob struct {
 	*job.Tracker
-	version    int64                   // Newest version of the request's rows.
+	version    int64                   // Newest version of the rows of the request and of the cancellation.
 	readySince map[job.Group]time.Time // When a group became ready to start.
 	// Names of workers to avoid for a group: true after a failed run, false if the run there never began.
 	avoidWorkers  map[job.Group]map[string]bool
@@ -181,7 +181,7 @@
 		uncommitted: uncommitted{dirtyJobs: map[job.ID]bool{}},
 		plans:       plans{reservations: map[groupKey]reservation{}, noPlanUntil: map[groupKey]time.Time{}, waitLoggedAt: map[groupKey]time.Time{}},
 		pastWorkers: pastWorkers{endedIncarnations: map[string]endedIncarnation{}, presumedLosses: map[incarnation.ID]*presumedLoss{}, pendingStops: map[string]pendingStops{}},
-		pastJobs:    pastJobs{earlyCancellations: map[job.ID]time.Time{}, otherParts: map[job.ID][]string{}, forgotten: map[job.ID]forgottenJob{}},
+		pastJobs:    pastJobs{earlyCancellations: map[job.ID]earlyCancellation{}, otherParts: map[job.ID][]string{}, forgotten: map[job.ID]forgottenJob{}},
 		jobs:        map[job.ID]*trackedJob{}, workers: map[string]*workerState{}, stepTimes: map[groupKey]*stepTimes{},
 	}
 }
@@ -206,18 +206,26 @@
 func (h *shard) applyChanges(list []ledger.Change, progress map[job.ID]*job.Progress) {
 	for i := range list {
 		c := &list[i]
+		if h.isForgotten(c) {
+			continue
+		}
 		if c.FallbackPart != "" && !slices.Contains(h.otherParts[c.ID], c.FallbackPart) {
 			h.otherParts[c.ID] = append(h.otherParts[c.ID], c.FallbackPart)
 		}
-		if c.Request != nil && c.Version > h.forgotten[c.ID].version {
+		if c.Request != nil {
 			h.addJob(c.Request, progress[c.ID])
-			j := h.jobs[c.ID]
-			j.version = max(j.version, c.Version)
+			h.jobs[c.ID].recordVersion(c.Version)
 		}
 	}
 	for i := range list {
-		if list[i].Cancelled {
-			h.cancelJob(list[i].ID)
+		c := &list[i]
+		switch j := h.jobs[c.ID]; {
+		case !c.Cancelled || h.isForgotten(c):
+		case j == nil:
+			h.addEarlyCancellation(c)
+		default:
+			j.recordVersion(c.Version)
+			h.cancelJob(c.ID)
 		}
 	}
 }
@@ -238,36 +246,10 @@
 		h.Log.Info("scheduler: tracking a new job", zap.String("job", string(r.ID)), zap.String("queue", r.Terms.Queue),
 			zap.Int("tasks", len(j.Progress.Tasks)), zap.Int("steps", len(r.Steps)))
 	}
+	h.applyEarlyCancellation(r.ID)
 	h.signal()
 }
 
-// cancelJob cancels a job and stops its runs. If the job's request has not arrived yet, the cancellation is kept
-// in h.earlyCancellations for a while.
-func (h *shard) cancelJob(id job.ID) {
-	j := h.jobs[id]
-	if j == nil {
-		h.earlyCancellations[id] = time.Now()
-		return
-	}
-	if !j.Cancel(time.Now().UnixMilli()) {
-		return
-	}
-	h.Log.Info("scheduler: job cancelled", zap.String("job", string(id)))
-	h.markDirty(id)
-	h.stopJob(id, "cancelled")
-}
-
-// stopJob stops every run of a job.
-func (h *shard) stopJob(id job.ID, why string) {
-	for _, w := range h.workers {
-		for task, r := range w.runs {
-			if task.Job == id {
-				h.stop(w, r, why)
-			}
-		}
-	}
-}
-
 // watchJobs watches the store for requests and cancellations and applies them. When the feed is quiet for too long,
 // it reads all rows.
 func (h *shard) watchJobs(version int64) {
