relay: a short read passes boxes that do not answer

Cause: a read through another box that gave no answer ended after 1.4 s and was not sent anywhere else, as a transaction must not be. Each frozen box cost that time anew, and a read in flight did not notice that the direct path was back.

Change: a read of up to 32 rows goes through a further box each 0.2 s until one answers, and over the direct path once that works. Boxes that were slower than a later one get no calls for a second. The first try of a read of the configuration ends after 0.5 s, or four times what the last one took. A read may be repeated at any time, so that the first answer is as good as any; transactions and longer pages go as before. In the emulator, a caller of a frozen box keeps its own time limit, and a frozen box sends no copies.

Tests, failing before: TestReadsPassBoxesThatDoNotAnswer (with 1, 2 and 4 silent boxes) and TestReadsReturnToTheDirectPath. Holding before and after: TestReadsAreRefusedByTheStore, TestLongPagesAreReadOnce, TestQuickReadsFollowTheStore. internal/node passed.

--- a/internal/emulator/gate.go
+++ b/internal/emulator/gate.go
@@ -52,3 +52,21 @@
 		}
 	}
 }
+
+// await waits until the box is not frozen, or until ctx ends, and reports whether the box answers calls of others.
+func (g *Gate) await(ctx context.Context) bool {
+	for {
+		g.mu.Lock()
+		killed, wait := g.killed, time.Until(g.frozen)
+		g.mu.Unlock()
+		switch {
+		case killed:
+			<-ctx.Done()
+			return false
+		case wait <= 0:
+			return ctx.Err() == nil
+		case !interval.Sleep(ctx, wait):
+			return false
+		}
+	}
+}
--- a/internal/emulator/network.go
+++ b/internal/emulator/network.go
@@ -83,7 +83,7 @@
 		<-ctx.Done()
 		return nil, store.ErrUnknown
 	}
-	if !peer.gate.pass(ctx) {
+	if !peer.gate.await(ctx) {
 		return nil, store.ErrUnknown
 	}
 	return peer, nil
@@ -130,5 +130,9 @@
 	if err != nil {
 		return store.Copy{}, err
 	}
-	return peer.Copy(ctx, q)
+	found, err := peer.Copy(ctx, q)
+	if !peer.gate.await(ctx) { // The other box may have been frozen while the query waited.
+		return store.Copy{}, store.ErrUnknown
+	}
+	return found, err
 }
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -40,8 +40,8 @@
 
 func newWatchedOperator(n *Node) watchedOperator {
 	f := n.follower()
-	f.Wait, f.MaxAge = n.operatorPoll(), maxOperatorCopyAge
-	return watchedOperator{direct: n.platform.Configurations(n.cache), copies: n.platform.Configurations(f), source: f}
+	f.Store, f.Wait, f.MaxAge = &relay.QuickReads{Store: n.store}, n.operatorPoll(), maxOperatorCopyAge
+	return watchedOperator{direct: n.platform.Configurations(&relay.QuickReads{Store: n.cache}), copies: n.platform.Configurations(f), source: f}
 }
 
 // follower returns a store whose reads are answered by boxes of the hall that watch the store.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -65,7 +65,7 @@
 
 // probe reads a row over the direct path if that path is down. Direct records the outcome.
 func (s *Store) probe(ctx context.Context) {
-	if s.Direct.Healthy() && !s.Direct.Suspect() {
+	if s.directWorks() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -86,14 +86,19 @@
 }
 
 // Read implements store.Store.
-func (s *Store) Read(ctx context.Context, r store.Range) (page store.Page, err error) {
-	err = s.call(ctx, func(on store.Store) error {
-		page, err = on.Read(ctx, r)
-		return err
-	})
-	return page, err
+func (s *Store) Read(ctx context.Context, r store.Range) (store.Page, error) {
+	if s.directWorks() {
+		page, err := s.Direct.Read(ctx, r)
+		if !errors.Is(err, store.ErrRefused) || s.Direct.Healthy() {
+			return page, err
+		}
+	}
+	return s.readThroughPeers(ctx, r)
 }
 
+// directWorks reports whether calls go over the direct path.
+func (s *Store) directWorks() bool { return s.Direct.Healthy() && !s.Direct.Suspect() }
+
 // Watch implements store.Store.
 func (s *Store) Watch(ctx context.Context, table string, since int64, wait time.Duration) (page store.Page, err error) {
 	err = s.call(ctx, func(on store.Store) error {
@@ -106,7 +111,7 @@
 // call makes a call over the direct path, or through other boxes if that path is down or its last call got no answer.
 // A call that may have taken effect is not repeated here; the caller decides whether to repeat it.
 func (s *Store) call(ctx context.Context, f func(on store.Store) error) error {
-	if s.Direct.Healthy() && !s.Direct.Suspect() {
+	if s.directWorks() {
 		err := f(&s.Direct)
 		if !errors.Is(err, store.ErrRefused) || s.Direct.Healthy() {
 			return err
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -41,9 +41,14 @@
 
 // runWithThreeBoxes runs f on a site of three boxes, in a synctest bubble.
 func runWithThreeBoxes(t *testing.T, f func(ctx context.Context, t *testing.T, s *site)) {
+	runWithBoxes(t, 3, f)
+}
+
+// runWithBoxes runs f on a site of n boxes, in a synctest bubble.
+func runWithBoxes(t *testing.T, n int, f func(ctx context.Context, t *testing.T, s *site)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		f(ctx, t, newSite(ctx, 3))
+		f(ctx, t, newSite(ctx, n))
 		cancel()
 		time.Sleep(time.Minute) // Lets the goroutines end.
 	})
