relay: a box waits for a watcher no longer than its last read allows

Cause: a box that does not watch the store asks a watcher and gives up after 1.5 s, whatever the age of what it knows. That age is up to 1 s when it asks, so that 2.5 s pass without a read. One frozen watcher is enough; with two in a row a change is likely to fall into the gap.

Reads from the store were neither slow nor failed.

Change: Follower.MaxStale limits the age of the last read, and a watcher is asked only for the time that is left of it: the time within which a configuration must be in force, less 0.4 s for a read, and less 0.5 s more while the box's own path is down. The query's own wait shrinks with it. A read that failed no longer counts as one, and a watcher's suspension no longer makes its copy look newer.

It works for any number, length and order of freezes, as the bound now limits the sum of all waits instead of each of them.

--- a/internal/node/commands_test.go
+++ b/internal/node/commands_test.go
@@ -194,6 +194,7 @@
 			return err
 		}
 		b.gate.Freeze(d)
+		w.impairBox(name, time.Now().Add(d))
 	}
 	return nil
 }
@@ -500,6 +501,7 @@
 	case "cut":
 		w.rejectedBox = w.named(words[1])
 		w.store.Cut(w.rejectedBox)
+		w.impairBox(w.rejectedBox, time.Now())
 	case "refuse":
 		w.rejectedBox = w.named(words[1])
 		w.store.Refuse(w.rejectedBox)
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -23,7 +23,38 @@
 
 // operatorPoll returns the pause between two reads of the operator's instructions while the feed reports no change.
 func (n *Node) operatorPoll() time.Duration {
-	return min(max(n.settings.Load().ConfigurationWithin/2, minOperatorPoll), maxOperatorPoll)
+	poll := min(max(n.settings.Load().ConfigurationWithin/2, minOperatorPoll), maxOperatorPoll)
+	if latest := n.latestOperatorRead(); latest > 0 {
+		poll = min(poll, latest)
+	}
+	return poll
+}
+
+const (
+	// operatorReadReserve is the part of ConfigurationWithin that is kept for a read from the store. The store at its
+	// slowest answers after about 400 ms.
+	operatorReadReserve = 400 * time.Millisecond
+	// indirectReadReserve is kept in addition while the direct path to the store is down, for other boxes that don't
+	// answer.
+	indirectReadReserve = 500 * time.Millisecond
+	// watcherDelay is how much later than operatorPoll a box may learn from another one that nothing has changed.
+	watcherDelay = 600 * time.Millisecond
+)
+
+// latestOperatorRead returns how old the instructions may be when this box begins to read them from the store, so that
+// the result comes within ConfigurationWithin; 0 if that is not limited.
+func (n *Node) latestOperatorRead() time.Duration {
+	within, reserve := n.settings.Load().ConfigurationWithin, operatorReadReserve
+	if !n.relay.Direct.Healthy() {
+		reserve += indirectReadReserve
+	}
+	return max(within-reserve, within/4)
+}
+
+// maxOperatorStale returns how old the instructions may become before this box reads them from the store, whatever the
+// boxes that it asks do; 0 for no limit.
+func (n *Node) maxOperatorStale() time.Duration {
+	return min(n.latestOperatorRead(), n.operatorPoll()+watcherDelay)
 }
 
 // maxOperatorCopyAge is the maximum age of the copy of the instructions that another box has read. Watchers read them
@@ -40,23 +71,24 @@
 
 func newWatchedOperator(n *Node) watchedOperator {
 	f := n.follower()
-	f.Store, f.Wait, f.MaxAge = &relay.QuickReads{Store: n.store}, n.operatorPoll(), maxOperatorCopyAge
+	f.Store, f.MaxAge = &relay.QuickReads{Store: n.store}, maxOperatorCopyAge
 	return watchedOperator{direct: n.platform.Configurations(&relay.QuickReads{Store: n.cache}), copies: n.platform.Configurations(f), source: f}
 }
 
 // follower returns a store whose reads are answered by boxes of the hall that watch the store.
 func (n *Node) follower() *relay.Follower {
-	return &relay.Follower{Store: n.store, Directory: &n.relay.Directory, Network: n.platform.Network, Figures: &n.Metrics}
+	return &relay.Follower{Store: n.store, Directory: &n.relay.Directory, Network: n.platform.Network, Log: n.log, Figures: &n.Metrics}
 }
 
 // read returns the operator's instructions, the time up to which they include every change, and the pause before the
 // next read. It reads from the store if direct is set, and otherwise asks a box of the hall that watches the store.
-func (o *watchedOperator) read(ctx context.Context, direct bool, poll time.Duration) (in queue.Instructions, asOf time.Time, pause time.Duration, err error) {
+func (o *watchedOperator) read(ctx context.Context, direct bool, poll, maxStale time.Duration) (in queue.Instructions, asOf time.Time, pause time.Duration, err error) {
 	if direct {
 		asOf = time.Now()
 		in, err = o.direct.Read(ctx)
 		return in, asOf, poll, err
 	}
+	o.source.Wait, o.source.MaxStale = poll, maxStale
 	in, err = o.copies.Read(ctx)
 	if o.source.Copied() {
 		poll = minCopyInterval // No longer pause is needed: the other box delays its answer until the rows change.
@@ -77,7 +109,7 @@
 	watched := false
 	for ctx.Err() == nil {
 		suspended := n.platform.Suspended()
-		in, asOf, pause, err := n.operator.read(ctx, n.watches(), n.operatorPoll())
+		in, asOf, pause, err := n.operator.read(ctx, n.watches(), n.operatorPoll(), n.maxOperatorStale())
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -98,6 +98,9 @@
 //	cancel ID
 //	leave ID BOX QUEUE KEY [WORDS]      submit a job at a box without waiting for the answer, as a client that leaves
 //	withdraw ID BOX                     begin to cancel a job at a box; repeat it there until it is acknowledged
+//	within DURATION                     how soon a configuration must be in force; before boxes
+//	configure                           the operator writes a new configuration; from then on, fail if a box that is not
+//	                                    frozen, and was not for 3 s, has one in force later than that
 //	traffic EVERY FOR                   begin to submit small jobs at all boxes in turn, without waiting
 //	state ID STATE within DURATION      wait for a state of a job; fail if it is not reached
 //	never ID STATE                      fail if the job is in this state
@@ -236,6 +239,7 @@
 	broken = append(broken, v.UnknownStarts...)
 	broken = append(broken, v.InEmptiedHall...)
 	broken = append(broken, v.AfterCancel...)
+	broken = append(broken, w.describeOldConfigurations()...)
 	broken = append(broken, v.OverBudget...)
 	broken = append(broken, v.LongWaits...)
 	return append(broken, v.TooEarly...)
@@ -317,6 +321,8 @@
 		return w.checkLeaseTerms(words[1])
 	case "cancel":
 		return w.cancel(job.ID(words[1]))
+	case "configure", "within":
+		return w.configurationCommand(words)
 	case "leave", "withdraw", "traffic":
 		return w.clientCommand(words)
 	case "state":
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -43,6 +44,9 @@
 	log      *zap.Logger
 	halls    []string
 
+	// configurationWithin is the time within which a new configuration must be in force.
+	configurationWithin time.Duration
+
 	mu          sync.Mutex
 	rejectedBox string // The box that the store cut off or refused last.
 	boxes       map[string]*testBox
@@ -53,6 +57,8 @@
 	names       map[string]string // Workers by the names that the script gave them.
 	workers     []string
 	retain      time.Duration // How long a job is shown after its end.
+	// oldConfigurations holds, by box, the newest configuration that was not in force in time.
+	oldConfigurations map[string]int64
 }
 
 // testBox is a box and the functions that end it.
@@ -62,16 +68,18 @@
 	shutDown context.CancelFunc // Shuts the box down gracefully.
 	kill     context.CancelFunc
 	killed   context.Context // Ends once the box is killed.
+	// impairedUntil is the time until which the box was last frozen, or at which it started.
+	impairedUntil time.Time
 }
 
 // operator holds the instructions of the operator. They are written to the store and read from there by the boxes.
 type operator struct {
 	mu      sync.Mutex
-	current queue.Configuration
-	emptied map[string]bool
+	current queue.Configuration // The first configuration, which needs no row.
+	later   []operatorVersion   // Those that were written since.
 }
 
-// operatorTable holds a row for each emptied hall.
+// operatorTable holds a row for each emptied hall, and one with the number of the newest configuration.
 const operatorTable = "operator"
 
 // instructions reads the rows of the operator as a box does; it implements Configurations.
@@ -82,13 +90,19 @@
 
 // Read implements Configurations.
 func (c *instructions) Read(ctx context.Context) (queue.Instructions, error) {
-	page, err := c.store.Read(ctx, store.Range{Table: operatorTable})
+	page, err := c.store.Read(ctx, store.Range{Table: operatorTable, Limit: 32})
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	copied := c.current
 	in := queue.Instructions{Configuration: &copied, Version: page.Version}
 	for i := range page.Rows {
-		in.Emptied = append(in.Emptied, page.Rows[i].Name)
+		if row := &page.Rows[i]; row.Name != configurationRow {
+			in.Emptied = append(in.Emptied, row.Name)
+			continue
+		}
+		if copied.Version, err = strconv.ParseInt(string(page.Rows[i].Value), 10, 64); err != nil {
+			return in, err
+		}
 	}
 	return in, err
 }
@@ -127,7 +141,7 @@
 	go workers.WatchWaits()
 	return &world{
 		ctx: ctx, store: emulator.NewStore(seed), fleet: workers, log: log,
-		operator: &operator{current: config}, boxes: map[string]*testBox{},
+		operator: &operator{current: config}, configurationWithin: testConfiguration, boxes: map[string]*testBox{},
 		accepted: map[job.ID]*job.Request{}, poisoned: map[job.ID]bool{}, names: map[string]string{}, retain: time.Minute,
 	}
 }
@@ -141,7 +155,7 @@
 		Configurations: func(s store.Store) Configurations { return &instructions{w.operator, s} },
 		Directory:      func(store.Store, *measure.Metrics) scheduler.Directory { return view },
 	}
-	s := &Settings{Box: name, Hall: name[:strings.LastIndex(name, "-")], Relay: name, Halls: w.halls, ConfigurationWithin: testConfiguration, StopAfter: 6 * time.Second, Bounds: scheduler.Bounds{
+	s := &Settings{Box: name, Hall: name[:strings.LastIndex(name, "-")], Relay: name, Halls: w.halls, ConfigurationWithin: w.configurationWithin, StopAfter: 6 * time.Second, Bounds: scheduler.Bounds{
 		MaxLease: testMaxLease, StopTime: testStopTime, MinStay: testStayTime, GangWait: testGangWait, Retain: w.retain, EmptiedGrace: testEmptied,
 		Policy: placement.Policy{RemoteFactor: 3, GuaranteedStartLimit: 3 * time.Second, MaxStopTime: testStopTime, WasteCost: 0.0015},
 	}}
@@ -154,7 +168,7 @@
 	if !slices.Contains(w.clientBoxes, name) {
 		w.clientBoxes = append(w.clientBoxes, name)
 	}
-	w.boxes[name] = &testBox{n, gate, plan, kill, killed}
+	w.boxes[name] = &testBox{n, gate, plan, kill, killed, time.Now()}
 	w.group.Go(func() { n.Work(planned, killed) })
 }
 
--- a/internal/relay/cache.go
+++ b/internal/relay/cache.go
@@ -67,8 +67,9 @@
 func (c *Cache) Copy(ctx context.Context, q store.Query) (store.Copy, error) {
 	began := time.Now()
 	for {
+		waited := time.Since(began) // Before the lookup: the process may be suspended at any moment.
 		found, changed, err := c.lookup(&q)
-		found.Waited = time.Since(began)
+		found.Waited = waited
 		if err != nil || found.Digest != q.Known || found.Waited >= q.Wait {
 			return found, err
 		}
--- a/internal/relay/cache_test.go
+++ b/internal/relay/cache_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/frankban/quicktest"
 	"github.com/pulleyring/pulleyring/internal/store"
+	"go.uber.org/zap"
 )
 
 // TestCacheServesOnlyRecentReads guards against a cache that serves rows which it never read or read too long ago,
@@ -64,7 +65,7 @@
 			}
 		}
 		s.store.SetLatency(300 * time.Millisecond)
-		f := &Follower{Store: last, Directory: &last.Directory, Network: last.Network, MaxAge: time.Second}
+		f := &Follower{Store: last, Directory: &last.Directory, Network: last.Network, Log: zap.NewNop(), MaxAge: time.Second}
 		failed := 0
 		for range 20 {
 			bounded, stop := context.WithTimeout(ctx, 700*time.Millisecond)
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/pulleyring/pulleyring/internal/logsink"
 	"github.com/pulleyring/pulleyring/internal/measure"
 	"github.com/pulleyring/pulleyring/internal/store"
+	"go.uber.org/zap"
 )
 
 // Follower is a store whose reads are answered by the watchers of the hall, which read the same rows, so that the
@@ -16,9 +18,13 @@
 	store.Store // For all other calls, and for reads that no watcher answers.
 	Directory   *PeerDirectory
 	Network     Network
+	Log         *zap.Logger
 	Figures     *measure.Metrics
 	Wait        time.Duration // How long a watcher may delay its answer while the rows are unchanged.
 	MaxAge      time.Duration // Maximum age of rows that a watcher has read.
+	// MaxStale limits the age of AsOf. Once it is reached, rows are read from the store, however long a watcher has been
+	// waited for. The limit holds as long as Read is called without long pauses; 0 for no limit.
+	MaxStale time.Duration
 
 	lastPages    map[store.Range]copiedPage
 	asOf         time.Time
@@ -36,6 +42,8 @@
 const (
 	// copyTimeout limits the wait for a watcher's answer, beyond the query's own wait.
 	copyTimeout = 500 * time.Millisecond
+	// minCopyTime is the least time left within MaxStale in which a watcher is asked. It usually answers within a few ms.
+	minCopyTime = 100 * time.Millisecond
 	// copyBackoff is how long no watcher is asked after one failed to answer. Until then reads go straight to the store,
 	// so that a caller's deadline is not spent on watchers.
 	copyBackoff = 4 * time.Second
@@ -49,28 +57,44 @@
 
 // Read implements store.Store.
 func (f *Follower) Read(ctx context.Context, r store.Range) (store.Page, error) {
-	if address := f.Directory.watcherAddress(f.watcherIndex); address != "" && time.Since(f.lastFailure) > copyBackoff {
-		page, err := f.copyFrom(ctx, address, r)
+	timeout, asked := f.copyTimeLeft(), time.Now()
+	if address := f.Directory.watcherAddress(f.watcherIndex); address != "" && timeout >= minCopyTime && time.Since(f.lastFailure) > copyBackoff {
+		page, err := f.copyFrom(ctx, address, r, timeout)
 		if f.lastCopied = err == nil; f.lastCopied {
 			f.Figures.Count("follower_copied")
 			return page, nil
 		}
 		f.Figures.Count("follower_missed")
+		f.Log.Info("relay: a box that watches the store gave no usable answer; reading from the store", zap.String("address", address),
+			zap.String("table", r.Table), zap.Duration("took", time.Since(asked)), zap.Duration("last_read", time.Since(f.asOf)), logsink.Error(err))
 		f.watcherIndex++ // Try another watcher next time.
 		f.lastFailure = time.Now()
 	}
-	f.lastCopied, f.asOf = false, time.Now()
-	return f.Store.Read(ctx, r)
+	f.lastCopied, asked = false, time.Now()
+	page, err := f.Store.Read(ctx, r)
+	if err == nil {
+		f.asOf = asked
+	}
+	return page, err
+}
+
+// copyTimeLeft returns how long the answer of a watcher may take.
+func (f *Follower) copyTimeLeft() time.Duration {
+	timeout := f.Wait + copyTimeout
+	if f.MaxStale > 0 {
+		timeout = min(timeout, f.MaxStale-time.Since(f.asOf))
+	}
+	return timeout
 }
 
-// copyFrom asks the watcher at an address for the rows of a range. It returns an error if the watcher's rows differ
-// from the last ones and are older.
-func (f *Follower) copyFrom(ctx context.Context, address string, r store.Range) (store.Page, error) {
+// copyFrom asks the watcher at an address for the rows of a range. It returns an error if the answer takes longer than
+// timeout, if the watcher's rows differ from the last ones and are older, or if they are older than MaxStale.
+func (f *Follower) copyFrom(ctx context.Context, address string, r store.Range, timeout time.Duration) (store.Page, error) {
 	known := f.lastPages[r]
 	asked := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, f.Wait+copyTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	found, err := f.Network.Peer(address).Copy(ctx, store.Query{Range: r, Known: known.digest, Wait: f.Wait, MaxAge: f.MaxAge})
+	found, err := f.Network.Peer(address).Copy(ctx, store.Query{Range: r, Known: known.digest, Wait: max(timeout-copyTimeout, 0), MaxAge: f.MaxAge})
 	if err != nil {
 		return store.Page{}, err
 	}
@@ -78,6 +102,8 @@
 	switch {
 	case asOf.Before(f.asOf) && found.Digest != known.digest:
 		return store.Page{}, errors.New("relay: the copied rows are older than those read before; reading from the store")
+	case f.MaxStale > 0 && time.Since(asOf) > f.MaxStale:
+		return store.Page{}, errors.New("relay: the copied rows are too old; reading from the store")
 	case found.Digest == known.digest:
 		found.Page = known.page
 	}
