relay: a follower whose reads fail still asks the watchers

TestFollowerKeepsMaxStale draws silent watchers and holds the limit itself; it fails if MaxStale is ignored.

The line for a watcher without a usable answer no longer says that the store is read, which is not so for the load.

--- a/internal/emulator/cancels.go
+++ b/internal/emulator/cancels.go
@@ -36,8 +36,8 @@
 // were known. The caller holds the lock.
 func (f *Fleet) checkCancelledRuns() {
 	for t := range f.checker.running {
-		if at, cancelled := f.checker.cancelledAt[t.Job]; cancelled && time.Since(at) > quietPeriod && !f.checker.reported[t.Job] {
-			f.checker.reported[t.Job] = true
+		if at, cancelled := f.checker.cancelledAt[t.Job]; cancelled && time.Since(at) > quietPeriod {
+			delete(f.checker.cancelledAt, t.Job) // It is reported once.
 			f.checker.verdict.AfterCancel = append(f.checker.verdict.AfterCancel, fmt.Sprintf("%s still runs %s after its job was cancelled", t, time.Since(at)))
 		}
 	}
--- a/internal/emulator/gate.go
+++ b/internal/emulator/gate.go
@@ -33,9 +33,15 @@
 	g.killed = true
 }
 
-// pass waits while the box is frozen and reports whether the call may proceed. A call of a killed box waits until its
-// context ends.
-func (g *Gate) pass(ctx context.Context) bool {
+// pass waits while the box is frozen and reports whether a call of the box may proceed. The box itself is frozen, so the
+// wait goes on when ctx ends. A call of a killed box waits until its context ends.
+func (g *Gate) pass(ctx context.Context) bool { return g.wait(ctx, context.WithoutCancel(ctx)) }
+
+// await is pass for a call of another box, which waits until ctx ends at most.
+func (g *Gate) await(ctx context.Context) bool { return g.wait(ctx, ctx) }
+
+// wait implements pass and await; the wait while the box is frozen ends with sleep.
+func (g *Gate) wait(ctx, sleep context.Context) bool {
 	for {
 		g.mu.Lock()
 		killed, wait := g.killed, time.Until(g.frozen)
@@ -47,25 +53,7 @@
 		if wait <= 0 {
 			return ctx.Err() == nil
 		}
-		if !interval.Sleep(context.WithoutCancel(ctx), wait) {
-			return false
-		}
-	}
-}
-
-// await waits until the box is not frozen, or until ctx ends, and reports whether the box answers calls of others.
-func (g *Gate) await(ctx context.Context) bool {
-	for {
-		g.mu.Lock()
-		killed, wait := g.killed, time.Until(g.frozen)
-		g.mu.Unlock()
-		switch {
-		case killed:
-			<-ctx.Done()
-			return false
-		case wait <= 0:
-			return ctx.Err() == nil
-		case !interval.Sleep(ctx, wait):
+		if !interval.Sleep(sleep, wait) {
 			return false
 		}
 	}
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -22,8 +22,8 @@
 	Figures     *measure.Metrics
 	Wait        time.Duration // How long a watcher may delay its answer while the rows are unchanged.
 	MaxAge      time.Duration // Maximum age of rows that a watcher has read.
-	// MaxStale limits the age of AsOf. Once it is reached, rows are read from the store, however long a watcher has been
-	// waited for. The limit holds as long as Read is called without long pauses; 0 for no limit.
+	// MaxStale limits the age of AsOf: a watcher is waited for until it is reached, and the rows are then read from the
+	// store. The limit holds as long as Read is called without long pauses; 0 for no limit.
 	MaxStale time.Duration
 
 	lastPages    map[store.Range]copiedPage
@@ -57,24 +57,24 @@
 
 // Read implements store.Store.
 func (f *Follower) Read(ctx context.Context, r store.Range) (store.Page, error) {
-	timeout, asked := f.copyTimeLeft(), time.Now()
-	if address := f.Directory.watcherAddress(f.watcherIndex); address != "" && timeout >= minCopyTime && time.Since(f.lastFailure) > copyBackoff {
-		page, err := f.copyFrom(ctx, address, r, timeout)
-		if f.lastCopied = err == nil; f.lastCopied {
-			f.Figures.Count("follower_copied")
+	timeout := f.copyTimeLeft()
+	if timeout >= minCopyTime {
+		if page, ok := f.copyPage(ctx, r, timeout); ok {
 			return page, nil
 		}
-		f.Figures.Count("follower_missed")
-		f.Log.Info("relay: a box that watches the store gave no usable answer; reading from the store", zap.String("address", address),
-			zap.String("table", r.Table), zap.Duration("took", time.Since(asked)), zap.Duration("last_read", time.Since(f.asOf)), logsink.Error(err))
-		f.watcherIndex++ // Try another watcher next time.
-		f.lastFailure = time.Now()
 	}
-	f.lastCopied, asked = false, time.Now()
+	asked := time.Now()
 	page, err := f.Store.Read(ctx, r)
 	if err == nil {
-		f.asOf = asked
+		f.asOf, f.lastCopied = asked, false
+		return page, nil
 	}
+	if timeout < minCopyTime { // A watcher may still know more than this box.
+		if page, ok := f.copyPage(ctx, r, copyTimeout); ok {
+			return page, nil
+		}
+	}
+	f.lastCopied = false
 	return page, err
 }
 
@@ -87,8 +87,29 @@
 	return timeout
 }
 
+// copyPage asks a watcher for the rows of a range; ok is false if there is none, or no usable answer within timeout.
+func (f *Follower) copyPage(ctx context.Context, r store.Range, timeout time.Duration) (page store.Page, ok bool) {
+	address := f.Directory.watcherAddress(f.watcherIndex)
+	if address == "" || time.Since(f.lastFailure) <= copyBackoff {
+		return store.Page{}, false
+	}
+	asked := time.Now()
+	page, err := f.copyFrom(ctx, address, r, timeout)
+	if err == nil {
+		f.Figures.Count("follower_copied")
+		f.lastCopied = true
+		return page, true
+	}
+	f.Figures.Count("follower_missed")
+	f.Log.Info("relay: a box that watches the store gave no usable answer", zap.String("address", address), zap.String("table", r.Table),
+		zap.Duration("took", time.Since(asked)), zap.Duration("last_read", time.Since(f.asOf)), logsink.Error(err))
+	f.watcherIndex++ // Try another watcher next time.
+	f.lastFailure = time.Now()
+	return store.Page{}, false
+}
+
 // copyFrom asks the watcher at an address for the rows of a range. It returns an error if the answer takes longer than
-// timeout, if the watcher's rows differ from the last ones and are older, or if they are older than MaxStale.
+// timeout, or if the watcher's rows differ from the last ones and are older.
 func (f *Follower) copyFrom(ctx context.Context, address string, r store.Range, timeout time.Duration) (store.Page, error) {
 	known := f.lastPages[r]
 	asked := time.Now()
@@ -102,8 +123,6 @@
 	switch {
 	case asOf.Before(f.asOf) && found.Digest != known.digest:
 		return store.Page{}, errors.New("relay: the copied rows are older than those read before; reading from the store")
-	case f.MaxStale > 0 && time.Since(asOf) > f.MaxStale:
-		return store.Page{}, errors.New("relay: the copied rows are too old; reading from the store")
 	case found.Digest == known.digest:
 		found.Page = known.page
 	}
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -24,66 +24,78 @@
 	err    error
 }
 
+// hedgedRead is a read through other boxes that is under way.
+type hedgedRead struct {
+	*Store
+	peers    []*peer
+	answers  chan peerRead
+	answered []bool // Which of the peers have answered.
+	asked    int    // Number of peers that were asked, in order.
+	pending  int    // Number of these that have not answered.
+	refusals int
+	unknown  error // Set if a peer gave no answer.
+}
+
 // readThroughPeers reads through other boxes. If one does not answer soon, for instance because it is frozen, the next
 // one is asked too, and the first answer counts: unlike a transaction, a read may be repeated at any time. It reads over
 // the direct path once that works again, or if no other box reaches the store.
 func (s *Store) readThroughPeers(ctx context.Context, r store.Range) (store.Page, error) {
-	peers := s.peers()
 	within, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answers := make(chan peerRead, len(peers))
-	answered := make([]bool, len(peers))
-	asked, pending, refusals := 0, 0, 0
+	peers := s.peers()
+	h := &hedgedRead{Store: s, peers: peers, answers: make(chan peerRead, len(peers)), answered: make([]bool, len(peers))}
 	hedged := r.Limit > 0 && r.Limit <= maxHedgedRows
-	var unknown error
-	for {
-		if asked < len(peers) && (pending == 0 || hedged) && within.Err() == nil {
-			go s.readThrough(within, peers[asked], asked, r, answers)
-			asked++
-			pending++
-		}
-		if pending == 0 {
-			break
-		}
-		a, ok := awaitRead(answers)
-		if !ok {
-			if hedged && s.directWorks() {
-				return s.Direct.Read(ctx, r)
-			}
-			if hedged && asked < len(peers) {
-				s.Figures.Count("relay_read_hedged")
-			}
-			continue
-		}
-		pending--
-		answered[a.number] = true
-		s.Directory.recordResult(within, peers[a.number], a.err, s.Log)
+	for h.askNext(within, r, hedged) {
+		a, ok := awaitRead(h.answers)
 		switch {
-		case errors.Is(a.err, store.ErrUnknown):
-			unknown = a.err
-		case errors.Is(a.err, store.ErrUnreachable):
-		case errors.Is(a.err, store.ErrRefused):
-			if refusals++; refusals >= maxRefusals {
-				return store.Page{}, a.err
-			}
-		default:
-			s.recordSlower(within, peers[:a.number], answered)
+		case ok && h.decides(within, &a):
 			return a.page, a.err
+		case !ok && hedged && s.directWorks():
+			return s.Direct.Read(ctx, r)
 		}
 	}
-	if unknown != nil {
-		return store.Page{}, unknown
+	if h.unknown != nil {
+		return store.Page{}, h.unknown
 	}
 	return s.Direct.Read(ctx, r)
 }
 
-// recordSlower records that boxes which were asked earlier than the one that answered have not answered.
-func (s *Store) recordSlower(ctx context.Context, earlier []*peer, answered []bool) {
-	for n, p := range earlier {
-		if !answered[n] {
-			s.Directory.recordResult(ctx, p, store.ErrUnknown, s.Log)
+// askNext asks the next peer, unless an answer is pending and the read is not hedged. It reports whether any answer is
+// pending.
+func (h *hedgedRead) askNext(ctx context.Context, r store.Range, hedged bool) bool {
+	if h.asked < len(h.peers) && (h.pending == 0 || hedged) && ctx.Err() == nil {
+		if h.pending > 0 {
+			h.Figures.Count("relay_read_hedged")
+		}
+		go h.readThrough(ctx, h.peers[h.asked], h.asked, r, h.answers)
+		h.asked++
+		h.pending++
+	}
+	return h.pending > 0
+}
+
+// decides records an answer and reports whether it is the outcome of the read. Peers that were asked before the one that
+// read the page, and have not answered, count as failed.
+func (h *hedgedRead) decides(ctx context.Context, a *peerRead) bool {
+	h.pending--
+	h.answered[a.number] = true
+	h.Directory.recordResult(ctx, h.peers[a.number], a.err, h.Log)
+	switch {
+	case errors.Is(a.err, store.ErrUnknown):
+		h.unknown = a.err
+		return false
+	case errors.Is(a.err, store.ErrUnreachable):
+		return false
+	case errors.Is(a.err, store.ErrRefused):
+		h.refusals++
+		return h.refusals >= maxRefusals
+	}
+	for n, p := range h.peers[:a.number] {
+		if !h.answered[n] {
+			h.Directory.recordResult(ctx, p, store.ErrUnknown, h.Log)
 		}
 	}
+	return true
 }
 
 // readThrough reads through one box and sends the outcome to answers.
