emulator: starts of cancelled jobs are judged as soon as boxes are in touch

The judge waited 3 s longer than the users' rule does, which counts a start more than 3 s after the acknowledgement by a box without a fault for 3 s.

--- a/internal/emulator/cancels.go
+++ b/internal/emulator/cancels.go
@@ -22,11 +22,12 @@
 	}
 }
 
-// checkCancelled finds starts of tasks whose job was cancelled more than cancelTime ago, all of it without a fault of
-// the boxes or the store. Commands that the worker itself carried out late don't count. The caller holds the lock.
+// checkCancelled finds starts of tasks whose job was cancelled more than cancelTime ago, unless the boxes or the store
+// had a fault in the last stablePeriod. Commands that the worker itself carried out late don't count. The caller holds
+// the lock.
 func (f *Fleet) checkCancelled(w *worker, a *taskRun) {
 	at, cancelled := f.checker.cancelledAt[a.task.Job]
-	if since := time.Since(at); cancelled && !w.runsDelayedCommand && since > cancelTime && f.checker.isStableBefore(time.Now().Add(-cancelTime)) {
+	if since := time.Since(at); cancelled && !w.runsDelayedCommand && since > cancelTime && f.checker.isStableBefore(time.Now()) {
 		c := &f.checker.verdict
 		c.AfterCancel = append(c.AfterCancel, fmt.Sprintf("%s started on %s %s after its job was cancelled", a.task, w.record.ID, since))
 	}
