--- a/internal/node/commands_test.go
+++ b/internal/node/commands_test.go
@@ -483,7 +483,7 @@
 		w.network.Heal()
 	case "part_out":
 		w.store.FailPart("") // This part holds the rows of the operator.
-	case "requests_out":
+	case "requests_out": // Two of the parts that hold requests and cancellations.
 		w.store.FailPart(Shard + "/0")
 		w.store.FailPart(Shard + "/3")
 	case "compact":
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -24,8 +24,8 @@
 // operatorPoll returns the pause between two reads of the operator's instructions while the feed reports no change.
 func (n *Node) operatorPoll() time.Duration {
 	poll := min(max(n.settings.Load().ConfigurationWithin/2, minOperatorPoll), maxOperatorPoll)
-	if latest := n.latestOperatorRead(); latest > 0 {
-		poll = min(poll, latest)
+	if deadline := n.operatorReadDeadline(); deadline > 0 {
+		poll = min(poll, deadline)
 	}
 	return poll
 }
@@ -37,13 +37,14 @@
 	// indirectReadReserve is kept in addition while the direct path to the store is down, for other boxes that don't
 	// answer.
 	indirectReadReserve = 500 * time.Millisecond
-	// watcherDelay is how much later than operatorPoll a box may learn from another one that nothing has changed.
+	// watcherDelay is how much longer than operatorPoll a box waits for news of its watcher. Answers usually come once per
+	// operatorPoll, so an earlier read from the store would be wasted.
 	watcherDelay = 600 * time.Millisecond
 )
 
-// latestOperatorRead returns how old the instructions may be when this box begins to read them from the store, so that
-// the result comes within ConfigurationWithin; 0 if that is not limited.
-func (n *Node) latestOperatorRead() time.Duration {
+// operatorReadDeadline returns the age of the instructions at which this box must begin to read them from the store, so
+// that the result comes within ConfigurationWithin; 0 if that is not limited.
+func (n *Node) operatorReadDeadline() time.Duration {
 	within, reserve := n.settings.Load().ConfigurationWithin, operatorReadReserve
 	if !n.relay.Direct.Healthy() {
 		reserve += indirectReadReserve
@@ -54,7 +55,7 @@
 // maxOperatorStale returns how old the instructions may become before this box reads them from the store, whatever the
 // boxes that it asks do; 0 for no limit.
 func (n *Node) maxOperatorStale() time.Duration {
-	return min(n.latestOperatorRead(), n.operatorPoll()+watcherDelay)
+	return min(n.operatorReadDeadline(), n.operatorPoll()+watcherDelay)
 }
 
 // maxOperatorCopyAge is the maximum age of the copy of the instructions that another box has read. Watchers read them
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -68,7 +68,8 @@
 	shutDown context.CancelFunc // Shuts the box down gracefully.
 	kill     context.CancelFunc
 	killed   context.Context // Ends once the box is killed.
-	// impairedUntil is the time until which the box was last frozen, or at which it started.
+	// impairedUntil is the time until which the box was frozen, or at which it was started or cut off from the store, if
+	// that was later.
 	impairedUntil time.Time
 }
 
