node: a box that read the configuration itself asks a watcher at once

After a read from the store that was due because what the box knew was old, it paused for a whole poll before it asked a watcher.

--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -91,7 +91,7 @@
 	}
 	o.source.Wait, o.source.MaxStale = poll, maxStale
 	in, err = o.copies.Read(ctx)
-	if o.source.Copied() {
+	if o.source.AsksWatcher() {
 		poll = minCopyInterval // No longer pause is needed: the other box delays its answer until the rows change.
 	}
 	return in, o.source.AsOf(), poll, err
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -28,7 +28,6 @@
 
 	lastPages    map[store.Range]copiedPage
 	asOf         time.Time
-	lastCopied   bool
 	watcherIndex int       // Selects the watcher that is asked.
 	lastFailure  time.Time // When a watcher last failed to answer.
 }
@@ -52,8 +51,16 @@
 // AsOf returns a time at or after which the rows of the last page were read from the store.
 func (f *Follower) AsOf() time.Time { return f.asOf }
 
-// Copied reports whether the last page came from a watcher.
-func (f *Follower) Copied() bool { return f.lastCopied }
+// AsksWatcher reports whether the next read asks a watcher, which delays its answer while the rows are unchanged.
+func (f *Follower) AsksWatcher() bool { return f.watcher() != "" }
+
+// watcher returns the address of the watcher to ask; an empty string if there is none, or if one failed to answer lately.
+func (f *Follower) watcher() string {
+	if time.Since(f.lastFailure) <= copyBackoff {
+		return ""
+	}
+	return f.Directory.watcherAddress(f.watcherIndex)
+}
 
 // Read implements store.Store.
 func (f *Follower) Read(ctx context.Context, r store.Range) (store.Page, error) {
@@ -66,7 +73,7 @@
 	asked := time.Now()
 	page, err := f.Store.Read(ctx, r)
 	if err == nil {
-		f.asOf, f.lastCopied = asked, false
+		f.asOf = asked
 		return page, nil
 	}
 	if timeout < minCopyTime { // A watcher may still know more than this box.
@@ -74,7 +81,6 @@
 			return page, nil
 		}
 	}
-	f.lastCopied = false
 	return page, err
 }
 
@@ -89,15 +95,14 @@
 
 // copyPage asks a watcher for the rows of a range; ok is false if there is none, or no usable answer within timeout.
 func (f *Follower) copyPage(ctx context.Context, r store.Range, timeout time.Duration) (page store.Page, ok bool) {
-	address := f.Directory.watcherAddress(f.watcherIndex)
-	if address == "" || time.Since(f.lastFailure) <= copyBackoff {
+	address := f.watcher()
+	if address == "" {
 		return store.Page{}, false
 	}
 	asked := time.Now()
 	page, err := f.copyFrom(ctx, address, r, timeout)
 	if err == nil {
 		f.Figures.Count("follower_copied")
-		f.lastCopied = true
 		return page, true
 	}
 	f.Figures.Count("follower_missed")
