--- a/internal/relay/follower_test.go
+++ b/internal/relay/follower_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,7 +44,7 @@
 		maxStale := time.Duration(rapid.SampledFrom([]int{300, 600, 1600, 2100, 5000}).Draw(r, "ms")) * time.Millisecond
 		silences := rapid.SliceOfN(rapid.IntRange(0, 5000), 1, 12).Draw(r, "silences")
 		var oldest time.Duration
-		synctest.Test(t, func(t *testing.T) {
+		synctest.Test(t, func(*testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
 			s := newSite(ctx, 5)
 			f, watchers := s.newFollower(ctx)
@@ -97,7 +96,7 @@
 			quicktest.Check(t, err, quicktest.IsNil, quicktest.Commentf("read %d", n))
 			time.Sleep(time.Second)
 		}
-		quicktest.Check(t, time.Since(f.AsOf()) < 3*time.Second, quicktest.IsTrue, quicktest.Commentf(fmt.Sprint(time.Since(f.AsOf()))))
+		quicktest.Check(t, time.Since(f.AsOf()) < 3*time.Second, quicktest.IsTrue, quicktest.Commentf("%v", time.Since(f.AsOf())))
 		cancel()
 		time.Sleep(time.Minute) // Lets the goroutines end.
 	})
