--- a/internal/node/random_test.go
+++ b/internal/node/random_test.go
@@ -51,10 +51,12 @@
 
 const (
 	// drawnParts is how many subtests play random scripts in parallel. lateParts is the same for scripts that last
-	// many minutes, and secondStartParts for those with second starts of boxes.
+	// many minutes, secondStartParts for those with second starts of boxes, and leavingParts for those with hundreds of
+	// jobs.
 	drawnParts       = 8
 	lateParts        = 2
 	secondStartParts = 2
+	leavingParts     = 2
 )
 
 func checkDrawn(t *testing.T, draw func(r *rapid.T, shard int) []string) {
