internal/ingress: tests that play clients that misbehave against box processes

The tests start box processes on loopback with the descriptors, one core and the memory of a machine of the users, beside a store and workers, and play crowds that testdata/crowds.txt describes: bodies of legal size at once, in pieces and in chunks, bodies far over the limit, many short fields, many header lines, requests sent ahead, slow and silent clients, at the front and at the readiness check. They watch memory (resident and unread in the kernel) every 20 ms and end a box beyond its machine. Ordinary clients hand in jobs all the time; each has the five tries of the users' clients.

--- /dev/null
+++ b/internal/ingress/ordinary_test.go
@@ -0,0 +1,161 @@
+package ingress_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pulleyring/pulleyring/internal/job"
+	"github.com/pulleyring/pulleyring/platform/standin"
+)
+
+const (
+	ordinaryGap = 40 * time.Millisecond // Between two ordinary jobs.
+	// maxTries is the number of attempts of an ordinary client. The clients on the users' pages retry four times.
+	maxTries     = 5
+	retryPause   = 500 * time.Millisecond
+	ordinaryWork = 100 * time.Millisecond
+	jobLimit     = 30 * time.Second // Time within which an ordinary job must end after the last one was submitted.
+)
+
+// ordinaryJob is a job of an ordinary client.
+type ordinaryJob struct {
+	id        job.ID
+	box       int
+	phase     string
+	statuses  []int           // Of the attempts to submit it; 0 if there was no answer.
+	times     []time.Duration // Of the attempts to submit it.
+	accepted  bool
+	completed bool
+}
+
+// traffic is the ordinary traffic of a site.
+type traffic struct {
+	site  *site
+	phase string
+	group sync.WaitGroup
+	mu    sync.Mutex
+	jobs  []*ordinaryJob
+	// One client for each box keeps its connections, as clients do that send many jobs.
+	keeping []*http.Client
+}
+
+func newTraffic(s *site) *traffic {
+	t := &traffic{site: s, phase: "calm"}
+	for _, b := range s.boxes {
+		t.keeping = append(t.keeping, &http.Client{Transport: dialTransport(b.front, false)})
+	}
+	return t
+}
+
+func dialTransport(address string, once bool) *http.Transport {
+	return &http.Transport{DisableKeepAlives: once, MaxIdleConnsPerHost: 10, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}}
+}
+
+// run submits jobs evenly to all boxes until ctx ends.
+func (t *traffic) run(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		t.mu.Lock()
+		j := &ordinaryJob{id: job.ID(fmt.Sprintf("0dd%013x", len(t.jobs))), box: n % len(t.site.boxes), phase: t.phase}
+		t.jobs = append(t.jobs, j)
+		t.mu.Unlock()
+		t.group.Go(func() { t.submit(j, n/len(t.site.boxes)%2 == 0) })
+		sleep(ctx, ordinaryGap)
+	}
+}
+
+func (t *traffic) setPhase(phase string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.phase = phase
+}
+
+// submit submits a job. After an attempt without success it tries the next box over a new connection.
+func (t *traffic) submit(j *ordinaryJob, keep bool) {
+	for try := range maxTries {
+		n := (j.box + try) % len(t.site.boxes)
+		client := t.keeping[n]
+		if !keep || try > 0 {
+			client = &http.Client{Transport: dialTransport(t.site.boxes[n].front, true)}
+		}
+		began := time.Now()
+		answer := (&standin.Client{HTTP: client}).Submit(context.Background(), j.id, &standin.Job{Tasks: 1, Work: ordinaryWork, Each: job.Resources{MilliCPU: 100, MemoryMB: 10}})
+		t.mu.Lock()
+		j.statuses, j.times = append(j.statuses, answer.Status), append(j.times, time.Since(began))
+		j.accepted = j.accepted || answer.Status == http.StatusOK
+		t.mu.Unlock()
+		if j.accepted {
+			return
+		}
+		time.Sleep(retryPause)
+	}
+}
+
+// settle waits until the accepted jobs have completed.
+func (t *traffic) settle() {
+	t.group.Wait()
+	deadline := time.Now().Add(jobLimit)
+	for i, j := range t.jobs {
+		for try := i; j.accepted && !j.completed && time.Now().Before(deadline); try++ {
+			client := &standin.Client{HTTP: t.keeping[try%len(t.keeping)]}
+			if j.completed = client.State(context.Background(), j.id).State == standin.Completed; !j.completed {
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+	}
+}
+
+// figures are the figures of the jobs of one phase, by the box that was tried first.
+type figures struct {
+	sent, taken, refused, unanswered int // Attempts.
+	jobs, accepted, completed        int
+	times                            []time.Duration
+}
+
+func (t *traffic) figures(phase string, attacked func(box int) bool) figures {
+	var f figures
+	for _, j := range t.jobs {
+		if j.phase != phase || !attacked(j.box) {
+			continue
+		}
+		f.jobs++
+		if j.accepted {
+			f.accepted++
+		}
+		if j.completed {
+			f.completed++
+		}
+		for i, status := range j.statuses {
+			f.sent++
+			switch status {
+			case http.StatusOK:
+				f.taken++
+			case 0:
+				f.unanswered++
+			default:
+				f.refused++
+			}
+			if i == 0 {
+				f.times = append(f.times, j.times[i])
+			}
+		}
+	}
+	slices.Sort(f.times)
+	return f
+}
+
+func (f *figures) String() string {
+	quantile := func(share float64) time.Duration {
+		if len(f.times) == 0 {
+			return 0
+		}
+		return f.times[min(len(f.times)-1, int(share*float64(len(f.times))))].Round(time.Millisecond)
+	}
+	return fmt.Sprintf("%d sent, %d taken, %d refused, %d unanswered; %v, %v, %v", f.sent, f.taken, f.refused, f.unanswered, quantile(0.5), quantile(0.99), quantile(1))
+}
--- /dev/null
+++ b/internal/ingress/site_test.go
@@ -0,0 +1,325 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pulleyring/pulleyring/internal/cli"
+	"github.com/pulleyring/pulleyring/internal/emulator"
+	"github.com/pulleyring/pulleyring/internal/fleet"
+	"github.com/pulleyring/pulleyring/internal/interval"
+	"github.com/pulleyring/pulleyring/internal/job"
+	"github.com/pulleyring/pulleyring/platform"
+	"github.com/pulleyring/pulleyring/platform/standin"
+	"golang.org/x/sys/unix"
+)
+
+// envProgram is set for the boxes: the test binary then runs as the program.
+const envProgram = "PULLEYRING_INGRESS_TEST"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(envProgram) != "" {
+		os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	heartbeat     = 1500 * time.Millisecond
+	maxLease      = 10 * time.Second
+	gangWait      = 3 * time.Second
+	watchInterval = 20 * time.Millisecond // Interval at which the memory of the boxes is read.
+	startLimit    = 20 * time.Second
+	mebibyte      = 1 << 20
+)
+
+// machine is the size of the machines on which the boxes run.
+type machine struct {
+	memoryMB, files int
+}
+
+// box is a box process.
+type box struct {
+	machine
+	name, ip, front, ready, settings string
+	caller                           string // Key of the callers; only with the product's own interface.
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{}
+	peak    int64    // Peak memory in bytes, unread bytes in the kernel included.
+	used    int64    // Memory in bytes as last read.
+	faults  []string // Ends of the process that nobody asked for.
+	checks  []bool   // Results of the readiness checks.
+}
+
+// site is a store, workers and boxes. The boxes are processes of their own.
+type site struct {
+	t       *testing.T
+	dir     string
+	ctx     context.Context
+	store   *standin.Store
+	address string
+	boxes   []*box
+	group   sync.WaitGroup
+
+	mu      sync.Mutex
+	holder  string         // Box that took over most recently.
+	started map[job.ID]int // Number of starts of each job.
+}
+
+// newSite starts a site of boxes on machines of the same size and waits until all boxes are ready.
+func newSite(t *testing.T, boxes int, m machine) *site {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &site{t: t, dir: t.TempDir(), ctx: ctx, store: standin.NewStore(heartbeat), started: map[job.ID]int{}}
+	t.Cleanup(func() { s.close(cancel) })
+	go s.store.Run(ctx)
+	s.address = s.serve(s.store.Handler())
+	for i := range 4 {
+		s.startWorker(fmt.Sprintf("w%d", i+1))
+	}
+	network := fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
+	for i := range boxes {
+		b := &box{machine: m, name: fmt.Sprintf("box-%d", i+1), ip: fmt.Sprintf("%s.%d", network, i+1)}
+		b.front, b.ready = b.freeAddress(t), b.freeAddress(t)
+		relay, err := strconv.Atoi(strings.TrimPrefix(b.freeAddress(t), b.ip+":"))
+		quicktest.Assert(t, err, quicktest.IsNil)
+		settings := standin.Box{Name: b.name, IP: b.ip, Front: b.front, Ready: b.ready, Relay: relay, Store: s.address, MaxLease: maxLease, MemoryMB: m.memoryMB, MaxFiles: m.files}
+		b.settings = filepath.Join(s.dir, b.name+".conf")
+		quicktest.Assert(t, os.WriteFile(b.settings, settings.Settings(), 0o600), quicktest.IsNil)
+		s.boxes = append(s.boxes, b)
+		s.start(b)
+	}
+	s.group.Go(func() { interval.Every(s.ctx, watchInterval, func(context.Context) { s.readMemory() }) })
+	s.awaitReady()
+	s.checkReadiness()
+	return s
+}
+
+func (b *box) freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", b.ip+":0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (s *site) serve(h http.Handler) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(s.t, err, quicktest.IsNil)
+	server := &http.Server{Handler: h}
+	go func() { _ = server.Serve(l) }()
+	context.AfterFunc(s.ctx, func() { _ = server.Close() })
+	return l.Addr().String()
+}
+
+// startWorker starts a worker that runs many small tasks.
+func (s *site) startWorker(name string) {
+	w := &standin.Worker{Fleet: emulator.NewFleet(s.ctx, maxLease, gangWait), EndsSent: func(int64) {}}
+	w.Fleet.Observe = func(e emulator.Event) {
+		if e.Kind == emulator.Began {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.started[e.Task.Job]++
+		}
+	}
+	w.Record = w.Fleet.Add(fleet.Worker{ID: name, Service: standin.Service, Hall: standin.Hall, Labels: []string{"a", "rack"}, Capacity: job.Resources{MilliCPU: 64000, MemoryMB: 64000}})
+	record := w.Record
+	record.Address = s.serve(w.Handler())
+	sequence := int64(0)
+	go interval.Every(s.ctx, heartbeat, func(context.Context) {
+		sequence++
+		if raw, err := standin.EncodeRecord(&record, sequence); err == nil {
+			s.store.Record(name, raw)
+		}
+	})
+}
+
+// start starts the process of a box with the descriptors of its machine and one core.
+func (s *site) start(b *box) {
+	program, err := os.Executable()
+	quicktest.Assert(s.t, err, quicktest.IsNil)
+	c := exec.Command(program, "box")
+	c.Env = append(os.Environ(), envProgram+"=1", "GOMAXPROCS=1", platform.EnvSettings+"="+b.settings)
+	if b.caller != "" {
+		c.Args = append(c.Args, "-settings", b.settings)
+	}
+	c.Dir = s.dir
+	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	out, err := c.StdoutPipe()
+	quicktest.Assert(s.t, err, quicktest.IsNil)
+	log, err := os.OpenFile(filepath.Join(s.dir, b.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	quicktest.Assert(s.t, err, quicktest.IsNil)
+	c.Stderr = log
+	quicktest.Assert(s.t, c.Start(), quicktest.IsNil)
+	limit := unix.Rlimit{Cur: uint64(b.files), Max: uint64(b.files)}
+	quicktest.Check(s.t, unix.Prlimit(c.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil), quicktest.IsNil)
+	ended := make(chan struct{})
+	b.mu.Lock()
+	b.command, b.ended = c, ended
+	b.mu.Unlock()
+	s.group.Go(func() {
+		defer log.Close()
+		for lines := bufio.NewScanner(out); lines.Scan(); {
+			fmt.Fprintln(log, lines.Text())
+			s.readHolder(lines.Bytes())
+		}
+		_ = c.Wait()
+		close(ended)
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		if b.command == c {
+			b.faults = append(b.faults, fmt.Sprintf("%s ended: %s", b.name, c.ProcessState))
+		}
+	})
+}
+
+// readHolder notes which box took over, from a line of a box's log.
+func (s *site) readHolder(raw []byte) {
+	var l struct {
+		Message string `json:"msg"`
+		Box     string `json:"box"`
+	}
+	if json.Unmarshal(raw, &l) == nil && l.Message == "scheduler: took over" {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.holder = l.Box
+	}
+}
+
+// stop ends the process of a box and waits for its end.
+func (b *box) stop(signal os.Signal) {
+	b.mu.Lock()
+	c, ended := b.command, b.ended
+	b.command = nil
+	b.mu.Unlock()
+	if c != nil {
+		_ = c.Process.Signal(signal)
+		<-ended
+	}
+}
+
+func (s *site) close(cancel context.CancelFunc) {
+	for _, b := range s.boxes {
+		b.stop(syscall.SIGKILL)
+	}
+	cancel()
+	s.group.Wait()
+	if dir := os.Getenv("PULLEYRING_CROWD_LOGS"); dir != "" { // Keeps the logs of the boxes.
+		_ = os.CopyFS(filepath.Join(dir, fmt.Sprintf("%s-%d", s.t.Name(), time.Now().UnixNano())), os.DirFS(s.dir))
+	}
+}
+
+// awaitReady waits until all boxes are ready and one of them schedules.
+func (s *site) awaitReady() {
+	for deadline := time.Now().Add(startLimit); ; time.Sleep(50 * time.Millisecond) {
+		s.mu.Lock()
+		all := s.holder != ""
+		s.mu.Unlock()
+		for _, b := range s.boxes {
+			all = all && standin.Ready(newClient(time.Second), b.ready)
+		}
+		if all {
+			time.Sleep(time.Second) // The boxes read the records of the workers.
+			return
+		}
+		if time.Now().After(deadline) {
+			s.t.Fatal("the boxes did not become ready in time")
+		}
+	}
+}
+
+// checkReadiness asks the boxes once a second whether they are ready, as the load balancer does.
+func (s *site) checkReadiness() {
+	for _, b := range s.boxes {
+		client := newClient(time.Second)
+		go interval.Every(s.ctx, time.Second, func(context.Context) {
+			ready := standin.Ready(client, b.ready)
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.checks = append(b.checks, ready)
+		})
+	}
+}
+
+// newClient returns a client that opens a connection for each request.
+func newClient(timeout time.Duration) *http.Client {
+	return &http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
+// readMemory reads the memory of the boxes. It kills a box that exceeds the memory of its machine.
+func (s *site) readMemory() {
+	unread := unreadBytes()
+	for _, b := range s.boxes {
+		b.mu.Lock()
+		if c := b.command; c != nil {
+			b.used = residentBytes(c.Process.Pid) + unread[b.ip]
+			b.peak = max(b.peak, b.used)
+			if b.used > int64(b.memoryMB)*mebibyte {
+				b.faults = append(b.faults, fmt.Sprintf("%s uses %d MB, its machine has %d MB", b.name, b.used/mebibyte, b.memoryMB))
+				b.command = nil
+				_ = c.Process.Kill()
+			}
+		}
+		b.mu.Unlock()
+	}
+}
+
+// residentBytes returns the resident memory of a process, 0 if it has ended.
+func residentBytes(pid int) int64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	fields := strings.Fields(string(raw))
+	if err != nil || len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseInt(fields[1], 10, 64)
+	return pages * int64(os.Getpagesize())
+}
+
+// unreadBytes returns, by local IP address, the number of bytes that the kernel holds for processes that have not read
+// them.
+func unreadBytes() map[string]int64 {
+	raw, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return nil
+	}
+	unread := map[string]int64{}
+	for _, line := range strings.Split(string(raw), "\n")[1:] {
+		fields := strings.Fields(line)
+		if len(fields) < 5 || fields[3] == "0A" { // In state LISTEN the queue holds connections, not bytes.
+			continue
+		}
+		address, _ := strconv.ParseUint(fields[1][:8], 16, 32)
+		_, queue, _ := strings.Cut(fields[4], ":")
+		bytes, _ := strconv.ParseInt(queue, 16, 64)
+		unread[fmt.Sprintf("%d.%d.%d.%d", address&255, address>>8&255, address>>16&255, address>>24)] += bytes
+	}
+	return unread
+}
+
+// attacked returns the boxes that a word of a script names.
+func (s *site) attacked(word string) []*box {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range s.boxes {
+		switch {
+		case word == "scheduling" && b.name == s.holder, word == "other" && b.name != s.holder:
+			return []*box{b}
+		}
+	}
+	return s.boxes
+}
