--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -134,13 +134,13 @@
 // about 40 bytes a task.
 const MaxTasks = 1200
 
-// maxSteps is the maximum number of steps of a job.
-const maxSteps = 64
+// MaxSteps is the maximum number of steps of a job.
+const MaxSteps = 64
 
 // Validate returns an error that describes the first reason why the request can't run, or nil if there is none.
 func (r *Request) Validate() error {
-	if len(r.Steps) == 0 || len(r.Steps) > maxSteps {
-		return errors.Errorf("job: %d steps, want 1 to %d", len(r.Steps), maxSteps)
+	if len(r.Steps) == 0 || len(r.Steps) > MaxSteps {
+		return errors.Errorf("job: %d steps, want 1 to %d", len(r.Steps), MaxSteps)
 	}
 	for i := range r.Steps {
 		if err := r.Steps[i].validate(i); err != nil {
