--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -155,6 +155,9 @@
 	if errors.Is(err, ledger.ErrCancelled) {
 		return nil // It was cancelled before it was submitted.
 	}
+	if errors.Is(err, ledger.ErrTooLarge) {
+		return &InvalidJobError{"the job is too large: shorten its labels and racks"}
+	}
 	if errors.Is(err, ledger.ErrNameTaken) {
 		return &InvalidJobError{"the name belongs to another job"}
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -48,12 +48,22 @@
 // ErrNameTaken means that a job of another workspace has the same name.
 var ErrNameTaken = errors.New("ledger: the name belongs to another workspace's job")
 
-// Submit writes a request unless it is already stored. It returns ErrCancelled, ErrNameTaken or the store's error.
+// ErrTooLarge means that a request does not fit into a row of the store. It was not written.
+var ErrTooLarge = errors.New("ledger: the request does not fit into a row of the store")
+
+// maxRequestBytes limits an encoded request. A row has 64 KiB at most, in base64.
+const maxRequestBytes = 48 << 10
+
+// Submit writes a request unless it is already stored. It returns ErrCancelled, ErrNameTaken, ErrTooLarge or the store's
+// error.
 func (l *Ledger) Submit(ctx context.Context, r *job.Request) error {
 	raw, err := cbor.Marshal(r)
 	if err != nil {
 		return errors.Wrap(err, "ledger: unable to encode a request")
 	}
+	if len(raw) > maxRequestBytes {
+		return ErrTooLarge
+	}
 	return l.tryParts(r.ID, func(part string) (bool, error) { return l.submitIn(ctx, part, r, raw) })
 }
 
