internal/ingress: clients are served within limits of connections, memory and time

Cause: the server bounded nothing but the time of a head. Connections were as many as descriptors, a head had up to 1 MB and its lines take 40 times their bytes once parsed, bodies grew by doubling while they were read, all at the same time, and the kernel kept up to 6 MB unread for each connection.

Change: package ingress serves the front and the readiness check. - The head of a request is parsed once it was received whole and has at most 100 lines and 16 KiB. A head has 5 s, a body 15 s, a reader 10 s. - Connections, heads, bodies and what decoding them takes count against a budget, which follows from the machine's memory and descriptors. - Where the budget is used up, the connection without progress for the longest time is closed, for memory only one that holds more than its share. One whose request was received whole is kept until it is answered; where only such ones are left, a request is refused with 503 before it is handled. - A declared length over the limit is refused before the first byte, and a refusal does not wait for the body. - The kernel's buffers are bounded, and the Go runtime has a memory limit.

It works for any kind of client, as every byte that a client can make the process hold is counted before it is held, and the sum is below the memory.

Tests: TestRequests, TestNewClientsGetIn, TestWholeRequestIsAnswered, TestSmallRequestsKeepTheirMemory, TestMemoryIsReleased, TestSlowReaderIsClosed, TestMachineLimits.

--- a/internal/cli/platform.go
+++ b/internal/cli/platform.go
@@ -4,8 +4,10 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
+	"github.com/pulleyring/pulleyring/internal/ingress"
 	"github.com/pulleyring/pulleyring/internal/logsink"
 	"github.com/pulleyring/pulleyring/internal/measure"
 	"github.com/pulleyring/pulleyring/internal/node"
@@ -26,6 +28,7 @@
 	sink := logsink.New(e.out)
 	defer sink.Close()
 	log := platformLog(sink, s.Box)
+	debug.SetMemoryLimit(ingress.RuntimeLimit(s.Means.MemoryMB))
 	n := node.New(s, platformParts(s, log), log)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/internal/node/fitness.go
+++ b/internal/node/fitness.go
@@ -43,6 +43,7 @@
 	Cores        float64 // Processor time, in core seconds per second.
 	MegabitsPerS float64 // Bandwidth of the network link, in Mbit/s.
 	Descriptors  int     // Limit of open files and sockets.
+	MemoryMB     int     // In MiB.
 }
 
 // takeoverTime returns how long a takeover of a large site takes with these resources.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/pulleyring/pulleyring/internal/awake"
 	"github.com/pulleyring/pulleyring/internal/entry"
 	"github.com/pulleyring/pulleyring/internal/fleet"
+	"github.com/pulleyring/pulleyring/internal/ingress"
 	"github.com/pulleyring/pulleyring/internal/ledger"
 	"github.com/pulleyring/pulleyring/internal/logsink"
 	"github.com/pulleyring/pulleyring/internal/measure"
@@ -142,8 +143,12 @@
 	balancerDelay = 2500 * time.Millisecond
 	// stopReserve is how long before SIGKILL the requests that are still open are aborted.
 	stopReserve = 700 * time.Millisecond
-	// headerTimeout limits reading the header of a request.
+	// headerTimeout limits reading the header of a request of other boxes or of monitoring.
 	headerTimeout = 5 * time.Second
+	// internalIdleTimeout closes unused connections of other boxes and of monitoring.
+	internalIdleTimeout = 5 * time.Minute
+	// maxInternalHeader limits the header of a request of other boxes or of monitoring.
+	maxInternalHeader = 16 << 10
 )
 
 // Run serves until ctx ends or a later start of this box is registered (ErrSuperseded). Then it shuts down
@@ -151,11 +156,11 @@
 func (n *Node) Run(ctx context.Context) error {
 	s := n.settings.Load()
 	n.log.Info("node: start", zap.String("box", s.Box), zap.String("hall", s.Hall), zap.String("start", n.start.Name))
-	front, err := serve(s.Front, n.platform.Front(n), n.log)
+	front, err := n.serveClients("front", s.Front, s.Ingress, n.platform.Front(n))
 	if err != nil {
 		return err
 	}
-	ready, err := serve(s.Ready, n.platform.Readiness(n), n.log)
+	ready, err := n.serveClients("ready", s.Ready, ingress.CheckLimits(s.Ingress), n.platform.Readiness(n))
 	if err != nil {
 		return err
 	}
@@ -193,7 +198,7 @@
 }
 
 // drainRequests waits until the load balancer sends no more connections and the last requests are answered.
-func (n *Node) drainRequests(front *http.Server, s *Settings) {
+func (n *Node) drainRequests(front *ingress.Server, s *Settings) {
 	began := time.Now()
 	time.Sleep(min(balancerDelay, s.StopAfter/2))
 	ctx, cancel := context.WithTimeout(context.Background(), s.StopAfter-stopReserve-time.Since(began))
@@ -220,21 +225,32 @@
 	if address == "" {
 		return
 	}
-	if _, err := serve(address, handler, n.log); err != nil {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
 		n.log.Warn("node: unable to listen; the box runs without this server", zap.String("what", what), logsink.Error(err))
+		return
+	}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: internalIdleTimeout, MaxHeaderBytes: maxInternalHeader,
+		ErrorLog: zap.NewStdLog(n.log),
 	}
+	go n.logServerEnd(what, func() error { return server.Serve(l) })
 }
 
-func serve(address string, handler http.Handler, log *zap.Logger) (*http.Server, error) {
-	l, err := net.Listen("tcp", address)
+// serveClients serves clients on an address, within limits.
+func (n *Node) serveClients(name, address string, l ingress.Limits, handler http.Handler) (*ingress.Server, error) {
+	listener, err := ingress.Listen(address)
 	if err != nil {
-		return nil, errors.Wrap(err, "node: unable to listen")
+		return nil, err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: zap.NewStdLog(log)}
-	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			log.Error("node: server stopped unexpectedly", logsink.Error(err))
-		}
-	}()
+	server := ingress.NewServer(name, l, handler, n.log, &n.Metrics)
+	go n.logServerEnd(name, func() error { return server.Serve(listener) })
 	return server, nil
 }
+
+// logServerEnd runs a server and logs its end unless it was shut down.
+func (n *Node) logServerEnd(what string, run func() error) {
+	if err := run(); !errors.Is(err, http.ErrServerClosed) {
+		n.log.Error("node: server stopped unexpectedly", zap.String("what", what), logsink.Error(err))
+	}
+}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pulleyring/pulleyring/internal/ingress"
 	"github.com/pulleyring/pulleyring/internal/scheduler"
 )
 
@@ -20,5 +21,6 @@
 	// ConfigurationWithin is the time within which a new configuration must be in force; 0 if unknown.
 	ConfigurationWithin time.Duration
 	Means               Resources
+	Ingress             ingress.Limits // Limits of clients.
 	Bounds              scheduler.Bounds
 }
