internal/api: the product's own interface serves clients within the same limits

GET /metrics also sorts the samples of all histograms each time, which 300 clients can ask for without a pause.

Change: the listener is served by package ingress, bodies are read by ReadBody; the metrics are collected once a second at most. New settings in [limits]: memory_mb, descriptors and the limits of clients. Bodies that can't be received are answered 400, 408 or 503 with a problem document.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -2,12 +2,13 @@
 package api
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/pulleyring/pulleyring/internal/command"
 	"github.com/pulleyring/pulleyring/internal/config"
 	"github.com/pulleyring/pulleyring/internal/identity"
+	"github.com/pulleyring/pulleyring/internal/ingress"
 	"github.com/pulleyring/pulleyring/internal/intake"
 	"github.com/pulleyring/pulleyring/internal/operator"
 	"github.com/pulleyring/pulleyring/internal/settings"
@@ -54,6 +56,10 @@
 	ready    atomic.Bool
 	stopping context.Context // Ends when the box stops: waiting callers then get the state known so far.
 	stop     context.CancelFunc
+
+	metricsMu   sync.Mutex
+	metricsJSON []byte // As collected at metricsAt.
+	metricsAt   time.Time
 }
 
 // Handler returns the HTTP handler with all routes.
@@ -86,9 +92,25 @@
 	wire.Reply(w, http.StatusOK, struct{}{})
 }
 
+// metricsAge is the time for which the metrics are served as they were collected. Collecting them sorts the samples of
+// all histograms.
+const metricsAge = time.Second
+
 func (s *Server) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	metrics.WriteJSONOnce(s.Registry, w)
+	_, _ = w.Write(s.metrics()) // An error means that the client has disconnected.
+}
+
+// metrics returns the metrics in JSON, at most metricsAge old.
+func (s *Server) metrics() []byte {
+	s.metricsMu.Lock()
+	defer s.metricsMu.Unlock()
+	if s.metricsJSON == nil || time.Since(s.metricsAt) > metricsAge {
+		var text bytes.Buffer
+		metrics.WriteJSONOnce(s.Registry, &text)
+		s.metricsJSON, s.metricsAt = text.Bytes(), time.Now()
+	}
+	return s.metricsJSON
 }
 
 // writeProblem writes a problem document.
@@ -160,7 +182,9 @@
 	o := intake.Request{Identity: request.Identity{Caller: caller.Name, ID: r.Header.Get(HeaderKey)}, Received: received}
 	var findings finding.List
 	o.Round = parseRound(r, &findings)
-	s.decode(w, r, &o.Submission, &findings)
+	if !s.decode(w, r, &o.Submission, &findings) {
+		return
+	}
 	if len(findings) == 0 {
 		findings = append(findings, request.Validate(s.Config.Site(), caller, o.ID, o.Submission)...)
 	}
@@ -185,21 +209,47 @@
 	return round
 }
 
-// decode decodes the JSON body. It reports unknown fields, trailing data and bodies that are too large.
-func (s *Server) decode(w http.ResponseWriter, r *http.Request, into any, findings *finding.List) {
-	body := http.MaxBytesReader(w, r.Body, int64(s.Settings.Limits.BodyBytes))
-	decoder := json.NewDecoder(body)
-	decoder.DisallowUnknownFields()
-	err := decoder.Decode(into)
-	var tooLarge *http.MaxBytesError
+// bodyExpansion is the memory that a body and what is decoded from it may take, as a multiple of the body's length.
+const bodyExpansion = 4
+
+// decode decodes the JSON body. It reports unknown fields, trailing data and bodies that are too large. It returns false
+// if it has written the response, because the body can't be received.
+func (s *Server) decode(w http.ResponseWriter, r *http.Request, into any, findings *finding.List) bool {
+	raw, err := ingress.ReadBody(w, r, int64(s.Settings.Limits.BodyBytes), bodyExpansion)
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, ingress.ErrTooLarge):
 		findings.Add("body", "", strconv.Itoa(s.Settings.Limits.BodyBytes)+" bytes at most", "is too large")
+		return true
+	case err != nil:
+		writeBodyProblem(w, err)
+		return false
+	}
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	err = decoder.Decode(into)
+	ingress.Decoded(r, len(raw))
+	switch {
 	case err != nil:
 		findings.Add("body", "", "a JSON object of the documented fields", "%s", strings.TrimPrefix(err.Error(), "json: "))
 	case decoder.More():
 		findings.Add("body", "", "one JSON object", "goes on after its end")
 	}
+	return true
+}
+
+// writeBodyProblem writes the response to a request whose body can't be received. Nothing of it was done.
+func writeBodyProblem(w http.ResponseWriter, err error) {
+	status := http.StatusBadRequest
+	switch {
+	case errors.Is(err, ingress.ErrTooLarge):
+		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, ingress.ErrTooSlow):
+		status = http.StatusRequestTimeout
+	case errors.Is(err, ingress.ErrBusy):
+		status = http.StatusServiceUnavailable
+		w.Header().Set("Retry-After", "1")
+	}
+	writeProblem(w, status, err.Error(), nil)
 }
 
 // waitContext returns a context that ends when the caller no longer waits for the outcome. The header
@@ -253,7 +303,9 @@
 		Command string `json:"command"`
 	}
 	var findings finding.List
-	s.decode(w, r, &body, &findings)
+	if !s.decode(w, r, &body, &findings) {
+		return
+	}
 	if len(findings) > 0 {
 		writeProblem(w, http.StatusUnprocessableEntity, "the command can't be read", findings)
 		return
@@ -275,9 +327,9 @@
 
 // apply commits a configuration. The header If-Match names the version that it replaces.
 func (s *Server) apply(w http.ResponseWriter, r *http.Request, _ string) {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxSiteBytes))
+	raw, err := ingress.ReadBody(w, r, maxSiteBytes, 1)
 	if err != nil {
-		writeProblem(w, http.StatusRequestEntityTooLarge, "the configuration is too large", nil)
+		writeBodyProblem(w, err)
 		return
 	}
 	base := int64(-1)
--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"time"
 
@@ -14,9 +13,11 @@
 	"github.com/pulleyring/pulleyring/internal/config"
 	"github.com/pulleyring/pulleyring/internal/decider"
 	"github.com/pulleyring/pulleyring/internal/hall"
+	"github.com/pulleyring/pulleyring/internal/ingress"
 	"github.com/pulleyring/pulleyring/internal/intake"
 	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/pulleyring/pulleyring/internal/link"
+	"github.com/pulleyring/pulleyring/internal/measure"
 	"github.com/pulleyring/pulleyring/internal/member"
 	"github.com/pulleyring/pulleyring/internal/object"
 	"github.com/pulleyring/pulleyring/internal/operator"
@@ -62,11 +63,8 @@
 	ctx         context.Context
 }
 
-// Timeouts that can't be configured.
-const (
-	sendTimeout       = time.Second // Timeout of a message to another box.
-	readHeaderTimeout = 10 * time.Second
-)
+// sendTimeout limits a message to another box.
+const sendTimeout = time.Second
 
 // New creates a box with its components; Run starts them.
 func New(s *settings.Box, p Platform, log *zap.Logger) *Box {
@@ -111,7 +109,7 @@
 func (b *Box) Run(ctx context.Context, planned <-chan struct{}, listener net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	server := &http.Server{Handler: b.API.Handler(), ReadHeaderTimeout: readHeaderTimeout, ErrorLog: zap.NewStdLog(b.Log)}
+	server := ingress.NewServer("api", b.Settings.Limits.Ingress(), b.API.Handler(), b.Log, measure.On(b.Registry))
 	b.start(ctx)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
@@ -231,7 +229,7 @@
 
 // shutDown shuts the box down gracefully. It fails the balancer's readiness check, stops being preferred for halls,
 // waits until the balancer has noticed, and then lets everything in flight finish, for at most StopWithin.
-func (b *Box) shutDown(ctx context.Context, server *http.Server) {
+func (b *Box) shutDown(ctx context.Context, server *ingress.Server) {
 	b.Log.Info("box: planned shutdown started")
 	b.Recorder.Add(timeline.Event{Part: "box", Text: "leaves as planned"})
 	b.API.SetReady(false)
--- a/internal/cli/box.go
+++ b/internal/cli/box.go
@@ -7,11 +7,13 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/pkg/errors"
 	"github.com/pulleyring/pulleyring/internal/box"
 	"github.com/pulleyring/pulleyring/internal/identity"
+	"github.com/pulleyring/pulleyring/internal/ingress"
 	"github.com/pulleyring/pulleyring/internal/link"
 	"github.com/pulleyring/pulleyring/internal/settings"
 	"github.com/pulleyring/pulleyring/platform"
@@ -58,6 +60,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(ingress.RuntimeLimit(s.Limits.MemoryMB))
 	b, err := newBox(s, network, log)
 	if err != nil {
 		return err
@@ -99,9 +102,9 @@
 
 // listen opens the listener for callers and operators, with TLS if the settings name a certificate.
 func listen(s *settings.Box) (net.Listener, error) {
-	listener, err := net.Listen("tcp", s.Listen)
+	listener, err := ingress.Listen(s.Listen)
 	if err != nil {
-		return nil, errors.Wrap(err, "unable to listen")
+		return nil, err
 	}
 	if s.Keys.TLSCertificate == "" {
 		return listener, nil
--- a/internal/measure/measure.go
+++ b/internal/measure/measure.go
@@ -23,7 +23,16 @@
 	registry metrics.Registry
 }
 
-func (f *Metrics) init() { f.once.Do(func() { f.registry = metrics.NewRegistry() }) }
+// On returns metrics that are kept in a registry.
+func On(r metrics.Registry) *Metrics { return &Metrics{registry: r} }
+
+func (f *Metrics) init() {
+	f.once.Do(func() {
+		if f.registry == nil {
+			f.registry = metrics.NewRegistry()
+		}
+	})
+}
 
 // Count increments the named counter by one.
 func (f *Metrics) Count(name string) { f.Add(name, 1) }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,9 +2,11 @@
 package settings
 
 import (
+	"cmp"
 	"io"
 	"time"
 
+	"github.com/pulleyring/pulleyring/internal/ingress"
 	"github.com/pulleyring/pulleyring/internal/inifile"
 	"github.com/pulleyring/pulleyring/pkg/contract"
 )
@@ -77,6 +79,22 @@
 	UpstreamTimeout   time.Duration
 	UnrecordedSettled int // Settled repeatable requests that are not yet recorded in the table.
 	AnswerInlineBytes int // Larger answers are written to the object store.
+	MemoryMB          int // Memory of the machine, in MiB; 0 if unknown.
+	Descriptors       int // File descriptors of the machine; 0 if unknown.
+	// Clients holds the limits of clients that are set. The size of the machine determines the others, which are 0.
+	Clients        ingress.Limits
+	ClientMemoryMB int // Memory of the requests that are received or handled, in MiB; 0 to derive it.
+}
+
+// Ingress returns the limits of clients.
+func (l *Limits) Ingress() ingress.Limits {
+	set, derived := l.Clients, ingress.MachineLimits(l.MemoryMB, l.Descriptors)
+	return ingress.Limits{
+		Connections: cmp.Or(set.Connections, derived.Connections), Bytes: cmp.Or(int64(l.ClientMemoryMB)<<20, derived.Bytes),
+		HeaderBytes: cmp.Or(set.HeaderBytes, derived.HeaderBytes), HeaderLines: cmp.Or(set.HeaderLines, derived.HeaderLines),
+		HeaderTime: cmp.Or(set.HeaderTime, derived.HeaderTime), BodyTime: cmp.Or(set.BodyTime, derived.BodyTime),
+		WriteTime: cmp.Or(set.WriteTime, derived.WriteTime), IdleTime: cmp.Or(set.IdleTime, derived.IdleTime), MinAge: derived.MinAge,
+	}
 }
 
 // Log holds the settings of logging.
@@ -170,6 +188,16 @@
 		{Key: "upstream_timeout_ms", Doc: "Longest wait for an executor's answer.", Unit: "ms", Target: &b.Limits.UpstreamTimeout, Min: 10, Max: 3600000},
 		{Key: "unrecorded_settled", Doc: "Settled repeatable requests whose record may wait for the table.", Target: &b.Limits.UnrecordedSettled, Min: 1, Max: 10000000},
 		{Key: "answer_inline_bytes", Doc: "Larger answers go to the object store.", Unit: "bytes", Target: &b.Limits.AnswerInlineBytes, Min: 256, Max: 1 << 20},
+		{Key: "memory_mb", Doc: "Memory of the machine; 0: unknown, taken as 256 for the limits of clients.", Unit: "MiB", Target: &b.Limits.MemoryMB, Max: 1 << 24},
+		{Key: "descriptors", Doc: "File descriptors of the machine; 0: unknown, taken as 4096 for the limits of clients.", Target: &b.Limits.Descriptors, Max: 1 << 24},
+		{Key: "connections", Doc: "Open connections of clients; 0: half of the descriptors less 200, or what 0.3 of the memory carries.", Target: &b.Limits.Clients.Connections, Max: 1 << 24},
+		{Key: "client_memory_mb", Doc: "Memory of the requests that are received or handled; 0: 0.15 of memory_mb.", Unit: "MiB", Target: &b.Limits.ClientMemoryMB, Max: 1 << 24},
+		{Key: "head_bytes", Doc: "Request line and header of a request; 0: 16384.", Unit: "bytes", Target: &b.Limits.Clients.HeaderBytes, Max: 1 << 20},
+		{Key: "head_lines", Doc: "Lines of the request line and header; 0: 100.", Target: &b.Limits.Clients.HeaderLines, Max: 10000},
+		{Key: "head_ms", Doc: "Time from the first byte of a request to the end of its header; 0: 5000.", Unit: "ms", Target: &b.Limits.Clients.HeaderTime, Max: 3600000},
+		{Key: "body_ms", Doc: "Time from the end of the header to the end of the body; 0: 15000.", Unit: "ms", Target: &b.Limits.Clients.BodyTime, Max: 3600000},
+		{Key: "write_ms", Doc: "Time for which a client may take nothing of its response; 0: 10000.", Unit: "ms", Target: &b.Limits.Clients.WriteTime, Max: 3600000},
+		{Key: "idle_ms", Doc: "Time between two requests on a connection; 0: 300000.", Unit: "ms", Target: &b.Limits.Clients.IdleTime, Max: 86400000},
 	}
 }
 
