--- a/internal/ingress/crowd_test.go
+++ b/internal/ingress/crowd_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -31,6 +32,8 @@
 	// Times at which an attacked box is killed and started again at once, at which all attacked ones are told to end and
 	// started again once they have, and at which the store falls silent for outageTime; 0 for never.
 	kill, end, outage time.Duration
+
+	share float64 // Share of a core that the boxes get; 0 for a whole one.
 }
 
 // outageTime is the length of an outage of the store. Callers wait for 3 s.
@@ -71,6 +74,8 @@
 	switch key {
 	case "short":
 		s.short = true
+	case "share":
+		s.share, err = strconv.ParseFloat(value, 64)
 	case "kill":
 		s.kill, err = time.ParseDuration(value)
 	case "end":
@@ -86,11 +91,19 @@
 // smallMachine is the size of most machines of the users.
 var smallMachine = machine{memoryMB: 284, files: 4100}
 
+// envShare holds the share of a core on which all scripts of TestCrowds are played that name none.
+const envShare = "PULLEYRING_CROWD_SHARE"
+
 // TestCrowds guards against boxes that end or hang, or no longer serve ordinary clients, beside clients that misbehave.
 func TestCrowds(t *testing.T) {
 	for _, s := range readScripts(t, "testdata/crowds.txt") {
+		if text := os.Getenv(envShare); text != "" && s.share == 0 {
+			quicktest.Assert(t, s.parseOption("share="+text), quicktest.IsNil)
+		}
 		if s.short || os.Getenv(envAll) != "" {
-			t.Run(s.name, func(t *testing.T) { play(newSite(t, 2, smallMachine), &s, 1) })
+			m := smallMachine
+			m.share = s.share
+			t.Run(s.name, func(t *testing.T) { play(newSite(t, 2, m), &s, 1) })
 		}
 	}
 }
--- a/internal/ingress/random_test.go
+++ b/internal/ingress/random_test.go
@@ -15,7 +15,7 @@
 const envSeeds = "PULLEYRING_CROWD_SEEDS"
 
 // machines are the sizes of machines on the users' deployments.
-var machines = []machine{{160, 4100}, {184, 4100}, {284, 4100}, {536, 8192}, {1048, 16384}}
+var machines = []machine{{160, 4100, 0}, {184, 4100, 0}, {184, 4100, 0.4}, {284, 4100, 0}, {284, 4100, 0.4}, {536, 8192, 0}, {1048, 16384, 0}}
 
 // TestRandomCrowds draws machines, mixed crowds of any size and speed, and failures beside them. It guards against limits
 // that hold for one size of a crowd only.
--- a/internal/ingress/site_test.go
+++ b/internal/ingress/site_test.go
@@ -52,8 +52,13 @@
 // machine is the size of the machines on which the boxes run.
 type machine struct {
 	memoryMB, files int
+	// share is the share of a core that a box gets: it runs for this part of each quotaPeriod. 0 means a whole core.
+	share float64
 }
 
+// quotaPeriod is the time for which the share of a core is granted, as on the users' pages.
+const quotaPeriod = 100 * time.Millisecond
+
 // box is a box process.
 type box struct {
 	machine
@@ -203,6 +208,9 @@
 	b.command, b.ended = c, ended
 	b.starts++
 	b.mu.Unlock()
+	if b.share > 0 {
+		go b.enforceShare(c.Process, ended)
+	}
 	s.group.Go(func() {
 		defer log.Close()
 		for lines := bufio.NewScanner(out); lines.Scan(); {
@@ -219,6 +227,21 @@
 	})
 }
 
+// enforceShare suspends a process for a part of each quotaPeriod until it has ended.
+func (b *box) enforceShare(p *os.Process, ended <-chan struct{}) {
+	run := time.Duration(b.share * float64(quotaPeriod))
+	for {
+		select {
+		case <-ended:
+			return
+		case <-time.After(run):
+		}
+		_ = p.Signal(syscall.SIGSTOP) // Fails only if the process has ended.
+		time.Sleep(quotaPeriod - run)
+		_ = p.Signal(syscall.SIGCONT)
+	}
+}
+
 // readHolder notes which box took over, from a line of a box's log.
 func (s *site) readHolder(raw []byte) {
 	var l struct {
