internal/ingress: ordinary requests never wait for memory behind large ones

The tests had ordinary bodies of 200 bytes before.

Cause: the log of the attacked box has all the memory held for seconds, though large requests may fill three quarters of it: 1,500 large bodies of which little has come count as small, fill the rest, and wait for more in one line with ordinary requests. Decoding a small body was counted like a large one as well, so that 4 KB made a request large.

Change: a request is one with a large body from its head on, by its declared length or as it has none. Those with small bodies wait first, have a quarter of the memory for themselves, and their decoding is not counted: it is over before the next begins. A server without limits for heads has the default ones instead of refusing all.

Tests: ordinary jobs have the longest spec of the users' pages (4,000 bytes); TestSmallRequestsKeepTheirMemory, TestZeroLimits.

--- a/internal/ingress/api_test.go
+++ b/internal/ingress/api_test.go
@@ -108,7 +108,7 @@
 func (s *site) submitAPI(client *http.Client, b *box, id string) int {
 	ctx, cancel := context.WithTimeout(context.Background(), 3500*time.Millisecond)
 	defer cancel()
-	body, err := json.Marshal(request.Submission{Kind: "pull", Workspace: "court", Payload: json.RawMessage(`{"work_ms":20}`)})
+	body, err := json.Marshal(request.Submission{Kind: "pull", Workspace: "court", Payload: json.RawMessage(`{"work_ms":20,"x":"` + strings.Repeat("x", specBytes) + `"}`)})
 	quicktest.Check(s.t, err, quicktest.IsNil)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.front+"/v1/requests", strings.NewReader(string(body)))
 	quicktest.Check(s.t, err, quicktest.IsNil)
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -27,7 +27,8 @@
 
 const (
 	// smallBody is the length of a body that is decoded at once, in bytes. Larger ones are decoded one after the other, so
-	// that they leave memory and processor time to others.
+	// that they leave memory and processor time to others. Decoding a small one is over before the next one begins, mostly,
+	// and its memory is not counted.
 	smallBody = 16 << 10
 	// maxDecodeWait is how long a large body waits for others. A client that waits 3 s still has time to try another box.
 	maxDecodeWait = time.Second
@@ -52,7 +53,10 @@
 	if !c.pool.protect(c) {
 		return nil, ErrBroken
 	}
-	if len(raw) > smallBody && !c.startDecoding() {
+	if len(raw) <= smallBody {
+		return raw, nil
+	}
+	if !c.startDecoding() {
 		return nil, c.refuseBody(reasonBusy, ErrBusy)
 	}
 	if !c.pool.charge(c, expansion*int64(len(raw))) {
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -193,6 +193,9 @@
 	default:
 		c.phase = inChunks
 	}
+	if length < 0 || length > smallBody {
+		c.pool.setLargeBody(c)
+	}
 	if d := c.pool.BodyTime; d > 0 {
 		_ = c.Conn.SetReadDeadline(time.Now().Add(d))
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -3,6 +3,7 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -23,6 +24,7 @@
 
 // NewServer returns a server with limits. The names of its metrics begin with name; the metrics may be nil.
 func NewServer(name string, l Limits, handler http.Handler, log *zap.Logger, m *measure.Metrics) *Server {
+	l.HeaderBytes, l.HeaderLines = cmp.Or(l.HeaderBytes, defaultHeaderBytes), cmp.Or(l.HeaderLines, defaultHeaderLines)
 	s := &Server{pool: pool{Limits: l, name: name, log: log, metrics: m, decoding: make(chan struct{}, 1)}}
 	s.Handler = &limiter{handler}
 	s.ErrorLog = zap.NewStdLog(log)
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -189,6 +189,8 @@
 	quicktest.Assert(t, p.charge(small, 1000), quicktest.IsTrue)
 	quicktest.Assert(t, p.charge(large, p.Bytes/2), quicktest.IsTrue)
 	late := newConn(t, p)
+	p.setLargeBody(large)
+	p.setLargeBody(late)
 	released := make(chan bool)
 	go func() { released <- p.charge(late, p.Bytes/2) }()
 	select {
@@ -201,9 +203,11 @@
 	quicktest.Check(t, small.state.closed, quicktest.IsFalse)
 	quicktest.Check(t, large.state.closed, quicktest.IsTrue)
 	other := newConn(t, p)
-	quicktest.Assert(t, p.charge(other, p.Bytes/4-1000), quicktest.IsTrue)
+	quicktest.Assert(t, p.charge(other, p.Bytes/4-1000), quicktest.IsTrue) // Three quarters are held now.
 	quicktest.Assert(t, p.protect(late) && p.protect(other), quicktest.IsTrue)
-	quicktest.Check(t, p.charge(newConn(t, p), p.Bytes/3), quicktest.IsFalse, quicktest.Commentf("whole requests hold what large ones may"))
+	further := newConn(t, p)
+	p.setLargeBody(further)
+	quicktest.Check(t, p.charge(further, 1000), quicktest.IsFalse, quicktest.Commentf("whole requests hold what large ones may"))
 	quicktest.Check(t, p.charge(small, p.share()), quicktest.IsTrue, quicktest.Commentf("the rest is for small ones"))
 }
 
@@ -240,6 +244,15 @@
 	return p.open, p.held
 }
 
+// TestZeroLimits fails if a server without limits refuses requests.
+func TestZeroLimits(t *testing.T) {
+	address, _, _ := startServer(t, Limits{})
+	c := dial(t, address)
+	_, err := c.Write([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc" + wholeRequest))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, readAnswers(c), quicktest.Equals, "POST / 3, GET / 0, open")
+}
+
 // TestSlowReaderIsClosed fails if a client that sends requests ahead and reads no answers keeps its connection.
 func TestSlowReaderIsClosed(t *testing.T) {
 	address, m, _ := startServer(t, testLimits)
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -6,7 +6,8 @@
 	"time"
 )
 
-// Limits bounds what the clients of a server may hold. A field that is 0 bounds nothing.
+// Limits bounds what the clients of a server may hold. A field that is 0 bounds nothing, but for HeaderBytes and
+// HeaderLines, which have defaults.
 type Limits struct {
 	Connections int           // Open connections.
 	Bytes       int64         // Memory of the requests that are being received or handled, in bytes.
--- a/internal/ingress/ordinary_test.go
+++ b/internal/ingress/ordinary_test.go
@@ -19,6 +19,7 @@
 	maxTries     = 5
 	retryPause   = 500 * time.Millisecond
 	ordinaryWork = 100 * time.Millisecond
+	specBytes    = 4000             // The longest spec on the users' pages.
 	jobLimit     = 30 * time.Second // Time within which an ordinary job must end after the last one was submitted.
 )
 
@@ -103,7 +104,7 @@
 	if s.api {
 		return s.submitAPI(client, b, string(id))
 	}
-	j := &standin.Job{Tasks: 1, Work: ordinaryWork, Each: job.Resources{MilliCPU: 100, MemoryMB: 10}}
+	j := &standin.Job{Tasks: 1, Work: ordinaryWork, Each: job.Resources{MilliCPU: 100, MemoryMB: 10}, SpecBytes: specBytes}
 	answer := (&standin.Client{HTTP: client}).Submit(context.Background(), id, j)
 	return answer.Status
 }
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -33,13 +33,14 @@
 	// between two requests.
 	pending, idle list.List
 	// Those of pending whose requests hold more than their share of the memory.
-	large   list.List
-	waiting list.List // Connections that wait for the memory of others that were closed, in order.
-	open    int
-	held    int64          // Memory that all connections hold.
-	closing int64          // Memory of connections that are closed and whose server has not ended yet.
-	counts  map[string]int // Refusals by reason since the last log line.
-	logged  time.Time
+	large list.List
+	// Connections that wait for the memory of others that were closed, in order; those with large bodies come last.
+	waiting, waitingLarge list.List
+	open                  int
+	held                  int64          // Memory that all connections hold.
+	closing               int64          // Memory of connections that are closed and whose server has not ended yet.
+	counts                map[string]int // Refusals by reason since the last log line.
+	logged                time.Time
 }
 
 // state is what a pool keeps of a connection. The pool's mutex guards it.
@@ -51,6 +52,8 @@
 	closed  bool          // It was closed by the pool or has ended.
 	waiting *list.Element // Nil unless the connection waits for memory.
 	woken   chan struct{} // Closed to wake a waiting connection.
+	// The request has a large body, or one of unknown length.
+	hasLargeBody bool
 }
 
 // share is the part of the memory that each connection may hold without being closed for it.
@@ -125,7 +128,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for p.needsRoom(c, bytes) {
-		closed := p.held-p.closing+bytes-c.state.charged <= p.limitOf(bytes)
+		closed := p.held-p.closing+bytes-c.state.charged <= p.limit(c)
 		if closed && p.wait(c) || !closed && p.close(oldest(&p.large, c), reasonMemory) {
 			continue
 		}
@@ -146,21 +149,27 @@
 
 // needsRoom reports whether others must release memory before a connection's request can hold this much.
 func (p *pool) needsRoom(c *conn, bytes int64) bool {
-	return !c.state.closed && p.Bytes > 0 && bytes > c.state.charged && p.held+bytes-c.state.charged > p.limitOf(bytes)
+	return !c.state.closed && p.Bytes > 0 && bytes > c.state.charged && p.held+bytes-c.state.charged > p.limit(c)
 }
 
-// largeShare is the part of the memory that requests may fill which hold more than their share. The rest is for small
-// ones.
+// largeShare is the part of the memory that requests with large bodies may fill. The rest is for others.
 const largeShare = 0.75
 
-// limitOf returns the memory that all requests may hold once one of them holds this much.
-func (p *pool) limitOf(bytes int64) int64 {
-	if bytes > p.share() {
+// limit returns the memory that all requests may hold once a connection's request holds more.
+func (p *pool) limit(c *conn) int64 {
+	if c.state.hasLargeBody {
 		return int64(largeShare * float64(p.Bytes))
 	}
 	return p.Bytes
 }
 
+// setLargeBody marks the request of a connection as one with a large body, or with one of unknown length.
+func (p *pool) setLargeBody(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.state.hasLargeBody = true
+}
+
 // maxRoomWait is how long a request waits for memory of connections that were closed.
 const maxRoomWait = time.Second
 
@@ -168,7 +177,7 @@
 // held meanwhile.
 func (p *pool) wait(c *conn) bool {
 	woken := make(chan struct{})
-	c.state.woken, c.state.waiting = woken, p.waiting.PushBack(c)
+	c.state.woken, c.state.waiting = woken, p.waitingFor(c).PushBack(c)
 	p.mu.Unlock()
 	elapsed, stop := interval.After(maxRoomWait)
 	defer stop()
@@ -183,17 +192,29 @@
 	return inTime
 }
 
-// wakeFirst wakes the connection that has waited for memory for the longest time, if there is any memory.
+// waitingFor returns the list in which a connection waits.
+func (p *pool) waitingFor(c *conn) *list.List {
+	if c.state.hasLargeBody {
+		return &p.waitingLarge
+	}
+	return &p.waiting
+}
+
+// wakeFirst wakes the connection that comes first of those that wait for memory, if there is any memory.
 func (p *pool) wakeFirst() {
-	if e := p.waiting.Front(); e != nil && p.held < p.Bytes {
-		p.wake(e.Value.(*conn))
+	first := p.waiting.Front()
+	if first == nil {
+		first = p.waitingLarge.Front()
+	}
+	if first != nil && p.held < p.limit(first.Value.(*conn)) {
+		p.wake(first.Value.(*conn))
 	}
 }
 
 // wake wakes a connection if it waits for memory.
 func (p *pool) wake(c *conn) {
 	if c.state.waiting != nil {
-		p.waiting.Remove(c.state.waiting)
+		p.waitingFor(c).Remove(c.state.waiting)
 		close(c.state.woken)
 		c.state.waiting = nil
 	}
@@ -228,7 +249,7 @@
 		return
 	}
 	p.held -= c.state.charged
-	c.state.charged = 0
+	c.state.charged, c.state.hasLargeBody = 0, false
 	p.move(c, &p.idle)
 	p.wakeFirst()
 }
