internal/ingress: a body that is not decoded takes no turn

Callers would have seen large requests refused with 503 while an operator's `apply` waits for a table that does not answer, and for as long again after it: large bodies are decoded in turns, and the configuration, which is passed on as text, held the turn until its response.

Change: a body whose expansion is 1 is not decoded and takes no turn.

Found by reading the diff; TestBodyThatIsNotDecodedTakesNoTurn failed before (503 after a second).

--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -36,7 +36,7 @@
 
 // ReadBody returns the body of a request, which has at most limit bytes. Its memory counts against the server's limit
 // until the response is complete: expansion times its length, which is what decoding it may take, until Decoded is
-// called.
+// called. Large bodies with an expansion above 1 are decoded one after the other.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit, expansion int64) ([]byte, error) {
 	c := connOf(r)
 	if r.ContentLength > limit {
@@ -53,7 +53,7 @@
 	if !c.pool.protect(c) {
 		return nil, ErrBroken
 	}
-	if len(raw) <= smallBody {
+	if len(raw) <= smallBody || expansion <= 1 {
 		return raw, nil
 	}
 	if !c.startDecoding() {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -257,6 +257,47 @@
 	quicktest.Check(t, readAnswers(c), quicktest.Equals, "POST / 3, GET / 0, open")
 }
 
+// TestBodyThatIsNotDecodedTakesNoTurn fails if large bodies wait for a request whose body is not decoded, such as a
+// configuration that is written to a store that does not answer.
+func TestBodyThatIsNotDecodedTakesNoTurn(t *testing.T) {
+	done := make(chan struct{})
+	received := make(chan struct{}, 1)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		expansion := int64(2)
+		if r.URL.Path == "/raw" {
+			expansion = 1
+		}
+		if _, err := ReadBody(w, r, 4*smallBody, expansion); err != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if r.URL.Path == "/raw" {
+			received <- struct{}{}
+			<-done
+		}
+		fmt.Fprint(w, r.URL.Path)
+	})
+	l := testLimits
+	l.Bytes = 1 << 20
+	listener, err := Listen("127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	s := NewServer("test", l, handler, zap.NewNop(), nil)
+	go func() { _ = s.Serve(listener) }()
+	defer s.Close()
+	body := strings.Repeat("x", 2*smallBody)
+	send := func(path string) net.Conn {
+		c := dial(t, listener.Addr().String())
+		_, err := fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		return c
+	}
+	raw := send("/raw")
+	<-received
+	quicktest.Check(t, readAnswers(send("/decoded")), quicktest.Equals, "/decoded, open")
+	close(done)
+	quicktest.Check(t, readAnswers(raw), quicktest.Equals, "/raw, open")
+}
+
 // TestSlowReaderIsClosed fails if a client that sends requests ahead and reads no answers keeps its connection.
 func TestSlowReaderIsClosed(t *testing.T) {
 	address, m, _ := startServer(t, testLimits)
