scheduler, entry: jobs of one workspace no longer take all memory of a box

Callers saw both boxes of a site end, one after the other, and accepted jobs that never completed, of other workspaces too: 300 clients of one workspace hand in valid jobs for 20 s.

Cause: nothing bounds what one workspace hands in. The box that schedules keeps every job, and a box that takes over reads them all.

Change: the scheduler counts the memory of jobs by workspace and publishes which are full, in a row beside the summary of the load (that row keeps its bytes, so earlier versions can read it). Boxes answer 429 to a full one, not to a job that is stored already. What a box accepts from a workspace before it hears of that is bounded by a budget of its own.

It works because each job is counted before a box accepts more of them, by what it takes in memory and not by the length of its body.

TestFullBatchContainsNoLoad asserted that a full batch has no summary, which is part of the fault. TestFullBatchContainsLoad replaces it: it still bounds the rows, and asks for the summary while all batches are full. Further tests: TestFullWorkspaces, TestManyTasksAreCounted, TestManyCancellationsAreFull, TestFullWorkspaceIsRefused, TestLargeJobsAreBoundedAtOnce, TestUnknownCancellationIsRefused.

--- a/internal/admission/decide.go
+++ b/internal/admission/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,6 +40,24 @@
 	return age, age <= MaxAge && byWriter >= -maxClockLead
 }
 
+// IsFull reports whether the jobs of a workspace take as much memory as they may.
+func (s *Summary) IsFull(workspace string, now time.Time) bool {
+	return s.isFullKnown(now) && slices.Contains(s.Full.Workspaces, workspace)
+}
+
+// AreCancellationsFull reports whether cancellations of unknown jobs take as much memory as they may.
+func (s *Summary) AreCancellationsFull(now time.Time) bool {
+	return s.isFullKnown(now) && s.Full.Cancellations
+}
+
+// maxFullAge is the age above which it is no longer known what is full. It covers the time without a scheduler: a box
+// that takes over reads all jobs, and more must not be added meanwhile.
+const maxFullAge = 30 * time.Second
+
+func (s *Summary) isFullKnown(now time.Time) bool {
+	return s.Load != nil && now.Sub(time.UnixMilli(s.Made)).Abs() <= maxFullAge
+}
+
 // Decision tells whether a submission is refused, and from which figures that follows.
 type Decision struct {
 	Refuse     bool
--- a/internal/admission/load.go
+++ b/internal/admission/load.go
@@ -3,6 +3,7 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pulleyring/pulleyring/internal/job"
@@ -27,13 +28,25 @@
 }
 
 // Load is the summary of the load of a shard that its scheduler publishes. It contains only queues in which a job may
-// have to wait for too long.
+// have to wait for too long, and workspaces that hold too much memory.
 type Load struct {
 	_      struct{} `cbor:",toarray"`
 	Made   int64    // Unix time in milliseconds, by the clock of the scheduler's box.
 	Queues map[string]Queue
+	Full   Full `cbor:"-"` // A row of its own: earlier versions can't read further fields.
 }
 
+// Full tells what a scheduler has no memory for.
+type Full struct {
+	_             struct{} `cbor:",toarray"`
+	Made          int64    // That of the summary that it belongs to; it is not valid beside another one.
+	Workspaces    []string // Workspaces that must not submit further jobs, sorted. The empty name means callers without one.
+	Cancellations bool     // Cancellations of unknown jobs are not kept.
+}
+
+// IsEmpty reports whether there is memory for everything.
+func (f Full) IsEmpty() bool { return len(f.Workspaces) == 0 && !f.Cancellations }
+
 // Queue is the load of one queue.
 type Queue struct {
 	_            struct{} `cbor:",toarray"`
@@ -122,7 +135,7 @@
 	}
 }
 
-// refreshInterval is the age at which a summary that contains any queue is replaced even if nothing has changed. Boxes
+// refreshInterval is the age at which a summary that restricts anything is replaced even if nothing has changed. Boxes
 // ignore summaries older than MaxAge.
 const refreshInterval = 2 * time.Second
 
@@ -133,9 +146,12 @@
 	changedMs    = 500
 )
 
+// restricts reports whether any job or cancellation may be refused by the summary.
+func (l *Load) restricts() bool { return len(l.Queues) > 0 || !l.Full.IsEmpty() }
+
 // Outdated reports whether a summary must be replaced by a newer one. Both may be empty.
 func (l *Load) Outdated(newer *Load) bool {
-	if len(l.Queues) != len(newer.Queues) {
+	if len(l.Queues) != len(newer.Queues) || !slices.Equal(l.Full.Workspaces, newer.Full.Workspaces) || l.Full.Cancellations != newer.Full.Cancellations {
 		return true
 	}
 	for name, q := range newer.Queues {
@@ -149,7 +165,7 @@
 			}
 		}
 	}
-	return len(l.Queues) > 0 && newer.Made-l.Made >= refreshInterval.Milliseconds()
+	return l.restricts() && newer.Made-l.Made >= refreshInterval.Milliseconds()
 }
 
 // changed reports whether a wait has changed materially.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,6 +33,8 @@
 	ErrUnavailable = errors.New("entry: the store can't be reached")
 	// ErrClosed means that every hall is emptied, so that no job could start, and that nothing was done.
 	ErrClosed = errors.New("entry: every hall is emptied")
+	// ErrFull means that the caller's workspace has too many or too large jobs, and that nothing was done.
+	ErrFull = errors.New("entry: the jobs of the workspace take too much memory")
 	// ErrUndecided means that the call got no answer from the store: it may have taken effect, or may do so later.
 	ErrUndecided = errors.New("entry: no answer from the store")
 )
@@ -69,6 +71,8 @@
 	RefusalsDisabled func() bool // Reports whether no job may be refused for load.
 	Log              *zap.Logger
 	Figures          *measure.Metrics // May be nil.
+	// JobMemory is the memory that all jobs together may take on the scheduler's box, in bytes; 0 for no limit.
+	JobMemory int64
 
 	mu         sync.Mutex
 	workspaces map[job.ID]string // Cached workspaces of stored jobs; saves reading a job's request at each call.
@@ -76,6 +80,9 @@
 	attempts  map[job.ID]int
 	summary   *ledger.Summary // Cached for Pending; read at summaryAt.
 	summaryAt time.Time
+
+	budgets       budgets
+	refusalLogged time.Time // When a refusal for memory was last logged.
 }
 
 const (
@@ -146,6 +153,10 @@
 		e.logCall("submit", r.ID, c, began, err)
 		return err
 	}
+	if e.refusedAsFull(ctx, r) {
+		e.countCall("submit", began, ErrFull)
+		return ErrFull
+	}
 	e.beginAttempt(r.ID)
 	err := e.writeRepeatedly(ctx, func(ctx context.Context) error { return e.Ledger.Submit(ctx, r) })
 	if !errors.Is(err, ErrUndecided) {
@@ -243,6 +254,10 @@
 // Cancel cancels a job. A job that is not submitted yet is cancelled in advance.
 func (e *Entry) Cancel(ctx context.Context, c Caller, id job.ID) error {
 	began := time.Now()
+	if e.refusedAsUnknown(ctx, c, id) {
+		e.countCall("cancel", began, ErrFull)
+		return ErrFull
+	}
 	err := e.writeRepeatedly(ctx, func(ctx context.Context) error { return e.Ledger.Cancel(ctx, id) })
 	e.logCall("cancel", id, c, began, err)
 	return err
--- a/internal/ledger/lease.go
+++ b/internal/ledger/lease.go
@@ -231,6 +231,11 @@
 		if err := add(tableLoad, t.ledger.Shard, b.Load); err != nil {
 			return nil, err
 		}
+		if full := &b.Load.Full; !full.IsEmpty() {
+			if err := add(tableLoad, t.ledger.Shard+fullSuffix, full); err != nil {
+				return nil, err
+			}
+		}
 	}
 	for row, addresses := range b.Addresses {
 		if err := add(tableAddresses, addressRowName(row), addresses); err != nil {
--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 	"github.com/pulleyring/pulleyring/internal/admission"
+	"github.com/pulleyring/pulleyring/internal/store"
 )
 
 // tableLoad holds the summary of the shard's load. It is written only as part of batches. Boxes of earlier versions
@@ -16,16 +17,31 @@
 // ErrUnreadable means that a row is truncated or was written by another version.
 var ErrUnreadable = errors.New("ledger: unreadable row")
 
+// fullSuffix is appended to the name of a summary to name the row of what the scheduler has no memory for. It is written
+// with the summary, and only while there is anything to tell.
+const fullSuffix = "/full"
+
 // Load reads the latest summary of the load; nil if there is none. The version is the newest one in the store. The
 // error is ErrUnreadable or one of the store.
 func (l *Ledger) Load(ctx context.Context) (load *admission.Load, version int64, err error) {
-	page, err := l.readOne(ctx, l.key(tableLoad, l.Shard))
-	if err != nil || len(page.Rows) == 0 {
+	k := l.key(tableLoad, l.Shard)
+	page, err := l.Store.Read(ctx, store.Range{Table: k.Table, Part: k.Part, From: k.Name, To: k.Name + fullSuffix + "\x00", Limit: 2})
+	if err != nil {
 		return nil, page.Version, err
 	}
-	load = &admission.Load{}
-	if err := cbor.Unmarshal(page.Rows[0].Value, load); err != nil {
-		return nil, page.Version, errors.WithMessagef(ErrUnreadable, "a summary of the load: %v", err)
+	var full admission.Full
+	for i := range page.Rows {
+		var value any = &full
+		if page.Rows[i].Name == k.Name {
+			load = &admission.Load{}
+			value = load
+		}
+		if err := cbor.Unmarshal(page.Rows[i].Value, value); err != nil {
+			return nil, page.Version, errors.WithMessagef(ErrUnreadable, "a summary of the load: %v", err)
+		}
+	}
+	if load != nil && full.Made == load.Made {
+		load.Full = full
 	}
 	return load, page.Version, nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -110,7 +110,7 @@
 	n.operator = newWatchedOperator(n)
 	n.lease = newWatchedLease(n)
 	n.watchedLoad = newWatchedLoad(n)
-	n.Entry = &entry.Entry{Ledger: n.ledger, Configuration: n.Configuration, StoreHealthy: n.store.Healthy, StoreUnreachable: n.store.Unreachable, AllHallsEmptied: n.allHallsEmptied, Load: n.Load, RefusalsDisabled: n.refusalsDisabled, Log: log, Figures: &n.Metrics}
+	n.Entry = &entry.Entry{Ledger: n.ledger, Configuration: n.Configuration, StoreHealthy: n.store.Healthy, StoreUnreachable: n.store.Unreachable, AllHallsEmptied: n.allHallsEmptied, Load: n.Load, RefusalsDisabled: n.refusalsDisabled, JobMemory: s.Bounds.JobMemory, Log: log, Figures: &n.Metrics}
 	return n
 }
 
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -98,7 +98,11 @@
 		return nil
 	}
 	f := &pendingCommit{batch: ledger.Batch{Progress: map[job.ID]*job.Progress{}}, appliedEnds: map[*endCursor]appliedEnds{}}
+	h.collectLoad(&f.batch, time.Now())
 	rows, tasks := 0, 0
+	if f.batch.Load != nil {
+		rows = loadRows
+	}
 	for id := range h.dirtyJobs {
 		j := h.jobs[id]
 		if rows >= ledger.MaxBatchRows || tasks > 0 && tasks+len(j.Progress.Tasks) > ledger.MaxBatchTasks {
@@ -118,12 +122,13 @@
 		f.batch.Summary = &ledger.Summary{Pending: pending}
 		h.pendingByQueue = pending
 	}
-	if rows < ledger.MaxBatchRows { // A full batch leaves no room for a further row.
-		h.collectLoad(&f.batch, time.Now())
-	}
 	return f
 }
 
+// loadRows is the number of rows that a summary of the load takes. It has its place in each batch: beside a flood of new
+// jobs, all batches are full.
+const loadRows = 2
+
 // collectFollowUps adds the runs whose placement is in the batch to its follow-up actions. If the batch contains all
 // changed progress, it also adds the ends of runs that can then be acknowledged to the workers.
 func (h *shard) collectFollowUps(f *pendingCommit) {
--- a/internal/scheduler/forget.go
+++ b/internal/scheduler/forget.go
@@ -93,6 +93,7 @@
 	version := h.earlyCancellations[id].version
 	if j := h.jobs[id]; j != nil {
 		version = max(version, j.version)
+		h.holdings.add(j.Request, -1)
 		for s := range j.Request.Steps {
 			delete(h.stepTimes, stepOf(id, s))
 		}
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -29,15 +29,21 @@
 	uncertain bool           // The batch with current may not have been written.
 }
 
-// collectLoad adds a summary of the load to a batch if the last one is outdated, unless refusals are turned off. A
-// summary alone triggers no batch.
+// collectLoad adds a summary of the load to a batch if the last one is outdated. A summary alone triggers no batch.
 func (h *shard) collectLoad(b *ledger.Batch, now time.Time) {
 	p := &h.publishedLoad
-	if h.Bounds.DisableRefusals || now.Sub(p.measured) < loadInterval && !p.uncertain {
+	h.holdings.cancellations = len(h.earlyCancellations)
+	full := h.holdings.full(h.Bounds.JobMemory)
+	becameFull := len(full.Workspaces) > len(p.current.Full.Workspaces) || full.Cancellations && !p.current.Full.Cancellations
+	if now.Sub(p.measured) < loadInterval && !p.uncertain && !becameFull {
 		return
 	}
 	p.measured = now
-	load := h.measureLoad(now)
+	load := admission.Load{Made: now.UnixMilli()}
+	if !h.Bounds.DisableRefusals {
+		load = h.measureLoad(now)
+	}
+	load.Full, load.Full.Made = full, load.Made
 	if !p.uncertain && !p.current.Outdated(&load) {
 		return
 	}
@@ -46,6 +52,10 @@
 			zap.Int64("single_ms", q.Waits[0].Ms), zap.Int64("small_gang_ms", q.Waits[1].Ms),
 			zap.Int64("large_gang_ms", q.Waits[2].Ms))
 	}
+	if becameFull {
+		h.Log.Warn("scheduler: the jobs take too much memory; boxes refuse further ones", zap.Strings("workspaces", full.Workspaces),
+			zap.Bool("cancellations", full.Cancellations), zap.Int64("bytes", h.holdings.total), zap.Int64("limit", h.Bounds.JobMemory), zap.Int("jobs", len(h.jobs)))
+	}
 	p.current, p.uncertain = load, false
 	b.Load = &load
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -52,7 +52,8 @@
 	EmptiedGrace    time.Duration // How long work may still start in a hall after it was emptied; 0 for no limit.
 	DisableSpeeds   bool          // Does not learn or use the workers' speeds.
 	DisableHeadroom bool          // Keeps no capacity for expected urgent work.
-	DisableRefusals bool          // Publishes no summary of the load; boxes refuse no job for load.
+	DisableRefusals bool          // Publishes no waits; boxes refuse no job for load.
+	JobMemory       int64         // Memory that all jobs together may take, in bytes; 0 for no limit.
 	Policy          placement.Policy
 }
 
@@ -129,6 +130,7 @@
 	failureBurst  failureBurst
 	addresses     addresses
 	publishedLoad publishedLoad
+	holdings      holdings
 	lastHalls     knownHalls
 	answers       answerTimes
 	background    sync.WaitGroup
@@ -237,6 +239,7 @@
 	}
 	j := &trackedJob{Tracker: job.NewTracker(r, p), readySince: map[job.Group]time.Time{}, avoidWorkers: map[job.Group]map[string]bool{}}
 	h.jobs[r.ID] = j
+	h.holdings.add(r, 1)
 	h.estimates.addJob(r)
 	h.decisionDue = true
 	for _, o := range j.Running() {
