scheduler: ended jobs are forgotten as fast as they come

Cause: the search for old jobs stopped at what fits into one commit beside other rows, and slept for 5 s after it.

Change: a search returns 200, whose requests are deleted in transactions of 96 rows at most, and the next one follows after 0.5 s while there are more.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -241,23 +242,25 @@
 // DeleteRequests deletes the requests and cancellations of jobs that no longer have to be shown. fallbackParts
 // lists, by job, the parts besides the primary one that hold such rows.
 func (l *Ledger) DeleteRequests(ctx context.Context, ids []job.ID, fallbackParts map[job.ID][]string) error {
-	byPart := map[string]*store.Transaction{}
+	byPart := map[string][]store.Key{}
 	for _, id := range ids {
 		for _, part := range append([]string{l.primaryPart(id)}, fallbackParts[id]...) {
-			if byPart[part] == nil {
-				byPart[part] = &store.Transaction{}
-			}
-			byPart[part].Deletes = append(byPart[part].Deletes, requestKey(part, id), cancelKey(part, id))
+			byPart[part] = append(byPart[part], requestKey(part, id), cancelKey(part, id))
 		}
 	}
-	for _, tx := range byPart {
-		if _, err := l.Store.Commit(ctx, tx); err != nil {
-			return err
+	for _, keys := range byPart {
+		for some := range slices.Chunk(keys, maxTransactionDeletes) {
+			if _, err := l.Store.Commit(ctx, &store.Transaction{Deletes: some}); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
 }
 
+// maxTransactionDeletes keeps transactions within the store's limit of 100 entries.
+const maxTransactionDeletes = 96
+
 // WatchJobs waits up to wait for requests and cancellations newer than the version since and returns them.
 func (l *Ledger) WatchJobs(ctx context.Context, since int64, wait time.Duration) (Changes, error) {
 	page, err := l.Store.Watch(ctx, tableJobs, since, wait)
--- a/internal/scheduler/forget.go
+++ b/internal/scheduler/forget.go
@@ -11,9 +11,16 @@
 	"github.com/pulleyring/pulleyring/internal/logsink"
 )
 
-// forgetInterval is the interval between searches for jobs that ended so long ago that operators need not see them
-// any more.
-const forgetInterval = 5 * time.Second
+const (
+	// forgetInterval is the interval between searches for jobs that ended so long ago that operators need not see them
+	// any more.
+	forgetInterval = 5 * time.Second
+	// maxForgotten limits the jobs that one search returns. The requests of most of them are deleted in one transaction
+	// for each part of the store.
+	maxForgotten = 200
+	// forgetBacklogPause is the pause before the next search after one that returned maxForgotten jobs.
+	forgetBacklogPause = 500 * time.Millisecond
+)
 
 // pastJobs is the state of jobs that are not tracked, or that were deleted a short time ago.
 type pastJobs struct {
@@ -25,7 +32,8 @@
 // forgetLoop deletes the rows of old jobs: the requests first and the progress after them, so that a successor
 // never finds a request without its progress.
 func (h *shard) forgetLoop() {
-	for interval.Sleep(h.ctx, forgetInterval) {
+	for pause := forgetInterval; interval.Sleep(h.ctx, pause); {
+		pause = forgetInterval
 		h.mu.Lock()
 		maps.DeleteFunc(h.forgotten, func(_ job.ID, f forgottenJob) bool { return time.Since(f.at) > forgottenRetention })
 		old := h.oldJobs()
@@ -44,6 +52,9 @@
 		h.mu.Lock()
 		h.dropDeleted(old)
 		h.mu.Unlock()
+		if len(old) >= maxForgotten {
+			pause = forgetBacklogPause
+		}
 	}
 }
 
@@ -107,22 +118,19 @@
 	delete(h.otherParts, id)
 }
 
-// oldJobs returns jobs that ended, and cancellations without a job that arrived, more than Bounds.Retain ago. It
-// stops at about ledger.MaxDeletedRows rows; the next call returns the rest.
+// oldJobs returns jobs that ended, and cancellations without a job that arrived, more than Bounds.Retain ago, at most
+// maxForgotten of them.
 func (h *shard) oldJobs() []job.ID {
 	oldest := time.Now().Add(-h.Bounds.Retain)
 	var ids []job.ID
-	rows := 0
 	for id, j := range h.jobs {
-		if rows < ledger.MaxDeletedRows && h.isOld(j) && len(j.Running()) == 0 && h.isCommitted(id) {
+		if len(ids) < maxForgotten && h.isOld(j) && len(j.Running()) == 0 && h.isCommitted(id) {
 			ids = append(ids, id)
-			rows += ledger.ProgressRows(&j.Progress)
 		}
 	}
 	for id, e := range h.earlyCancellations {
-		if rows < ledger.MaxDeletedRows && e.at.Before(oldest) {
+		if len(ids) < maxForgotten && e.at.Before(oldest) {
 			ids = append(ids, id)
-			rows++
 		}
 	}
 	return ids
--- a/internal/scheduler/forget_test.go
+++ b/internal/scheduler/forget_test.go
@@ -1,13 +1,16 @@
 package scheduler
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
 	"github.com/pulleyring/pulleyring/internal/job"
 	"github.com/pulleyring/pulleyring/internal/ledger"
+	"github.com/pulleyring/pulleyring/internal/store"
 	"go.uber.org/zap"
 )
 
@@ -80,3 +83,49 @@
 	f = h.prepare(false)
 	quicktest.Check(t, f == nil || len(f.batch.Progress) == 0, quicktest.IsTrue)
 }
+
+// deletions is a store that records deleted rows.
+type deletions struct {
+	store.Store
+	deleted map[string]bool
+	largest int // Rows of the largest transaction.
+}
+
+// Commit implements store.Store.
+func (d *deletions) Commit(_ context.Context, tx *store.Transaction) (int64, error) {
+	d.largest = max(d.largest, len(tx.Deletes))
+	for _, k := range tx.Deletes {
+		d.deleted[k.Name] = true
+	}
+	return 1, nil
+}
+
+// maxTransactionRows is the number of rows that the users' store accepts in a transaction.
+const maxTransactionRows = 100
+
+// TestOldJobsAreForgottenInTime fails if jobs end faster than they are forgotten, so that the memory of the box that
+// schedules and the rows in the store grow all the time.
+func TestOldJobsAreForgottenInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		h := offlineShard()
+		rows := &deletions{deleted: map[string]bool{}}
+		h.ctx, h.Ledger, h.Bounds.Retain = ctx, &ledger.Ledger{Store: rows, Shard: "main"}, time.Second
+		go h.forgetLoop()
+		const perSecond, seconds = 100, 60
+		for n := range perSecond * seconds {
+			h.mu.Lock()
+			h.addJob(request(fmt.Sprint(n), time.Second), nil)
+			h.jobs[job.ID(fmt.Sprint(n))].Cancel(time.Now().UnixMilli())
+			h.mu.Unlock()
+			time.Sleep(time.Second / perSecond)
+		}
+		time.Sleep(10 * time.Second)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		quicktest.Check(t, len(h.jobs), quicktest.Equals, 0)
+		quicktest.Check(t, len(rows.deleted), quicktest.Equals, 2*perSecond*seconds, quicktest.Commentf("a request and a cancellation each"))
+		quicktest.Check(t, rows.largest <= maxTransactionRows, quicktest.IsTrue, quicktest.Commentf("%d rows", rows.largest))
+	})
+}
