internal/ingress: callers that wait for outcomes no longer keep others out

Change: handlers that can answer at any time tell so. Where a new client finds no connection that can be closed at once, the request that has waited for the longest time is answered with what is known so far, as at a planned stop, and its connection is closed.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -192,9 +192,10 @@
 		writeProblem(w, http.StatusUnprocessableEntity, "the request was not taken; nothing of it is kept", findings)
 		return
 	}
-	ctx, cancel := s.waitContext(r, o.Submission.Gang > 0)
-	defer cancel()
-	s.reply(w, s.Intake.Submit(ctx, o))
+	ctx, done := s.waitContext(w, r, o.Submission.Gang > 0)
+	reply := s.Intake.Submit(ctx, o)
+	done()
+	s.reply(w, reply)
 }
 
 func parseRound(r *http.Request, findings *finding.List) int {
@@ -248,7 +249,8 @@
 
 // waitContext returns a context that ends when the caller no longer waits for the outcome. The header
 // Prefer: wait=SECONDS sets the time; without it, callers don't wait for gangs and wait maxWait for small requests.
-func (s *Server) waitContext(r *http.Request, gang bool) (context.Context, context.CancelFunc) {
+// It also ends when the connection is needed for others. done must be called before the response is written.
+func (s *Server) waitContext(w http.ResponseWriter, r *http.Request, gang bool) (ctx context.Context, done func()) {
 	wait := maxWait
 	if gang {
 		wait = 0
@@ -260,7 +262,8 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), wait)
 	stop := context.AfterFunc(s.stopping, cancel)
-	return ctx, func() { stop(); cancel() }
+	settled := ingress.Patient(w, r, cancel)
+	return ctx, func() { stop(); settled(); cancel() }
 }
 
 // reply writes the reply to a caller with the HTTP status that fits its outcome.
@@ -281,9 +284,9 @@
 // status replies with the state of a caller's earlier request.
 func (s *Server) status(w http.ResponseWriter, r *http.Request, caller contract.Caller) {
 	id := request.Identity{Caller: caller.Name, ID: chi.URLParam(r, "id")}
-	ctx, cancel := s.waitContext(r, true)
-	defer cancel()
+	ctx, done := s.waitContext(w, r, true)
 	reply, err := s.Intake.Await(ctx, id)
+	done()
 	if err != nil {
 		writeProblem(w, http.StatusNotFound, "no request of that id is known to this caller", nil)
 		return
--- a/internal/ingress/client_test.go
+++ b/internal/ingress/client_test.go
@@ -35,6 +35,9 @@
 	ahead  int           // Requests that are sent ahead on one connection.
 	read   string        // all, slow or none.
 	hold   time.Duration // Time for which a client stands still before it reconnects.
+	// Each request has an ID of its own; otherwise all of a crowd have the same. For the product's own interface.
+	unique bool
+	wait   int // Seconds for which a client of the product's own interface waits for an outcome.
 
 	content []byte // The body.
 	rest    []byte // The head of its requests after the path.
@@ -43,7 +46,7 @@
 
 // parseClient parses the words key=value of a line.
 func parseClient(name, line string) (client, error) {
-	c := client{name: name, count: 100, door: "front", method: "POST", path: "job", key: "good", fill: "spec", ahead: 1, read: "all", hold: time.Minute}
+	c := client{name: name, count: 100, door: "front", method: "POST", path: "job", key: "good", fill: "spec", ahead: 1, read: "all", hold: time.Minute, wait: 3}
 	for _, word := range strings.Fields(line) {
 		key, value, _ := strings.Cut(word, "=")
 		var err error
@@ -80,6 +83,10 @@
 			c.ahead, err = strconv.Atoi(value)
 		case "read":
 			c.read = value
+		case "ids":
+			c.unique = value == "unique"
+		case "wait":
+			c.wait, err = strconv.Atoi(value)
 		case "hold":
 			c.hold, err = time.ParseDuration(value)
 		default:
@@ -106,6 +113,8 @@
 	switch fill {
 	case "request": // A valid small request of the product's own interface.
 		return []byte(`{"kind":"pull","workspace":"court","payload":{"work_ms":20,"x":"` + strings.Repeat("x", size) + `"}}`)
+	case "long_request": // One that runs for longer than any crowd stays.
+		return []byte(`{"kind":"pull","workspace":"court","payload":{"work_ms":60000}}`)
 	case "request_fields":
 		return []byte(`{"kind":"pull","workspace":"court","payload":{"work_ms":20` + strings.Repeat(`,"a":1`, size/6) + `}}`)
 	}
@@ -279,7 +288,7 @@
 // there are followed by an ID.
 var (
 	paths    = map[string]string{"job": "/jobs/", "queue": "/jobs/", "none": "/no/such/queue/", "ready": "/api/ready"}
-	apiPaths = map[string]string{"job": "/v1/requests", "queue": "/v1/requests/", "none": "/no/such/path/", "ready": "/ready", "metrics": "/metrics"}
+	apiPaths = map[string]string{"job": "/v1/requests", "queue": "/v1/requests/", "none": "/no/such/path/", "crowd": "/v1/requests/crowd", "ready": "/ready", "metrics": "/metrics"}
 )
 
 // prepare prepares the body and the parts of the head that are the same in all requests.
@@ -293,16 +302,25 @@
 	if s.api {
 		c.begins = c.method + " " + apiPaths[c.path]
 		keys = map[string]string{"good": "Bearer " + s.callerKey, "bad": "Bearer no.such"}
-		if c.path == "job" {
+		switch {
+		case c.unique:
+			c.begins += " HTTP/1.1\r\nIdempotency-Key: "
+		case c.path == "job":
 			c.begins += "?"
 		}
 	}
-	h.WriteString(" HTTP/1.1\r\nHost: queue.example\r\nContent-Type: application/json\r\nX-Deadline-Remaining: 3000\r\n")
+	if !c.unique {
+		h.WriteString(" HTTP/1.1")
+	}
+	h.WriteString("\r\nHost: queue.example\r\nContent-Type: application/json\r\nX-Deadline-Remaining: 3000\r\n")
 	if key := keys[c.key]; key != "" {
 		fmt.Fprintf(&h, "Authorization: %s\r\n", key)
 	}
 	if s.api {
-		fmt.Fprintf(&h, "Idempotency-Key: crowd\r\nPrefer: wait=3\r\n")
+		fmt.Fprintf(&h, "Prefer: wait=%d\r\n", c.wait)
+		if !c.unique {
+			h.WriteString("Idempotency-Key: crowd\r\n")
+		}
 	}
 	for i := range c.lines {
 		fmt.Fprintf(&h, "%s:\r\n", strconv.FormatInt(int64(36*36+i), 36))
--- a/internal/ingress/pool.go
+++ b/internal/ingress/pool.go
@@ -36,6 +36,8 @@
 	large list.List
 	// Connections that wait for the memory of others that were closed, in order; those with large bodies come last.
 	waiting, waitingLarge list.List
+	patients              list.List // Requests of type *patient that were not asked to leave, the longest wait first.
+	leaving               int       // Requests that were asked to leave and still wait.
 	open                  int
 	held                  int64          // Memory that all connections hold.
 	closing               int64          // Memory of connections that are closed and whose server has not ended yet.
@@ -59,20 +61,22 @@
 // share is the part of the memory that each connection may hold without being closed for it.
 func (p *pool) share() int64 { return p.Bytes / int64(max(p.Connections, 1)) }
 
-// add adds a new connection. It waits while all others are younger than MinAge, and reports false if there is no room
-// because all others wait for responses.
+// add adds a new connection. It waits while all others are younger than MinAge, or until one that waits for an outcome has
+// left, and reports false if there is no room because all others wait for responses.
 func (p *pool) add(c *conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for p.Connections > 0 && p.open >= p.Connections {
 		victim, age := p.oldestConnection(c)
-		if victim != nil && age < p.MinAge {
+		switch {
+		case victim != nil && age >= p.MinAge:
+			p.close(victim, reasonConnections)
+		case p.waitForDismissed():
+		case victim != nil:
 			p.mu.Unlock()
 			time.Sleep(p.MinAge - age)
 			p.mu.Lock()
-			continue
-		}
-		if !p.close(victim, reasonConnections) {
+		default:
 			p.note(reasonBusy)
 			return false
 		}
@@ -302,6 +306,7 @@
 	reasonConnections = "closed_for_connections" // Too many connections.
 	reasonMemory      = "closed_for_memory"      // Too much memory.
 	reasonBusy        = "refused_busy"           // Too much memory or too many connections, all of them with whole requests.
+	reasonDismissed   = "dismissed"              // Too many connections: a request that waited was answered early.
 	reasonHeader      = "refused_header"
 	reasonBody        = "refused_body_size"
 	reasonSlowHeader  = "closed_slow_header"
