entry: a full workspace is refused although the store does not tell

Cause: before a box refuses a job of a full workspace it looks whether the job was accepted before, at three reads each. The crowd's refusals used up the store's reads, and a job that could not be looked for was accepted: the scheduler counted 48 MB when it reported the workspace, and 1,051 MB later.

Change: what can't be told is answered 504, which promises nothing, and is not stored. A box looks for 50 jobs a second at most.

All crowds are played with that store from now on.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/pulleyring/pulleyring/internal/queue"
 	"github.com/pulleyring/pulleyring/internal/store"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 )
 
 // Errors of calls.
@@ -82,6 +83,8 @@
 	summaryAt time.Time
 
 	budgets       budgets
+	checks        *rate.Limiter // Looks for jobs that may have to be refused.
+	checksOnce    sync.Once
 	refusalLogged time.Time // When a refusal for memory was last logged.
 }
 
@@ -153,9 +156,9 @@
 		e.logCall("submit", r.ID, c, began, err)
 		return err
 	}
-	if e.refusedAsFull(ctx, r) {
-		e.countCall("submit", began, ErrFull)
-		return ErrFull
+	if err := e.checkRoom(ctx, r); err != nil {
+		e.countCall("submit", began, err)
+		return err
 	}
 	e.beginAttempt(r.ID)
 	err := e.writeRepeatedly(ctx, func(ctx context.Context) error { return e.Ledger.Submit(ctx, r) })
@@ -254,9 +257,9 @@
 // Cancel cancels a job. A job that is not submitted yet is cancelled in advance.
 func (e *Entry) Cancel(ctx context.Context, c Caller, id job.ID) error {
 	began := time.Now()
-	if e.refusedAsUnknown(ctx, c, id) {
-		e.countCall("cancel", began, ErrFull)
-		return ErrFull
+	if err := e.checkKnown(ctx, c, id); err != nil {
+		e.countCall("cancel", began, err)
+		return err
 	}
 	err := e.writeRepeatedly(ctx, func(ctx context.Context) error { return e.Ledger.Cancel(ctx, id) })
 	e.logCall("cancel", id, c, began, err)
--- a/internal/entry/room.go
+++ b/internal/entry/room.go
@@ -59,29 +59,60 @@
 	return bytes <= 0 || l.AllowN(now, min(int(bytes), l.Burst()))
 }
 
-// refusedAsFull reports whether a job must be refused because the jobs of its workspace take as much memory as they may,
-// or because this box has just accepted many of them. A job that was accepted before is not refused.
-func (e *Entry) refusedAsFull(ctx context.Context, r *job.Request) bool {
+// checkRoom returns ErrFull if a job must be refused because the jobs of its workspace take as much memory as they may, or
+// because this box has just accepted many of them. A job that was accepted before is not refused. If it can't be told now
+// whether it was, the error is ErrUndecided.
+func (e *Entry) checkRoom(ctx context.Context, r *job.Request) error {
 	full := e.Load != nil && e.Load().IsFull(r.Terms.Workspace, time.Now())
-	if !full && e.budgets.take(r.Terms.Workspace, r.Footprint(), e.JobMemory) || !e.isNew(ctx, r.ID) {
-		return false
+	if !full && e.budgets.take(r.Terms.Workspace, r.Footprint(), e.JobMemory) {
+		return nil
 	}
-	e.noteRefusal("jobs", r.Terms.Workspace)
-	return true
+	err := e.checkNew(ctx, r.ID)
+	e.noteRefusal("jobs", r.Terms.Workspace, err)
+	return err
 }
 
-// refusedAsUnknown reports whether a cancellation must be refused because it belongs to no job and too many such
-// cancellations are kept for requests that may still arrive.
-func (e *Entry) refusedAsUnknown(ctx context.Context, c Caller, id job.ID) bool {
-	if e.Load == nil || !e.Load().AreCancellationsFull(time.Now()) || !e.isNew(ctx, id) {
-		return false
+// checkKnown returns ErrFull if a cancellation must be refused because it belongs to no job and too many such
+// cancellations are kept for requests that may still arrive. If it can't be told now whether there is such a job, the
+// error is ErrUndecided.
+func (e *Entry) checkKnown(ctx context.Context, c Caller, id job.ID) error {
+	if e.Load == nil || !e.Load().AreCancellationsFull(time.Now()) {
+		return nil
 	}
-	e.noteRefusal("cancellations", c.Workspace)
-	return true
+	err := e.checkNew(ctx, id)
+	e.noteRefusal("cancellations", c.Workspace, err)
+	return err
 }
 
-// noteRefusal counts a refusal. It writes one line per refusalLogInterval to the log.
-func (e *Entry) noteRefusal(what, workspace string) {
+// checksPerS is the number of jobs per second that a box looks for in the store before it refuses them. Each takes three
+// reads, and the boxes share the calls that the store takes.
+const checksPerS = 50
+
+// checkNew returns nil if a job was accepted before, or may have been by this box, ErrFull if it certainly was not, and
+// ErrUndecided if that can't be told now.
+func (e *Entry) checkNew(ctx context.Context, id job.ID) error {
+	if e.maybeStored(id) {
+		return nil
+	}
+	e.checksOnce.Do(func() { e.checks = rate.NewLimiter(checksPerS, checksPerS) })
+	if !e.checks.Allow() {
+		return ErrUndecided
+	}
+	kept, err := e.Ledger.Request(ctx, id)
+	switch {
+	case err != nil:
+		return ErrUndecided
+	case kept != nil || e.maybeStored(id): // An attempt may have begun during the read.
+		return nil
+	}
+	return ErrFull
+}
+
+// noteRefusal counts a refusal, if err is one. It writes one line per refusalLogInterval to the log.
+func (e *Entry) noteRefusal(what, workspace string, err error) {
+	if err == nil {
+		return
+	}
 	e.Figures.Count("refused_full_" + what)
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/ingress/site_test.go
+++ b/internal/ingress/site_test.go
@@ -52,6 +52,8 @@
 	gangWait      = 3 * time.Second
 	watchInterval = 20 * time.Millisecond // Interval at which the memory of the boxes is read.
 	startLimit    = 20 * time.Second
+	storeWrites   = 800 // Calls of all boxes a second that the users' smallest stores take.
+	storeReads    = 2000
 	mebibyte      = 1 << 20
 )
 
@@ -73,11 +75,12 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 	ended   chan struct{}
-	peak    int64    // Peak memory in bytes, unread bytes in the kernel included.
-	used    int64    // Memory in bytes as last read.
-	faults  []string // Ends of the process that nobody asked for.
-	checks  []bool   // Results of the readiness checks.
-	starts  int      // Starts of the process.
+	peak    int64         // Peak memory in bytes, unread bytes in the kernel included.
+	used    int64         // Memory in bytes as last read.
+	faults  []string      // Ends of the process that nobody asked for.
+	checks  []bool        // Results of the readiness checks.
+	slowest time.Duration // Time of the slowest readiness check that counts.
+	starts  int           // Starts of the process.
 	// Number of readiness checks that do not count because the machine was too busy.
 	unchecked int
 }
@@ -113,6 +116,7 @@
 func newSite(t *testing.T, boxes int, m machine) *site {
 	s := emptySite(t)
 	s.store = standin.NewStore(heartbeat)
+	s.store.LimitCalls(storeWrites, storeReads)
 	go s.store.Run(s.ctx)
 	s.address = s.serve(s.store.Handler())
 	for i := range 4 {
@@ -338,13 +342,16 @@
 				_ = resp.Body.Close()
 			}
 			busy := time.Since(began) > maxControlTime
+			began = time.Now()
 			status := s.readiness(client, b)
+			took := time.Since(began)
 			b.mu.Lock()
 			defer b.mu.Unlock()
 			if busy {
 				b.unchecked++
 				return
 			}
+			b.slowest = max(b.slowest, took)
 			// A box that answers that it is not ready during an outage of the store is right.
 			b.checks = append(b.checks, status == http.StatusOK || status != 0 && s.outage.Load())
 		})
