node: boxes learn of full workspaces also where no job is refused for load

With admission.refuse_hopeless=false, boxes did not read the summary of the load, and so accepted jobs of a full workspace up to their own budgets. The box that schedules shows what all jobs take as the gauge jobs_bytes.

Test: TestFullWorkspacesReachAllBoxes, fails without the change for each of the three boxes, twice.

--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -61,6 +61,9 @@
 // refusalsDisabled reports whether the settings in force turn off refusals for load.
 func (n *Node) refusalsDisabled() bool { return n.settings.Load().Bounds.DisableRefusals }
 
+// needsLoad reports whether the summary of the load is used: to refuse jobs for load or for the memory that they take.
+func (n *Node) needsLoad() bool { return !n.refusalsDisabled() || n.Entry.JobMemory > 0 }
+
 // followLoad keeps the summary of the load up to date while the box may refuse jobs for load. A box that stops watching
 // gets no news for up to loadPoll; it then admits everything.
 func (n *Node) followLoad(ctx context.Context) {
@@ -77,7 +80,7 @@
 func (n *Node) readLoad(ctx context.Context) time.Duration {
 	from, pause := &n.watchedLoad.copies, minCopyInterval
 	switch {
-	case n.refusalsDisabled():
+	case !n.needsLoad():
 		return roleCheckInterval
 	case n.watchesLoad():
 		from, pause = &n.watchedLoad.direct, loadPoll
@@ -125,7 +128,7 @@
 
 // loadFeed returns a feed that reports changes of the load.
 func (n *Node) loadFeed() *feed {
-	needed := func() bool { return !n.refusalsDisabled() && n.watchesLoad() }
+	needed := func() bool { return n.needsLoad() && n.watchesLoad() }
 	return &feed{
 		Needed: needed,
 		Wait: func(ctx context.Context, since int64) (int64, error) {
--- a/internal/node/load_test.go
+++ b/internal/node/load_test.go
@@ -64,6 +64,35 @@
 	}
 }
 
+// TestFullWorkspacesReachAllBoxes fails if a box does not learn which workspaces are full or that they no longer are, also
+// while no job is refused for load.
+func TestFullWorkspacesReachAllBoxes(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		for _, n := range w.nodes() {
+			settings := *n.settings.Load()
+			settings.Bounds.DisableRefusals = true
+			n.Reload(&settings)
+			n.Entry.JobMemory = 1
+		}
+		time.Sleep(3 * time.Second)
+		for _, isFull := range []bool{true, false, true} {
+			made := time.Now().UnixMilli()
+			key := store.Key{Table: "load", Part: Shard, Name: Shard + "/full"}
+			if isFull {
+				raw, err := cbor.Marshal(admission.Full{Made: made, Workspaces: []string{"guest"}})
+				quicktest.Assert(t, err, quicktest.IsNil)
+				w.store.CommitAsOperator(&store.Transaction{Writes: []store.Row{{Key: key, Value: raw}}})
+			}
+			w.writeLoad(t, admission.Load{Made: made})
+			time.Sleep(time.Second)
+			for name, b := range w.boxes {
+				quicktest.Check(t, b.node.Load().IsFull("guest", time.Now()), quicktest.Equals, isFull, quicktest.Commentf("%s", name))
+				quicktest.Check(t, b.node.Load().IsFull("desk", time.Now()), quicktest.IsFalse, quicktest.Commentf("%s", name))
+			}
+		}
+	})
+}
+
 // TestUnreadableLoadIsDropped fails if a box keeps a summary of the load after it was replaced by one that it can't read.
 func TestUnreadableLoadIsDropped(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
--- a/internal/scheduler/load.go
+++ b/internal/scheduler/load.go
@@ -34,6 +34,7 @@
 	p := &h.publishedLoad
 	h.holdings.cancellations = len(h.earlyCancellations)
 	full := h.holdings.full(h.Bounds.JobMemory)
+	h.Figures.Set("jobs_bytes", h.holdings.total)
 	becameFull := len(full.Workspaces) > len(p.current.Full.Workspaces) || full.Cancellations && !p.current.Full.Cancellations
 	if now.Sub(p.measured) < loadInterval && !p.uncertain && !becameFull {
 		return
