internal/ingress: fewer connections over TLS, which take more memory

Operators would have seen a box with tls_certificate come close to the memory of its machine beside a crowd, and exceed it with the state of a large site: a server alone, with the limits of a box of 284 MB and nothing else in the process, took 230 to 249 MB beside 2,000 clients that send bodies over TLS and stop (TestTLSCrowds/bodies). The limits leave 0.77 of the machine (218 MB) to a server and its clients.

Cause: a connection over TLS also holds the states of both directions and up to two records of 16 KiB, which nothing counted: 60 KB for an idle one.

Change: over TLS a connection counts 96 KiB instead of 56: 908 connections on that machine. A limit that is set is taken as it is.

Tests: TestTLSCrowds, TestIngress.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -109,7 +109,7 @@
 func (b *Box) Run(ctx context.Context, planned <-chan struct{}, listener net.Listener) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	server := ingress.NewServer("api", b.Settings.Limits.Ingress(), b.API.Handler(), b.Log, measure.On(b.Registry))
+	server := ingress.NewServer("api", b.Settings.Limits.Ingress(b.Settings.Keys.TLSCertificate != ""), b.API.Handler(), b.Log, measure.On(b.Registry))
 	b.start(ctx)
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -57,6 +57,8 @@
 	// connectionBytes is the memory of a connection without the request that it carries: two buffers of 4 KiB, a
 	// goroutine with its stack, and the kernel's receive buffer.
 	connectionBytes = 24<<10 + receiveBuffer
+	// tlsBytes is what a connection over TLS takes beside that: the states of both directions and two records of 16 KiB.
+	tlsBytes = 40 << 10
 	// lineBytes is the memory of a header line beside its bytes, once it is parsed.
 	lineBytes = 256
 )
@@ -77,6 +79,12 @@
 	}
 }
 
+// OverTLS returns the limits of a server whose clients come over TLS, from those for a machine of its size.
+func OverTLS(l Limits) Limits {
+	l.Connections = max(1, l.Connections*connectionBytes/(connectionBytes+tlsBytes))
+	return l
+}
+
 // RuntimeLimit returns the limit of the Go runtime's memory, in bytes, on a machine with this memory, in MiB.
 func RuntimeLimit(memoryMB int) int64 {
 	if memoryMB <= 0 {
--- a/internal/ingress/site_test.go
+++ b/internal/ingress/site_test.go
@@ -40,6 +40,10 @@
 )
 
 func TestMain(m *testing.M) {
+	if address := os.Getenv(envTLS); address != "" && os.Getenv(envProgram) != "" {
+		fmt.Fprintln(os.Stderr, serveTLS(address))
+		os.Exit(1)
+	}
 	if os.Getenv(envProgram) != "" {
 		os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr))
 	}
@@ -149,7 +153,7 @@
 
 // run waits until all boxes are ready, and watches their memory and readiness from then on.
 func (s *site) run() {
-	s.group.Go(func() { interval.Every(s.ctx, watchInterval, func(context.Context) { s.readMemory() }) })
+	s.group.Go(s.watchMemory)
 	s.awaitReady()
 	s.checkReadiness()
 }
@@ -363,6 +367,11 @@
 	return &http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true}}
 }
 
+// watchMemory reads the memory of the boxes until the test ends.
+func (s *site) watchMemory() {
+	interval.Every(s.ctx, watchInterval, func(context.Context) { s.readMemory() })
+}
+
 // readMemory reads the memory of the boxes. It kills a box that exceeds the memory of its machine.
 func (s *site) readMemory() {
 	unread := unreadBytes()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -86,9 +86,12 @@
 	ClientMemoryMB int // Memory of the requests that are received or handled, in MiB; 0 to derive it.
 }
 
-// Ingress returns the limits of clients.
-func (l *Limits) Ingress() ingress.Limits {
+// Ingress returns the limits of clients, which come over TLS or not.
+func (l *Limits) Ingress(overTLS bool) ingress.Limits {
 	set, derived := l.Clients, ingress.MachineLimits(l.MemoryMB, l.Descriptors)
+	if overTLS {
+		derived = ingress.OverTLS(derived)
+	}
 	return ingress.Limits{
 		Connections: cmp.Or(set.Connections, derived.Connections), Bytes: cmp.Or(int64(l.ClientMemoryMB)<<20, derived.Bytes),
 		HeaderBytes: cmp.Or(set.HeaderBytes, derived.HeaderBytes), HeaderLines: cmp.Or(set.HeaderLines, derived.HeaderLines),
