--- a/internal/ingress/tls_test.go
+++ b/internal/ingress/tls_test.go
@@ -74,7 +74,9 @@
 	for name, play := range map[string]func(c net.Conn){
 		"idle":   func(c net.Conn) { _ = tlsClient(c).Handshake() },
 		"bodies": func(c net.Conn) { _, _ = io.WriteString(tlsClient(c), body) },
-		"heads":  func(c net.Conn) { _, _ = io.WriteString(tlsClient(c), "GET / HTTP/1.1\r\nX: "+strings.Repeat("x", 15000)) },
+		"heads": func(c net.Conn) {
+			_, _ = io.WriteString(tlsClient(c), "GET / HTTP/1.1\r\nX: "+strings.Repeat("x", 15000))
+		},
 		"hellos": func(c net.Conn) { _, _ = io.WriteString(c, hello) },
 	} {
 		t.Run(name, func(t *testing.T) { playTLS(t, play) })
