internal/ingress: TestRandomFloods draws crowds that hand in valid jobs

For 10 to 30 s, in another workspace than the ordinary clients, beside kills, planned ends and outages of the store.

--- a/internal/ingress/random_test.go
+++ b/internal/ingress/random_test.go
@@ -19,8 +19,15 @@
 
 // TestRandomCrowds draws machines, mixed crowds of any size and speed, and failures beside them. It guards against limits
 // that hold for one size of a crowd only.
-func TestRandomCrowds(t *testing.T) {
-	first, last := uint64(1), uint64(2)
+func TestRandomCrowds(t *testing.T) { playSeeds(t, 2, drawScript) }
+
+// TestRandomFloods draws machines, crowds of one to three kinds that hand in or cancel valid jobs for up to 30 s, and
+// failures beside them. Its crowds belong to another workspace than the ordinary clients.
+func TestRandomFloods(t *testing.T) { playSeeds(t, 2, drawFlood) }
+
+// playSeeds plays the scripts of the seeds that the environment names, or of the first few.
+func playSeeds(t *testing.T, count uint64, draw func(r *rand.Rand) *script) {
+	first, last := uint64(1), count
 	if os.Getenv(envCrowds) == "none" {
 		last = 0
 	}
@@ -32,7 +39,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, 0))
 			m := machines[random.IntN(len(machines))]
-			s := drawScript(random)
+			s := draw(random)
 			s.name = fmt.Sprintf("seed_%d", seed)
 			t.Logf("%+v: %+v", m, s)
 			play(newSite(t, 2, m), s, seed)
@@ -40,6 +47,37 @@
 	}
 }
 
+// drawFlood draws one to three kinds of clients that hand in or cancel valid jobs and, for two scripts in three, an event.
+func drawFlood(r *rand.Rand) *script {
+	s := &script{target: pick(r, "scheduling", "other", "all"), time: 10*time.Second + time.Duration(r.IntN(20))*time.Second}
+	for range 1 + r.IntN(3) {
+		c := client{
+			count: 1 + int(math.Pow(600, r.Float64())), door: "front", method: pick(r, "POST", "POST", "POST", "DELETE"), path: "job",
+			key: "guest", ahead: pickNumber(r, 1, 1, 10), read: "all", hold: time.Second,
+		}
+		if c.method == "POST" {
+			c.fill = pick(r, "payload", "payload", "tasks", "times", "label")
+			c.body = 300 + int(math.Pow(3700, r.Float64()))
+			if c.fill == "label" {
+				c.body = 1 + int(math.Pow(46000, r.Float64()))
+			}
+		}
+		s.clients = append(s.clients, c)
+	}
+	at := time.Second + time.Duration(r.Float64()*float64(s.time-2*time.Second))
+	switch r.IntN(6) {
+	case 0, 1:
+		s.kill = at
+	case 2:
+		s.end = at
+	case 3:
+		s.outage = at
+	}
+	return s
+}
+
+func pickNumber(r *rand.Rand, numbers ...int) int { return numbers[r.IntN(len(numbers))] }
+
 // drawScript draws one to four kinds of clients and, for one script in three each, an event.
 func drawScript(r *rand.Rand) *script {
 	s := &script{target: pick(r, "scheduling", "other", "all"), time: crowdTime}
