internal/node: TestFullWorkspacesReachAllBoxes sets the memory limit before the boxes start

The product sets it before it starts.

The test still fails if boxes stop reading the load when refusals for load are turned off (needsLoad without the limit).

--- a/internal/node/load_test.go
+++ b/internal/node/load_test.go
@@ -67,12 +67,13 @@
 // TestFullWorkspacesReachAllBoxes fails if a box does not learn which workspaces are full or that they no longer are, also
 // while no job is refused for load.
 func TestFullWorkspacesReachAllBoxes(t *testing.T) {
-	inWorld(t, func(t *testing.T, w *world) {
+	inEmptyWorld(t, func(t *testing.T, w *world) {
+		w.jobMemory = 1 << 20
+		quicktest.Assert(t, w.command([]string{"boxes", "3"}), quicktest.IsNil)
 		for _, n := range w.nodes() {
 			settings := *n.settings.Load()
 			settings.Bounds.DisableRefusals = true
 			n.Reload(&settings)
-			n.Entry.JobMemory = 1
 		}
 		time.Sleep(3 * time.Second)
 		for _, isFull := range []bool{true, false, true} {
