internal/scheduler: starts are queued, and decisions wait for them

Beside 211 and 220 jobs of 1,200 tasks of another workspace, on boxes with 0.4 of a core, 386 and 274 accepted ordinary jobs had not completed 30 s after the crowd.

Cause: all starts of a decision were sent at once, up to 2,560 here, each with 300 ms for its answer. The box had no time for them: 24,986 of 27,670 timed out before they were sent, their runs ended as never begun, and the next decision placed them again.

Change: starts wait in a queue for one of 64 slots. The time of a start counts from its slot, and a start without an answer gives its slot back after 200 ms, so that silent workers hold up no others. A decision serves no further demand once it starts 1,024 tasks, and none is made while more than 256 starts are queued: the next one then serves what is most urgent by that time, which puts small jobs before large ones.

TestManyStartsOnSlowBox failed before: 2,486 starts timed out and the small job never started within 10 s. TestSilentWorkerHoldsUpNoStarts passes before and after; it guards the slots. Tests of scheduler, placement, node, cli and rig pass.

--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -22,6 +22,7 @@
 	idleReserve                    int             // Number of workers that must stay idle for urgent work.
 	tasksReservedWithoutPreemption int             // Number of tasks that hold a reservation without preemption.
 	outcome                        Outcome
+	started                        int    // Number of tasks that start.
 	servedDemands                  []bool // By demand: already processed in this decision.
 	// By demand: its reservation was dropped because another demand used the reserved capacity.
 	droppedReservations      []bool
@@ -55,6 +56,10 @@
 			pl.deductReservationsWithoutPreemption()
 			deducted = true
 		}
+		if v.MaxStarts > 0 && pl.started >= v.MaxStarts {
+			pl.outcome.LimitReached = true
+			break
+		}
 		pl.serve(i)
 	}
 	return pl.outcome
@@ -327,6 +332,7 @@
 		}
 	}
 	pl.outcome.Starts = append(pl.outcome.Starts, Start{i, workers, pl.isTooSlowOn(d, workers)})
+	pl.started += len(workers)
 	return len(workers) == len(d.Waiting)
 }
 
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -18,6 +18,8 @@
 	Policy      Policy
 	// Headroom is what is kept free for urgent work; nil to keep nothing.
 	Headroom []headroom.Kept
+	// MaxStarts is the number of tasks to start from which on no further demand is served; 0 for no limit.
+	MaxStarts int
 }
 
 // Policy holds the site's settings that affect decisions.
@@ -134,4 +136,5 @@
 	DroppedReservations []int // Indexes of the demands whose reservations were used by other demands.
 	KeptBack            []KeptBack
 	Paused              []int // Indexes of the demands that don't start because they were stopped recently.
+	LimitReached        bool  // Demands were not served because of View.MaxStarts.
 }
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -91,7 +91,7 @@
 	h.sampleWorkers(time.Now())
 	h.updateSpeeds(time.Now())
 	if h.decisionDue || h.anyWaiting() && time.Since(h.lastDecision) >= maxDecisionInterval {
-		h.decide()
+		h.decideOrPostpone()
 	}
 	pending := h.countPending()
 	if len(h.dirtyJobs) == 0 && len(h.droppedJobs) == 0 && !heartbeatDue && !h.addresses.rowsLeftOver && maps.Equal(pending, h.pendingByQueue) {
@@ -192,6 +192,7 @@
 	for _, r := range f.starts {
 		h.launch(r)
 	}
+	h.sendStarts()
 }
 
 // restoreChanges puts the changes of a failed batch back, so that the next batch contains them.
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -43,6 +43,16 @@
 // Batch tasks run for about that long.
 const maxReservationWait = 8 * time.Second
 
+// decideOrPostpone makes a placement decision unless too many starts of earlier ones are queued.
+func (h *shard) decideOrPostpone() {
+	if h.startQueue.isFull() {
+		h.decisionDue, h.startQueue.postponed, h.lastDecision = true, true, time.Now()
+		h.Figures.Count("decisions_postponed")
+		return
+	}
+	h.decide()
+}
+
 // decide makes a placement decision and applies it: it stops preempted work, keeps reservations and places what starts.
 func (h *shard) decide() {
 	h.decisionDue = false
@@ -87,6 +97,7 @@
 		}
 		h.place(d, s.Workers, now)
 	}
+	h.decisionDue = h.decisionDue || out.LimitReached
 }
 
 // waitLogInterval is the interval at which the reason why a group still waits is logged.
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -23,14 +23,13 @@
 // stopRetryDelay is the delay before a stop that got no answer is sent again.
 const stopRetryDelay = 150 * time.Millisecond
 
-// launch starts a run whose placement is committed.
+// launch queues the start of a run whose placement is committed.
 func (h *shard) launch(r *run) {
-	w := r.worker
-	if w.runs[r.task] != r || r.stopping {
+	if r.worker.runs[r.task] != r || r.stopping {
 		return
 	}
 	r.starting = true
-	h.background.Go(func() { h.start(w, r) })
+	h.startQueue.queued = append(h.startQueue.queued, r)
 }
 
 // start sends the start command of a run until the worker answers or refuses it, or all tries have failed.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -125,6 +125,7 @@
 	lastDecision  time.Time
 	estimates     estimates
 	urgentLoad    urgentLoad
+	startQueue    startQueue
 	stepTimes     map[groupKey]*stepTimes
 	stepSamples   map[groupKey]stepSamples
 	speeds        speeds
--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -15,7 +15,7 @@
 // updateView updates the view from which decisions are made and returns it.
 func (h *shard) updateView(now time.Time) *placement.View {
 	v := &h.view
-	v.Now, v.Policy = now, h.Bounds.Policy
+	v.Now, v.Policy, v.MaxStarts = now, h.Bounds.Policy, maxStartsPerDecision
 	v.Policy.TightFactor = h.tightFactor()
 	suspects := h.reassessLosses()
 	h.markGuaranteed()
