internal/scheduler: the progress of a new job is not deleted with that of an earlier one

If a job of the same name is handed in again meanwhile and its progress is committed, a later batch deleted that row. A later lease holder then knows the request without its progress, and starts all of its tasks again.

A batch is no longer built with the deletion of a job that is tracked; its new progress is written instead, which replaces the row. TestProgressOfNewJobIsNotDeleted failed before: the row was deleted after it was written. Not covered: a row of faults of the earlier job stays.

--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -93,6 +93,7 @@
 	if h.decisionDue || h.anyWaiting() && time.Since(h.lastDecision) >= maxDecisionInterval {
 		h.decideOrPostpone()
 	}
+	h.keepReturned()
 	pending := h.countPending()
 	if len(h.dirtyJobs) == 0 && len(h.droppedJobs) == 0 && !heartbeatDue && !h.addresses.rowsLeftOver && maps.Equal(pending, h.pendingByQueue) {
 		return nil
--- a/internal/scheduler/forget.go
+++ b/internal/scheduler/forget.go
@@ -141,6 +141,18 @@
 	return j.Progress.State.Final() && j.Progress.EndedAt < time.Now().Add(-h.Bounds.Retain).UnixMilli()
 }
 
+// keepReturned gives up the deletion of progress that belongs to a new job of the same name by now, and has it written
+// instead.
+func (h *shard) keepReturned() {
+	h.droppedJobs = slices.DeleteFunc(h.droppedJobs, func(d ledger.JobDeletion) bool {
+		returned := h.jobs[d.ID] != nil
+		if returned {
+			h.dirtyJobs[d.ID] = true
+		}
+		return returned
+	})
+}
+
 // takeDropped returns the deleted jobs whose progress rows the next batch deletes, and removes them from the list.
 // While commits fail, more accumulate than fit into one batch.
 func (h *shard) takeDropped() []ledger.JobDeletion {
--- a/internal/scheduler/forget_test.go
+++ b/internal/scheduler/forget_test.go
@@ -57,6 +57,31 @@
 	quicktest.Check(t, h.droppedJobs, quicktest.HasLen, 0)
 }
 
+// TestProgressOfNewJobIsNotDeleted fails if the progress of a job is deleted because an earlier job of its name ended: a
+// later lease holder would start all of its tasks again.
+func TestProgressOfNewJobIsNotDeleted(t *testing.T) {
+	h := offlineShard()
+	const forgotten = 60
+	for n := range forgotten {
+		h.droppedJobs = append(h.droppedJobs, ledger.JobDeletion{ID: job.ID(fmt.Sprint(n))})
+	}
+	again := job.ID(fmt.Sprint(forgotten - 1))
+	h.addJob(request(string(again), time.Second), nil)
+	written := false
+	for range forgotten {
+		f := h.prepare(false)
+		if f == nil {
+			break
+		}
+		written = written || f.batch.Progress[again] != nil
+		for _, x := range f.batch.Delete {
+			quicktest.Check(t, x.ID, quicktest.Not(quicktest.Equals), again)
+		}
+	}
+	quicktest.Check(t, h.droppedJobs, quicktest.HasLen, 0)
+	quicktest.Check(t, written, quicktest.IsTrue, quicktest.Commentf("the progress of the earlier job is left"))
+}
+
 // TestNothingIsForgottenBeforeItIsCommitted guards against a crash by a nil pointer. The scheduler's part of the
 // store was down for longer than ended jobs are kept. A job in a commit in flight was taken for committed, so its
 // request was deleted and its state dropped. The commit failed and was prepared again, with a job that was unknown
