internal/scheduler: a takeover deletes progress that was left by a lease holder that ended

Seen by a test only: old jobs are forgotten in two steps, requests first.

A takeover now has the progress of ended jobs deleted that have no request. Requests are read before progress, and all parts must be readable, so that no request is overlooked. Progress of unfinished jobs is left alone: their requests are never deleted.

--- a/internal/scheduler/forget.go
+++ b/internal/scheduler/forget.go
@@ -70,6 +70,16 @@
 	}
 }
 
+// dropLeftProgress has the progress of ended jobs deleted whose requests an earlier lease holder deleted, before it ended
+// itself. A later request with the same name must not be taken for ended by it.
+func (h *shard) dropLeftProgress(progress map[job.ID]*job.Progress) {
+	for id, p := range progress {
+		if h.jobs[id] == nil && p.State.Final() {
+			h.droppedJobs = append(h.droppedJobs, ledger.DeletionOf(id, p))
+		}
+	}
+}
+
 // forgottenJob is a job whose rows were deleted. A read that began before the deletion may still return the rows, and
 // the job must not start again by them. A new request with the same name has a newer version and does start.
 type forgottenJob struct {
--- a/internal/scheduler/takeover.go
+++ b/internal/scheduler/takeover.go
@@ -106,6 +106,7 @@
 	h.addresses.begin(reached)
 	h.applyListing(listing, true)
 	h.applyChanges(changes.List, progress)
+	h.dropLeftProgress(progress)
 	h.updateSpeeds(time.Now())
 	return changes.Version, listing.Version, nil
 }
