internal/placement: a decision shares its starts between the workspaces

Seen: with the stand-in's queue at priority 0 (a trial of TestRandomFloods/1), 394 accepted ordinary jobs had not completed 30 s after a crowd that hands in jobs of 1,200 tasks, and 246 had stood still for more than 30 s.

Cause: jobs without accelerators always fit into the guarantee, and guaranteed work is served by its goal, so the earlier tasks of the crowd used up all starts of each decision.

Change: the starts of a decision are shared equally by the workspaces that wait, at least 16 tasks each. Tasks of a job beyond the share wait for the next decision; no work is stopped for them meanwhile. Within a workspace the order is as before.

--- a/internal/ingress/client_test.go
+++ b/internal/ingress/client_test.go
@@ -21,7 +21,7 @@
 	count  int           // Connections at the same time.
 	door   string        // front or ready.
 	method string        // GET, POST or DELETE.
-	path   string        // job, queue, none (no such queue) or ready.
+	path   string        // job, urgent (an urgent job), queue, none (no such queue) or ready.
 	key    string        // good, guest, bad or none.
 	lines  int           // Short header lines.
 	header int           // Bytes of one long header line.
@@ -275,7 +275,7 @@
 // head returns the head of a request.
 func (c *client) head(random *rand.Rand) []byte {
 	id := ""
-	if c.path == "job" || c.path == "none" {
+	if c.path == "job" || c.path == "urgent" || c.path == "none" {
 		id = fmt.Sprintf("%016x", random.Uint64())
 		switch {
 		case c.stop > 0:
@@ -290,7 +290,7 @@
 // Paths of the platform's interface and of the product's own, by the word path of a client. What jobs and what is not
 // there are followed by an ID.
 var (
-	paths    = map[string]string{"job": "/jobs/", "queue": "/jobs/", "none": "/no/such/queue/", "ready": "/api/ready"}
+	paths    = map[string]string{"job": "/jobs/", "urgent": "/urgent/", "queue": "/jobs/", "none": "/no/such/queue/", "ready": "/api/ready"}
 	apiPaths = map[string]string{"job": "/v1/requests", "queue": "/v1/requests/", "none": "/no/such/path/", "crowd": "/v1/requests/crowd", "ready": "/ready", "metrics": "/metrics"}
 )
 
--- a/internal/ingress/crowd_test.go
+++ b/internal/ingress/crowd_test.go
@@ -27,6 +27,7 @@
 type script struct {
 	name, target string
 	short        bool // It is part of the selection that is always played.
+	urgent       bool // Half of the ordinary jobs are urgent.
 	clients      []client
 
 	// Times at which an attacked box is killed and started again at once, at which all attacked ones are told to end and
@@ -80,6 +81,8 @@
 	switch key {
 	case "short":
 		s.short = true
+	case "urgent":
+		s.urgent = true
 	case "share":
 		s.share, err = strconv.ParseFloat(value, 64)
 	case "for":
@@ -119,6 +122,7 @@
 // play plays a crowd beside ordinary traffic and checks what must hold.
 func play(st *site, s *script, seed uint64) {
 	ordinary := newTraffic(st)
+	ordinary.urgent = s.urgent
 	ctx, cancel := context.WithCancel(st.ctx)
 	var group sync.WaitGroup
 	group.Go(func() { ordinary.run(ctx) })
--- a/internal/ingress/ordinary_test.go
+++ b/internal/ingress/ordinary_test.go
@@ -29,6 +29,7 @@
 type ordinaryJob struct {
 	id        job.ID
 	box       int
+	urgent    bool
 	phase     string
 	statuses  []int           // Of the attempts to submit it; 0 if there was no answer.
 	times     []time.Duration // Of the attempts to submit it.
@@ -41,9 +42,11 @@
 type traffic struct {
 	site  *site
 	phase string
-	group sync.WaitGroup
-	mu    sync.Mutex
-	jobs  []*ordinaryJob
+	// Every other pair of jobs is urgent.
+	urgent bool
+	group  sync.WaitGroup
+	mu     sync.Mutex
+	jobs   []*ordinaryJob
 	// One client for each box keeps its connections, as clients do that send many jobs.
 	keeping []*http.Client
 }
@@ -66,7 +69,7 @@
 func (t *traffic) run(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
 		t.mu.Lock()
-		j := &ordinaryJob{id: job.ID(fmt.Sprintf("0dd%013x", len(t.jobs))), box: n % len(t.site.boxes), phase: t.phase}
+		j := &ordinaryJob{id: job.ID(fmt.Sprintf("0dd%013x", len(t.jobs))), box: n % len(t.site.boxes), urgent: t.urgent && n/2%2 == 0, phase: t.phase}
 		t.jobs = append(t.jobs, j)
 		t.mu.Unlock()
 		t.group.Go(func() { t.submit(j, n/len(t.site.boxes)%2 == 0) })
@@ -89,7 +92,7 @@
 			client = &http.Client{Transport: dialTransport(t.site.boxes[n].front, true)}
 		}
 		began := time.Now()
-		status := t.site.submitJob(client, t.site.boxes[n], j.id)
+		status := t.site.submitJob(client, t.site.boxes[n], j)
 		t.mu.Lock()
 		j.statuses, j.times = append(j.statuses, status), append(j.times, time.Since(began))
 		if status == http.StatusOK {
@@ -105,21 +108,21 @@
 
 // submitJob submits an ordinary job to a box, over the client's connection. It returns the status, 0 if there is no
 // answer.
-func (s *site) submitJob(client *http.Client, b *box, id job.ID) int {
+func (s *site) submitJob(client *http.Client, b *box, j *ordinaryJob) int {
 	if s.api {
-		return s.submitAPI(client, b, string(id))
+		return s.submitAPI(client, b, string(j.id))
 	}
-	j := &standin.Job{Tasks: 1, Work: ordinaryWork, Each: job.Resources{MilliCPU: 100, MemoryMB: 10}, SpecBytes: specBytes}
-	answer := (&standin.Client{HTTP: client}).Submit(context.Background(), id, j)
+	submitted := &standin.Job{Tasks: 1, Work: ordinaryWork, Each: job.Resources{MilliCPU: 100, MemoryMB: 10}, SpecBytes: specBytes}
+	answer := (&standin.Client{HTTP: client, Urgent: j.urgent}).Submit(context.Background(), j.id, submitted)
 	return answer.Status
 }
 
 // hasCompleted reports whether a box shows an ordinary job as completed.
-func (s *site) hasCompleted(client *http.Client, b *box, id job.ID) bool {
+func (s *site) hasCompleted(client *http.Client, b *box, j *ordinaryJob) bool {
 	if s.api {
-		return s.completedAPI(b, string(id))
+		return s.completedAPI(b, string(j.id))
 	}
-	answer := (&standin.Client{HTTP: client}).State(context.Background(), id)
+	answer := (&standin.Client{HTTP: client, Urgent: j.urgent}).State(context.Background(), j.id)
 	return answer.State == standin.Completed
 }
 
@@ -129,7 +132,7 @@
 	deadline := time.Now().Add(jobLimit)
 	for i, j := range t.jobs {
 		for try := i; j.accepted && !j.completed && time.Now().Before(deadline); try++ {
-			if j.completed = t.site.hasCompleted(t.keeping[try%len(t.keeping)], t.site.boxes[try%len(t.keeping)], j.id); !j.completed {
+			if j.completed = t.site.hasCompleted(t.keeping[try%len(t.keeping)], t.site.boxes[try%len(t.keeping)], j); !j.completed {
 				time.Sleep(100 * time.Millisecond)
 			}
 		}
--- a/internal/placement/decide.go
+++ b/internal/placement/decide.go
@@ -22,8 +22,9 @@
 	idleReserve                    int             // Number of workers that must stay idle for urgent work.
 	tasksReservedWithoutPreemption int             // Number of tasks that hold a reservation without preemption.
 	outcome                        Outcome
-	started                        int    // Number of tasks that start.
-	servedDemands                  []bool // By demand: already processed in this decision.
+	started                        map[string]int // By workspace: number of tasks that start.
+	startShare                     int            // Largest number of tasks of a workspace that start.
+	servedDemands                  []bool         // By demand: already processed in this decision.
 	// By demand: its reservation was dropped because another demand used the reserved capacity.
 	droppedReservations      []bool
 	deductedReservations     []bool          // By demand: its reservation is deducted from free.
@@ -56,15 +57,49 @@
 			pl.deductReservationsWithoutPreemption()
 			deducted = true
 		}
-		if v.MaxStarts > 0 && pl.started >= v.MaxStarts {
+		if pl.startsLeft(d) <= 0 {
 			pl.outcome.LimitReached = true
-			break
+			continue
 		}
 		pl.serve(i)
 	}
 	return pl.outcome
 }
 
+// minStartShare is the smallest share of a workspace in View.MaxStarts.
+const minStartShare = 16
+
+// startShareOf returns how many tasks of a workspace may start.
+func startShareOf(v *View) int {
+	if v.MaxStarts == 0 {
+		return math.MaxInt
+	}
+	workspaces := map[string]bool{}
+	for i := range v.Demands {
+		workspaces[v.Demands[i].Workspace] = true
+	}
+	return max(minStartShare, v.MaxStarts/max(1, len(workspaces)))
+}
+
+// startsLeft returns how many tasks of the demand's workspace may still start.
+func (pl *planner) startsLeft(d *Demand) int { return pl.startShare - pl.started[d.Workspace] }
+
+// limitStarts returns the assigned workers without those of the last tasks beyond the share of the demand's workspace.
+func (pl *planner) limitStarts(d *Demand, workers map[int]string) map[int]string {
+	left := max(0, pl.startsLeft(d))
+	if d.Step.Gang || len(workers) <= left {
+		return workers
+	}
+	pl.outcome.LimitReached = true
+	first := make(map[int]string, left)
+	for _, index := range d.Waiting {
+		if w, ok := workers[index]; ok && len(first) < left {
+			first[index] = w
+		}
+	}
+	return first
+}
+
 // serve starts the tasks of demand i that fit. If tasks are left, it preempts or reserves capacity for them
 // where that is allowed.
 func (pl *planner) serve(i int) {
@@ -85,7 +120,7 @@
 		}
 		return
 	}
-	if (!reserved || d.ReservedWithoutPreemption) && pl.mayPreemptNow(d) && pl.preempt(i) {
+	if pl.startsLeft(d) > 0 && (!reserved || d.ReservedWithoutPreemption) && pl.mayPreemptNow(d) && pl.preempt(i) {
 		return
 	}
 	pl.deductReservation(i)
@@ -114,6 +149,7 @@
 		suitable: make([]bool, workers), avoided: make([]bool, workers), suspectJobs: make([]job.ID, workers), justStarted: make([]job.ID, workers), hasAntiAffinity: make([]bool, workers), servedDemands: make([]bool, len(v.Demands)), droppedReservations: make([]bool, len(v.Demands)), deductedReservations: make([]bool, len(v.Demands)),
 		stoppedAllocations: make([]bool, allocations),
 		speeds:             newSpeeds(v),
+		started:            map[string]int{}, startShare: startShareOf(v),
 	}
 	for k := range v.Workers {
 		pl.free[k], pl.allWorkers[k] = v.Workers[k].Free, k
@@ -317,6 +353,7 @@
 		workers = pl.assignSingles(d)
 	}
 	pl.recordKeptBack(i, len(workers))
+	workers = pl.limitStarts(d, workers)
 	if len(workers) == 0 || d.Step.Gang && pl.wouldUseReserve(d, workers) || pl.prefersFasterWorkers(i, workers) {
 		return false
 	}
@@ -332,7 +369,7 @@
 		}
 	}
 	pl.outcome.Starts = append(pl.outcome.Starts, Start{i, workers, pl.isTooSlowOn(d, workers)})
-	pl.started += len(workers)
+	pl.started[d.Workspace] += len(workers)
 	return len(workers) == len(d.Waiting)
 }
 
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -18,7 +18,8 @@
 	Policy      Policy
 	// Headroom is what is kept free for urgent work; nil to keep nothing.
 	Headroom []headroom.Kept
-	// MaxStarts is the number of tasks to start from which on no further demand is served; 0 for no limit.
+	// MaxStarts limits the tasks that start, in equal shares of at least minStartShare for the workspaces with demands. A
+	// gang may exceed it. 0 means no limit.
 	MaxStarts int
 }
 
--- a/internal/scheduler/start_queue.go
+++ b/internal/scheduler/start_queue.go
@@ -12,8 +12,8 @@
 	// startSlotTime is how long a start without an answer occupies a slot. Workers that don't answer must not hold up the
 	// starts on others.
 	startSlotTime = 200 * time.Millisecond
-	// maxStartsPerDecision limits the tasks that one decision starts, up to the group in which it is reached. What is
-	// more urgent by the time of the next decision then goes first.
+	// maxStartsPerDecision limits the tasks that one decision starts. Each workspace gets an equal share, so that its work
+	// does not wait for the tasks of others, and what is more urgent by the time of the next decision goes first.
 	maxStartsPerDecision = 1024
 	// maxQueuedStarts is the number of queued starts above which decisions wait.
 	maxQueuedStarts = 256
