internal/relay: a store that answers again is noticed within a probe interval

With 20 busy processes beside it (load 36), callers were refused with 503 until 2.3 to 2.8 s after the begin of the outage, up to 1.3 s after its end; five tries span 2 s.

Cause: a box refuses at once while its path to the store is down, and learns from probes that it is up again. A probe waited for the one before: one that was sent during the outage takes 0.4 to 0.7 s to fail, and the next one came 0.3 s later.

The first answer cancels the others, which then don't count as failed calls. A healthy path has no probes, as before.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,8 +35,6 @@
 	Directory PeerDirectory
 	Log       *zap.Logger
 	Figures   *measure.Metrics // May be nil.
-
-	probes int // Number of probes so far.
 }
 
 const (
@@ -59,21 +58,36 @@
 
 // Run probes the direct path while it is down, and keeps the directory of boxes up to date, until ctx ends.
 func (s *Store) Run(ctx context.Context) {
-	go interval.Every(ctx, probeInterval, s.probe)
+	go s.probe(ctx)
 	s.Directory.run(ctx, s, s.Log)
 }
 
-// probe reads a row over the direct path if that path is down. Direct records the outcome.
+// probe reads a row over the direct path every probeInterval while that path is down, until ctx ends. It does not wait
+// for earlier probes: one that was sent during an outage gets no answer after it.
 func (s *Store) probe(ctx context.Context) {
-	if s.directWorks() {
-		return
+	var group sync.WaitGroup
+	defer group.Wait()
+	round, end := context.WithCancel(ctx)
+	defer func() { end() }()
+	for n := 0; ctx.Err() == nil; interval.Sleep(ctx, probeInterval) {
+		if s.directWorks() {
+			continue
+		}
+		if round.Err() != nil {
+			round, end = context.WithCancel(ctx)
+		}
+		// A single part may be down, so each probe reads from another one. The row need not exist.
+		part := partBoxes + "/" + strconv.Itoa(n%probedParts)
+		n++
+		ctx, end := round, end
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+			defer cancel()
+			if _, err := s.Direct.Read(ctx, store.Range{Table: tableBoxes, Part: part, Limit: 1}); err == nil {
+				end() // Calls that are cancelled don't count as failed.
+			}
+		})
 	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	// A single part may be down, so each probe reads from another one. The row need not exist.
-	part := partBoxes + "/" + strconv.Itoa(s.probes%probedParts)
-	s.probes++
-	_, _ = s.Direct.Read(ctx, store.Range{Table: tableBoxes, Part: part, Limit: 1}) // Direct has recorded the error.
 }
 
 // Commit implements store.Store.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -75,6 +75,33 @@
 	})
 }
 
+// TestRecoveryIsNoticedSoon fails if a box takes a store that answers again for unreachable for longer than a probe
+// interval and an answer take: callers are refused meanwhile. It also fails if the box takes it for unreachable again by
+// the calls that got no answer.
+func TestRecoveryIsNoticedSoon(t *testing.T) {
+	for outage := 1200 * time.Millisecond; outage < 2400*time.Millisecond; outage += 60 * time.Millisecond {
+		t.Run(outage.String(), func(t *testing.T) {
+			runWithThreeBoxes(t, func(ctx context.Context, t *testing.T, s *site) {
+				s.store.SetSilent()
+				go func() { _ = write(ctx, s.boxes[0], "a") }()
+				time.Sleep(outage)
+				quicktest.Check(t, s.boxes[0].Direct.Healthy(), quicktest.IsFalse)
+				s.store.SetUp()
+				returned := time.Now()
+				for !s.boxes[0].Direct.Healthy() && time.Since(returned) < time.Minute {
+					time.Sleep(10 * time.Millisecond)
+				}
+				late := time.Since(returned)
+				quicktest.Check(t, late <= probeInterval+100*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("noticed after %v", late))
+				for time.Since(returned) < 3*time.Second {
+					time.Sleep(50 * time.Millisecond)
+					quicktest.Check(t, s.boxes[0].Direct.Unreachable(), quicktest.IsFalse, quicktest.Commentf("unreachable again after %v", time.Since(returned)))
+				}
+			})
+		})
+	}
+}
+
 // TestCallsTakeOneHopAtMost guards against calls that circle between boxes: a box whose direct path is down must
 // not forward the calls of others.
 func TestCallsTakeOneHopAtMost(t *testing.T) {
