--- a/internal/emulator/checker.go
+++ b/internal/emulator/checker.go
@@ -127,7 +127,7 @@
 		return a
 	}
 	step := &r.Steps[o.Task.Step]
-	a.resources, a.work, a.checkpoints = step.Each, f.work[o.Task.Job], step.Checkpoints
+	a.resources, a.work, a.checkpoints, a.lasting = step.Each, f.work[o.Task.Job], step.Checkpoints, step.Lasting
 	if step.Gang {
 		a.gang = step.Count
 	}
--- a/internal/emulator/ends.go
+++ b/internal/emulator/ends.go
@@ -114,6 +114,9 @@
 	x := &listedEnd{incarnation: w.incarnation, number: w.lastEndNumber, run: a.number, at: time.Now()}
 	e.byIncarnation[x.incarnation] = append(e.byIncarnation[x.incarnation], x)
 	time.AfterFunc(deliveredAfter, func() { f.markDeliveredIfStable(w, x) })
+	if a.lasting {
+		return // No end of a lasting run is an attempt or completes its task.
+	}
 	if outcome == job.FailedRun {
 		e.failed[t] = append(e.failed[t], x)
 		return
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -39,6 +39,8 @@
 	crash      Crash
 	restarts   int // Restarts after a crash; makes names unique.
 	exits      map[job.ID]ExitMode
+	runEnds    map[job.ID]RunEnd
+	savedBytes int // Least size of a saved state.
 	// By departing worker, announced or not: the time until which it surely stays.
 	departsAt       map[string]time.Time
 	unannounced     map[string]bool         // Workers that leave without an announcement.
--- a/internal/emulator/store.go
+++ b/internal/emulator/store.go
@@ -3,12 +3,14 @@
 import (
 	"cmp"
 	"context"
+	"encoding/base64"
 	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/pulleyring/pulleyring/internal/interval"
 	"github.com/pulleyring/pulleyring/internal/store"
 )
@@ -31,6 +33,7 @@
 	feedsStalled bool                  // Feeds deliver no changes.
 	failedParts  map[string]bool       // Parts whose calls get no answer and have no effect.
 
+	rowBytes     int                  // Maximum size of a row's value; 0 for maxRowBytes.
 	rowTime      time.Duration        // Time to transfer a row over a box's link.
 	linkIdleAt   map[string]time.Time // By box: the time at which its link becomes idle.
 	reads        map[string]int       // Answered reads, by table.
@@ -251,6 +254,88 @@
 	return ""
 }
 
+// Limits of the platform's store, by its documentation.
+const (
+	maxRowBytes         = 65536
+	maxKeyBytes         = 200
+	maxTransactionRows  = 100
+	maxTransactionBytes = 1 << 20
+	maxPageRows         = 500
+	maxPageBytes        = 1 << 20
+	maxTables           = 100
+	rowOverhead         = 64 // Of a row in a body, beside its key and value.
+)
+
+// SetRowBytes sets the maximum size of a row's value.
+func (s *Store) SetRowBytes(n int) { s.update(func() { s.rowBytes = n }) }
+
+// encodedBytes returns the size of a row in a body, where the value is encoded as base64.
+func encodedBytes(r *store.Row) int {
+	return rowOverhead + len(r.Table) + len(r.Part) + len(r.Name) + base64.StdEncoding.EncodedLen(len(r.Value))
+}
+
+// excess returns a store.ErrInvalid that tells which limit a transaction exceeds; nil if it exceeds none.
+func (s *Store) excess(tx *store.Transaction) error {
+	size, part := 0, partOf(tx)
+	if n := len(tx.Conditions) + len(tx.Writes) + len(tx.Deletes); n > maxTransactionRows {
+		return errors.WithMessagef(store.ErrInvalid, "%d rows", n)
+	}
+	check := func(r *store.Row) error {
+		size += encodedBytes(r)
+		switch {
+		case r.Part != part:
+			return errors.WithMessagef(store.ErrInvalid, "parts %q and %q", part, r.Part)
+		case len(r.Name) > maxKeyBytes:
+			return errors.WithMessagef(store.ErrInvalid, "a key of %d bytes", len(r.Name))
+		case len(r.Value) > s.maxRowBytes():
+			return errors.WithMessagef(store.ErrInvalid, "a row of %d bytes in %s", len(r.Value), r.Table)
+		}
+		return nil
+	}
+	for i := range tx.Writes {
+		if err := check(&tx.Writes[i]); err != nil {
+			return err
+		}
+	}
+	for _, c := range tx.Conditions {
+		if err := check(&store.Row{Key: c.Key}); err != nil {
+			return err
+		}
+	}
+	for _, k := range tx.Deletes {
+		if err := check(&store.Row{Key: k}); err != nil {
+			return err
+		}
+	}
+	if size > maxTransactionBytes {
+		return errors.WithMessagef(store.ErrInvalid, "a transaction of %d bytes", size)
+	}
+	return s.excessTables(tx)
+}
+
+func (s *Store) maxRowBytes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return cmp.Or(s.rowBytes, maxRowBytes)
+}
+
+// excessTables returns a store.ErrInvalid if a transaction makes a table beyond the limit.
+func (s *Store) excessTables(tx *store.Transaction) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	tables := map[string]bool{}
+	for part := range s.rows {
+		tables[part.Table] = true
+	}
+	for i := range tx.Writes {
+		tables[tx.Writes[i].Table] = true
+	}
+	if len(tables) > maxTables {
+		return errors.WithMessagef(store.ErrInvalid, "%d tables", len(tables))
+	}
+	return nil
+}
+
 // Commit implements store.Store.
 func (v *storeView) Commit(ctx context.Context, tx *store.Transaction) (int64, error) {
 	ctx, cancel, err := v.begin(ctx, 0)
@@ -264,6 +349,9 @@
 	if err := v.store.waitInQueue(ctx, partOf(tx)); err != nil {
 		return 0, err
 	}
+	if err := v.store.excess(tx); err != nil {
+		return 0, err
+	}
 	version, conflict, lost := v.store.apply(tx)
 	if lost {
 		<-ctx.Done()
@@ -354,8 +442,14 @@
 		}
 		return 1
 	})
-	if r.Limit > 0 && len(page.Rows) > r.Limit {
-		page.Rows, page.More = page.Rows[:r.Limit], true
+	limit := maxPageRows
+	if r.Limit > 0 {
+		limit = min(limit, r.Limit)
+	}
+	for i, size := 0, 0; i < len(page.Rows); i++ {
+		if size += encodedBytes(&page.Rows[i]); i > 0 && size > maxPageBytes || i >= limit {
+			page.Rows, page.More = page.Rows[:i], true
+		}
 	}
 	return page
 }
--- a/internal/emulator/waits.go
+++ b/internal/emulator/waits.go
@@ -20,6 +20,8 @@
 	// maxWait is how long a job may have nothing running while there is free capacity for it twice over (the users'
 	// rules).
 	maxWait = 3 * time.Second
+	// maxLastingWait is the same for each task that lasts, from the end of its last run.
+	maxLastingWait = 9 * time.Second
 	// waitCheckInterval is the interval between checks.
 	waitCheckInterval = 100 * time.Millisecond
 	// quietPeriod is how long nothing must have changed before a check. It exceeds the longest time that a successor
@@ -79,13 +81,34 @@
 			since = time.Now()
 		}
 		f.checker.idleSince[id] = since
-		if !f.checker.reported[id] && time.Since(since) > maxWait {
+		if !f.checker.reported[id] && time.Since(since) > f.longestWait(id) {
 			f.checker.reported[id] = true
 			f.checker.verdict.LongWaits = append(f.checker.verdict.LongWaits, fmt.Sprintf("%s has nothing running for %s, though it could", id, time.Since(since)))
 		}
 	}
 }
 
+// longestWait returns how long a job, or a task of one that lasts, may have nothing running. The caller holds the lock.
+func (f *Fleet) longestWait(id job.ID) time.Duration {
+	if f.lastingTasks(id) != nil {
+		return maxLastingWait
+	}
+	return maxWait
+}
+
+// lastingTasks lists the tasks of a job that last. The caller holds the lock.
+func (f *Fleet) lastingTasks(id job.ID) (tasks []job.Task) {
+	r := f.jobs[id]
+	for s := range r.Steps {
+		for i := range r.Steps[s].Count {
+			if r.Steps[s].Lasting {
+				tasks = append(tasks, job.Task{Job: id, Step: s, Index: i})
+			}
+		}
+	}
+	return tasks
+}
+
 // capacities returns the capacity of each worker that accepts work, as its record gives it; nil while there is a
 // fault, or shortly after one.
 func (f *Fleet) capacities() []workerCapacity {
@@ -134,6 +157,13 @@
 	for t := range f.checker.running {
 		runs[t.Job] = true
 	}
+	for id := range f.checker.accepted {
+		for _, t := range f.lastingTasks(id) {
+			if _, running := f.checker.running[t]; !running {
+				delete(runs, id)
+			}
+		}
+	}
 	for t := range f.crashAfter {
 		runs[t.Job] = true // A poisoned task never finishes, so the job counts as running.
 	}
--- a/internal/emulator/worker.go
+++ b/internal/emulator/worker.go
@@ -61,6 +61,8 @@
 	gang        int // Number of members that must be present; 0 for a single task.
 	startedAt   time.Time
 	progress    time.Duration
+	ran         time.Duration // For how long it was at work.
+	lasting     bool          // It never completes by itself.
 	saved       string
 	checkpoints bool
 	stopsAt     time.Time // Time at which a stop takes effect; zero if none was requested.
@@ -75,7 +77,7 @@
 	if a.work <= 0 {
 		return 0
 	}
-	return math.Floor(100*float64(a.progress)/float64(a.work)) / 100
+	return math.Floor(100*min(float64(a.progress)/float64(a.work), 1)) / 100
 }
 
 // defaultCommandDelay is the default delay of a delayed command.
@@ -178,13 +180,23 @@
 	case w.failsRuns || a.failing:
 		w.end(a, job.FailedRun)
 	default:
-		a.progress += runInterval / time.Duration(max(w.slowdown, 1))
-		if a.checkpoints {
-			a.saved = a.task.String() + "@" + a.progress.String()
-		}
-		if a.progress >= a.work {
-			w.end(a, job.Succeeded)
-		}
+		w.work(a)
+	}
+}
+
+// work advances a run by one interval and ends it if its work is done.
+func (w *worker) work(a *taskRun) {
+	a.ran += runInterval
+	a.progress += runInterval / time.Duration(max(w.slowdown, 1))
+	if a.checkpoints {
+		a.saved = w.fleet.savedState(a)
+	}
+	if outcome, ends := w.fleet.forcedEnd(a); ends {
+		w.end(a, outcome)
+		return
+	}
+	if a.progress >= a.work && !a.lasting {
+		w.end(a, job.Succeeded)
 	}
 }
 
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -57,6 +57,8 @@
 	Tasks      []TaskProgress
 	Faults     `cbor:"-"`
 	FailedRuns FailedRuns `cbor:"-"`
+	// OverflowRows is the number of rows of the store, beside its own, that the progress may take.
+	OverflowRows int `cbor:"-"`
 }
 
 // FailedRuns are the numbers of the runs known to have failed, by task index; a gang's are kept at its first task.
--- a/internal/job/tracker.go
+++ b/internal/job/tracker.go
@@ -9,8 +9,15 @@
 	stepOffsets        []int // Index of each step's first task within an occurrence.
 	tasksPerOccurrence int
 	failures           failureCounter
+	savedBytes         int // Size of all saved states.
 }
 
+// MaxSavedBytes limits the saved states of a job. Beyond it, tasks keep the ones that they have.
+const MaxSavedBytes = 128 << 10
+
+// maxSavedStateBytes limits a saved state, as a payload is limited.
+const maxSavedStateBytes = 4000
+
 // NewTracker returns the tracker of a job. p is the stored progress, nil for a job without any.
 func NewTracker(r *Request, p *Progress) *Tracker {
 	l := &Tracker{Request: r}
@@ -20,6 +27,9 @@
 	}
 	if p != nil && len(p.Tasks) == l.tasksPerOccurrence*r.Occurrences() {
 		l.Progress = *p
+		for i := range l.Progress.Tasks {
+			l.savedBytes += len(l.Progress.Tasks[i].Saved)
+		}
 		l.loadFailures()
 		return l
 	}
@@ -177,7 +187,8 @@
 	return orders
 }
 
-// RecordSavedState records a saved state of a task's current run and reports whether it is new.
+// RecordSavedState records a saved state of a task's current run and reports whether it is new. It ignores a state that
+// is too large to be kept.
 func (l *Tracker) RecordSavedState(t Task, run int, saved string) bool {
 	p := l.progressOf(t)
 	if p == nil || p.Run != run || saved == "" {
@@ -186,13 +197,28 @@
 	if l.Request.Steps[t.Step].Gang {
 		p = &l.Tasks(Group{t.Occurrence, t.Step})[0]
 	}
-	if p.Saved == saved {
+	size := l.savedBytes + len(saved) - len(p.Saved)
+	if p.State == Finished || p.Saved == saved || len(saved) > maxSavedStateBytes || size > MaxSavedBytes && len(saved) > len(p.Saved) {
 		return false
 	}
-	p.Saved = saved
+	l.setSavedState(p, saved)
 	return true
 }
 
+// SavedBytes returns the size of all saved states.
+func (l *Tracker) SavedBytes() int { return l.savedBytes }
+
+func (l *Tracker) setSavedState(p *TaskProgress, saved string) {
+	l.savedBytes += len(saved) - len(p.Saved)
+	p.Saved = saved
+}
+
+// finish marks a task as finished. It needs its saved state no longer.
+func (l *Tracker) finish(p *TaskProgress) {
+	p.State = Finished
+	l.setSavedState(p, "")
+}
+
 // EndRun records how a run of a task ended, and reports whether that changed the progress. The run may be the
 // task's tracked one or an earlier one.
 func (l *Tracker) EndRun(t Task, run int, outcome Outcome, saved string, nowMS int64) bool {
@@ -210,7 +236,7 @@
 	case outcome == Succeeded && gang:
 		l.finishGang(g)
 	case outcome == Succeeded && !l.Request.Steps[t.Step].Lasting:
-		p.State = Finished
+		l.finish(p)
 	case outcome == FailedRun:
 		p.State = Waiting
 		l.countFailure(t, run)
@@ -250,7 +276,8 @@
 		tasks = tasks[index : index+1]
 	}
 	for i := range tasks {
-		tasks[i].State, tasks[i].Run = Finished, run
+		l.finish(&tasks[i])
+		tasks[i].Run = run
 	}
 }
 
@@ -258,7 +285,7 @@
 func (l *Tracker) finishGang(g Group) {
 	tasks := l.Tasks(g)
 	for i := range tasks {
-		tasks[i].State = Finished
+		l.finish(&tasks[i])
 	}
 }
 
--- a/internal/ledger/addresses.go
+++ b/internal/ledger/addresses.go
@@ -1,7 +1,10 @@
 package ledger
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -53,4 +56,30 @@
 	return all, nil
 }
 
+// fitAddresses returns addresses that fit into one row, all of them if they do. Without an address, a successor waits for
+// the leases of a worker that has no record.
+func (l *Ledger) fitAddresses(a Addresses) Addresses {
+	limit := l.rowLimit()
+	if a.Bytes() <= limit {
+		return a
+	}
+	fitting, size := Addresses{}, 0
+	for _, id := range slices.SortedFunc(maps.Keys(a), func(x, y incarnation.ID) int { return cmp.Compare(x.Worker, y.Worker) }) {
+		if size += incarnationBytes(id) + textBytes(len(a[id])); size > limit-headRowBytes {
+			break
+		}
+		fitting[id] = a[id]
+	}
+	return fitting
+}
+
+// Bytes returns the size of the encoded addresses, or slightly more.
+func (a Addresses) Bytes() int {
+	n := headRowBytes
+	for id, address := range a {
+		n += incarnationBytes(id) + textBytes(len(address))
+	}
+	return n
+}
+
 func addressRowName(row int) string { return strconv.Itoa(row) }
--- a/internal/ledger/lease.go
+++ b/internal/ledger/lease.go
@@ -92,21 +92,22 @@
 	Release   bool              // Release the lease.
 }
 
-// JobDeletion identifies a job whose rows of progress, faults and failed runs are deleted.
+// JobDeletion identifies a job whose rows of progress, overflow, faults and failed runs are deleted.
 type JobDeletion struct {
 	ID         job.ID
 	Faults     bool // The job has a row of faults.
 	FailedRuns bool // The job has a row of failed runs.
+	Overflow   int  // Number of its rows of overflow.
 }
 
 // DeletionOf returns the deletion of all rows that the progress of a job takes.
 func DeletionOf(id job.ID, p *job.Progress) JobDeletion {
-	return JobDeletion{ID: id, Faults: p.AnyFaults(), FailedRuns: len(p.FailedRuns) > 0}
+	return JobDeletion{ID: id, Faults: p.AnyFaults(), FailedRuns: len(p.FailedRuns) > 0, Overflow: p.OverflowRows}
 }
 
 // Rows returns the number of rows to be deleted.
 func (f JobDeletion) Rows() int {
-	rows := 1
+	rows := 1 + f.Overflow
 	for _, exists := range []bool{f.Faults, f.FailedRuns} {
 		if exists {
 			rows++
@@ -118,12 +119,14 @@
 // ProgressRows returns the number of rows that a job's progress takes.
 func ProgressRows(p *job.Progress) int { return DeletionOf("", p).Rows() }
 
-// Limits of one batch. They keep its transaction within the store's limits of 100 entries and 1 MB.
+// Limits of one batch. They keep its transaction within the store's limits of 100 entries and 1 MB, in base64. The first
+// job may exceed those of progress, and the first row that of addresses.
 const (
-	MaxBatchRows   = 70    // Rows of progress, faults and failed runs; the last job may exceed it by two.
-	MaxDeletedRows = 12    // Deleted rows.
-	MaxAddressRows = 8     // Rows of worker addresses.
-	MaxBatchTasks  = 15000 // Tasks in the rows of progress, at about 45 bytes each.
+	MaxBatchRows    = 70        // Rows of progress, overflow, faults and failed runs.
+	MaxDeletedRows  = 12        // Deleted rows.
+	MaxAddressRows  = 8         // Rows of worker addresses.
+	MaxBatchBytes   = 448 << 10 // Rows of progress, overflow, faults and failed runs.
+	MaxAddressBytes = 64 << 10  // Rows of worker addresses.
 )
 
 // LastCommitVersion returns the version of the lease row after the last commit. Rows with a higher version were written
@@ -215,7 +218,11 @@
 		return nil, err
 	}
 	for id, p := range b.Progress {
-		if err := add(tableProgress, string(id), p); err != nil {
+		short, overflow := t.ledger.splitProgress(p)
+		if err := add(tableProgress, string(id), short); err != nil {
+			return nil, err
+		}
+		if err := t.addOverflow(tx, id, overflow, p.OverflowRows, add); err != nil {
 			return nil, err
 		}
 		if err := t.addFaults(id, p, add); err != nil {
@@ -223,22 +230,23 @@
 		}
 	}
 	if b.Summary != nil {
-		if err := add(tableSummary, t.ledger.Shard, b.Summary); err != nil {
+		if err := add(tableSummary, t.ledger.Shard, t.ledger.fitSummary(b.Summary)); err != nil {
 			return nil, err
 		}
 	}
 	if b.Load != nil {
-		if err := add(tableLoad, t.ledger.Shard, b.Load); err != nil {
+		load := t.ledger.fitLoad(b.Load)
+		if err := add(tableLoad, t.ledger.Shard, load); err != nil {
 			return nil, err
 		}
-		if full := &b.Load.Full; !full.IsEmpty() {
+		if full := &load.Full; !full.IsEmpty() {
 			if err := add(tableLoad, t.ledger.Shard+fullSuffix, full); err != nil {
 				return nil, err
 			}
 		}
 	}
 	for row, addresses := range b.Addresses {
-		if err := add(tableAddresses, addressRowName(row), addresses); err != nil {
+		if err := add(tableAddresses, addressRowName(row), t.ledger.fitAddresses(addresses)); err != nil {
 			return nil, err
 		}
 	}
@@ -252,6 +260,7 @@
 	}
 	for _, f := range b.Delete {
 		tx.Deletes = append(tx.Deletes, t.ledger.key(tableProgress, string(f.ID)))
+		t.deleteOverflow(tx, f.ID, 0, f.Overflow)
 		if f.Faults {
 			tx.Deletes = append(tx.Deletes, t.ledger.key(tableFaults, string(f.ID)))
 		}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -4,7 +4,9 @@
 package ledger
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -37,6 +39,8 @@
 type Ledger struct {
 	Store store.Store
 	Shard string // Name of the shard: the part of the store that holds its rows.
+	// RowBytes is the largest value of a row that the store takes; 0 for the usual limit.
+	RowBytes int
 }
 
 func (l *Ledger) key(table, name string) store.Key {
@@ -49,11 +53,9 @@
 // ErrNameTaken means that a job of another workspace has the same name.
 var ErrNameTaken = errors.New("ledger: the name belongs to another workspace's job")
 
-// ErrTooLarge means that a request does not fit into a row of the store. It was not written.
-var ErrTooLarge = errors.New("ledger: the request does not fit into a row of the store")
-
-// maxRequestBytes limits an encoded request. A row has 64 KiB at most, in base64.
-const maxRequestBytes = 48 << 10
+// ErrTooLarge means that a request or the progress of its job does not fit into a row of the store. The request was not
+// written.
+var ErrTooLarge = errors.New("ledger: the job does not fit into a row of the store")
 
 // Submit writes a request unless it is already stored. It returns ErrCancelled, ErrNameTaken, ErrTooLarge or the store's
 // error.
@@ -62,7 +64,7 @@
 	if err != nil {
 		return errors.Wrap(err, "ledger: unable to encode a request")
 	}
-	if len(raw) > maxRequestBytes {
+	if max(len(raw), minProgressBytes(r)) > l.rowLimit() {
 		return ErrTooLarge
 	}
 	return l.tryParts(r.ID, func(part string) (bool, error) { return l.submitIn(ctx, part, r, raw) })
@@ -175,6 +177,28 @@
 	Pending map[string]int // By queue: number of accepted jobs of which no task was started.
 }
 
+// maxSummaryBytes limits the value of a row that describes queues or workspaces, of which a configuration may have any
+// number.
+const maxSummaryBytes = 24 << 10
+
+// fitSummary returns a summary that fits into its row: all of it, or the queues with the most pending jobs.
+func (l *Ledger) fitSummary(s *Summary) *Summary {
+	left := min(maxSummaryBytes, l.rowLimit()) - headRowBytes
+	names := slices.SortedFunc(maps.Keys(s.Pending), func(x, y string) int {
+		return cmp.Or(cmp.Compare(s.Pending[y], s.Pending[x]), cmp.Compare(x, y))
+	})
+	for i, name := range names {
+		if left -= textBytes(len(name)) + headBytes(s.Pending[name]); left < 0 {
+			fitting := maps.Clone(s.Pending)
+			for _, other := range names[i:] {
+				delete(fitting, other)
+			}
+			return &Summary{Pending: fitting}
+		}
+	}
+	return s
+}
+
 // Summary reads the latest summary; empty if there is none.
 func (l *Ledger) Summary(ctx context.Context) (*Summary, error) {
 	s := &Summary{}
@@ -290,24 +314,26 @@
 	return c, nil
 }
 
-// Progress reads the progress of all jobs with their faults and failed runs. The tables are read in parallel,
+// Progress reads the progress of all jobs with their overflow, faults and failed runs. The tables are read in parallel,
 // because a takeover waits for them and a read can take 0.4 s.
 func (l *Ledger) Progress(ctx context.Context) (map[job.ID]*job.Progress, error) {
 	var (
-		page, faults   store.Page
-		err, faultsErr error
-		group          sync.WaitGroup
+		page, faults, overflow      store.Page
+		err, faultsErr, overflowErr error
+		group                       sync.WaitGroup
 	)
 	group.Go(func() {
 		faults, faultsErr = store.ReadAll(ctx, l.Store, store.Range{Table: tableFaults, Part: l.Shard})
 	})
+	group.Go(func() {
+		overflow, overflowErr = store.ReadAll(ctx, l.Store, store.Range{Table: tableOverflow, Part: l.Shard, Limit: overflowPageRows})
+	})
 	page, err = store.ReadAll(ctx, l.Store, store.Range{Table: tableProgress, Part: l.Shard})
 	group.Wait()
-	if err != nil {
-		return nil, err
-	}
-	if faultsErr != nil {
-		return nil, faultsErr
+	for _, err := range []error{err, faultsErr, overflowErr} {
+		if err != nil {
+			return nil, err
+		}
 	}
 	all := make(map[job.ID]*job.Progress, len(page.Rows))
 	for i := range page.Rows {
@@ -322,6 +348,11 @@
 			return nil, err
 		}
 	}
+	for i := range overflow.Rows {
+		if err := addOverflowRow(all, &overflow.Rows[i]); err != nil {
+			return nil, err
+		}
+	}
 	return all, nil
 }
 
@@ -355,6 +386,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := l.readOverflow(ctx, id, p); err != nil {
+		return nil, err
+	}
 	p.Faults, err = l.readFaults(ctx, id)
 	return p, err
 }
--- a/internal/ledger/load.go
+++ b/internal/ledger/load.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -46,6 +48,34 @@
 	return load, page.Version, nil
 }
 
+// queueBytes is the largest encoded size of a queue's load without its name.
+const queueBytes = 8 + admission.ClassCount*48
+
+// fitLoad returns a summary that fits into its two rows. Queues and workspaces that it leaves out are not refused.
+func (l *Ledger) fitLoad(load *admission.Load) *admission.Load {
+	limit := min(maxSummaryBytes, l.rowLimit()) - headRowBytes
+	fitting := *load
+	left := limit
+	names := slices.Sorted(maps.Keys(load.Queues))
+	for i, name := range names {
+		if left -= textBytes(len(name)) + queueBytes; left < 0 {
+			fitting.Queues = maps.Clone(load.Queues)
+			for _, other := range names[i:] {
+				delete(fitting.Queues, other)
+			}
+			break
+		}
+	}
+	left = limit
+	for i, name := range load.Full.Workspaces {
+		if left -= textBytes(len(name)); left < 0 {
+			fitting.Full.Workspaces = load.Full.Workspaces[:i]
+			break
+		}
+	}
+	return &fitting
+}
+
 // WatchLoad waits up to wait for any summary of the load to be written after the version since, and reports whether one
 // was. It returns the version to pass as since in the next call.
 func (l *Ledger) WatchLoad(ctx context.Context, since int64, wait time.Duration) (version int64, changed bool, err error) {
--- a/internal/ledger/size_test.go
+++ b/internal/ledger/size_test.go
@@ -67,7 +67,7 @@
 		quicktest.Assert(t, len(rows), quicktest.Equals, SpeedRowCount)
 		largest := 0
 		for _, all := range rows {
-			fitting := FitSpeeds(all)
+			fitting := (&Ledger{}).FitSpeeds(all)
 			quicktest.Check(t, len(fitting) == len(all), quicktest.Equals, c.whole, quicktest.Commentf("%s: %d of %d", c.format, len(fitting), len(all)))
 			raw, err := cbor.Marshal(speedRow{Version: speedsVersion, Speeds: fitting})
 			quicktest.Assert(t, err, quicktest.IsNil)
--- a/internal/ledger/speeds.go
+++ b/internal/ledger/speeds.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"context"
 	"strconv"
 
@@ -21,8 +22,8 @@
 	SpeedRowCount = 8
 	// MaxSpeedRows is the number of rows of speeds in a batch.
 	MaxSpeedRows = 1
-	// maxSpeedRowBytes limits the value of a row, below the store's limit of 65,536 bytes.
-	maxSpeedRowBytes = 60000
+	// speedRowShare is the part of the store's limit for a row that a row of speeds may take, in twelfths.
+	speedRowShare = 11
 	// speedEntryBytes is the size of an entry without the worker's name: its start time and numbers.
 	speedEntryBytes = 24
 	// speedsVersion is the version of the rows' format.
@@ -49,10 +50,10 @@
 func SpeedRow(worker string) int { return int(xxhash.Sum64String(worker) % SpeedRowCount) }
 
 // FitSpeeds returns the first of the speeds that fit into one row together.
-func FitSpeeds(list []Speed) []Speed {
-	size := 0
+func (l *Ledger) FitSpeeds(list []Speed) []Speed {
+	size, limit := 0, cmp.Or(l.RowBytes, defaultRowBytes)/12*speedRowShare
 	for i := range list {
-		if size += len(list[i].Incarnation.Worker) + speedEntryBytes; size > maxSpeedRowBytes {
+		if size += len(list[i].Incarnation.Worker) + speedEntryBytes; size > limit {
 			return list[:i]
 		}
 	}
--- a/internal/node/commands_test.go
+++ b/internal/node/commands_test.go
@@ -37,7 +37,7 @@
 		time.Sleep(time.Second)
 		return nil
 	}
-	rack, gpu, halls := 8, 8, 1
+	rack, gpu, halls, name := 8, 8, 1, 0
 	for i := 2; i+1 < len(words); i += 2 {
 		value, err := strconv.Atoi(words[i+1])
 		if err != nil {
@@ -50,10 +50,16 @@
 			gpu = value
 		case "halls":
 			halls = value
+		case "name":
+			name = value
 		}
 	}
 	for i := range n {
-		w.addWorker(fmt.Sprintf("w%d", i+1), i/rack, fmt.Sprintf("hall-%d", 1+i/rack%halls), job.Resources{MilliCPU: 64000, MemoryMB: 256000, Accelerators: int64(gpu)})
+		id := fmt.Sprintf("w%d", i+1)
+		if pad := name - len(id); pad > 0 {
+			w.names[id] = id + strings.Repeat("-", pad)
+		}
+		w.addWorker(w.workerNamed(id), i/rack, fmt.Sprintf("hall-%d", 1+i/rack%halls), job.Resources{MilliCPU: 64000, MemoryMB: 256000, Accelerators: int64(gpu)})
 	}
 	return nil
 }
@@ -107,6 +113,7 @@
 	r := &job.Request{ID: job.ID(words[0]), Payload: "payload of " + words[0]}
 	step := job.Step{Count: 1, Each: job.Resources{MilliCPU: 1000, MemoryMB: 1000, Accelerators: 1}, Estimate: time.Second}
 	work, second := time.Second, 0
+	end, forced := emulator.RunEnd{}, false
 	for i := 3; i < len(words); i++ {
 		switch words[i] {
 		case "gang":
@@ -118,22 +125,30 @@
 		case "saves":
 			step.Checkpoints = true
 			continue
+		case "lasts":
+			step.Lasting = true
+			continue
 		}
 		if i+1 == len(words) {
 			return nil, fmt.Errorf("%s has no value", words[i])
 		}
 		i++
-		if words[i-1] == "work" || words[i-1] == "crashes" {
-			d, err := time.ParseDuration(words[i])
-			if err != nil {
-				return nil, err
-			}
-			if words[i-1] == "crashes" {
+		if d, err := time.ParseDuration(words[i]); err == nil && words[i] != "0" {
+			switch words[i-1] {
+			case "crashes":
 				w.fleet.Poison(job.Task{Job: r.ID}, d)
 				w.poisoned[r.ID] = true
-				continue
+			case "fails":
+				end.After, end.Outcome, forced = d, job.FailedRun, true
+			case "completes":
+				end.After, end.Outcome, forced = d, job.Succeeded, true
+			case "every":
+				r.Schedule.Every = d
+			case "work":
+				work, step.Estimate = d, d
+			default:
+				return nil, fmt.Errorf("unknown word %q", words[i-1])
 			}
-			work, step.Estimate = d, d
 			continue
 		}
 		n, err := strconv.Atoi(words[i])
@@ -149,6 +164,10 @@
 			step.Each.MilliCPU = int64(n) * 1000
 		case "then":
 			second = n
+		case "times":
+			r.Schedule.Times, r.Schedule.First = n, time.Now().UnixMilli()
+		case "failing":
+			end.Tasks = n
 		default:
 			return nil, fmt.Errorf("unknown word %q", words[i-1])
 		}
@@ -159,6 +178,9 @@
 		next.Count, next.After = second, []int{0}
 		r.Steps = append(r.Steps, next)
 	}
+	if forced {
+		w.fleet.SetRunEnd(r.ID, end)
+	}
 	w.fleet.SetWork(r, work)
 	w.fleet.SetAttempts(r.ID, w.attempts(words[1]))
 	return r, nil
@@ -553,3 +575,15 @@
 	}
 	return err
 }
+
+// sizeCommand runs the commands that set sizes.
+func (w *world) sizeCommand(words []string) error {
+	n, err := strconv.Atoi(words[1])
+	if words[0] == "saved" {
+		w.fleet.SetSavedBytes(n)
+		return err
+	}
+	w.rowBytes = n
+	w.store.SetRowBytes(n)
+	return err
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -104,7 +104,7 @@
 	}
 	n.relay.Directory.OnDuplicate = n.checkDuplicateBox
 	n.store = &relay.MonitoredStore{Store: n.relay, Path: relay.PathAny, Log: log, Figures: &n.Metrics}
-	n.ledger = &ledger.Ledger{Store: n.store, Shard: Shard}
+	n.ledger = &ledger.Ledger{Store: n.store, Shard: Shard, RowBytes: s.RowBytes}
 	n.settings.Store(s)
 	n.cache = &relay.Cache{Store: n.store}
 	n.operator = newWatchedOperator(n)
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -28,16 +28,21 @@
 //	retain DURATION                     show jobs for that long after their end instead of a minute; before boxes
 //	lose HALL                           kill every box of a hall
 //	site N                              the halls of the site are hall-1 to hall-N; before boxes
-//	workers N [rack N] [gpu N] [halls N]
+//	row_bytes N                         the store takes values of rows up to N bytes; before boxes
+//	saved N                             the states that tasks save have N bytes at least
+//	workers N [rack N] [gpu N] [halls N] [name N]
 //	                                    add workers w1 to wN; rack: workers per rack, gpu: accelerators per
-//	                                    worker, halls: number of halls, to which racks are assigned in turn
+//	                                    worker, halls: number of halls, to which racks are assigned in turn,
+//	                                    name: bytes of their names in the store
 //	empty HALL                          the operator empties a hall
 //	reopen HALL                         the operator reopens a hall
 //	hall_starts HALL N                  fail if more runs were started in a hall
 //	rejected ID QUEUE KEY [WORDS]       submit a job; fail if it is accepted or not refused at once
 //	submit ID QUEUE KEY [WORDS]         submit a job: tasks N, gpu N, cpu N, work DURATION, gang, local (to one
-//	                                    rack), saves (checkpoints), then N (tasks of a second step), crashes
-//	                                    DURATION (the first task crashes its worker after that time)
+//	                                    rack), saves (checkpoints), then N (tasks of a second step), times N,
+//	                                    every DURATION, lasts, crashes DURATION (the first task crashes its worker
+//	                                    after that time), fails|completes DURATION (each run ends so after that
+//	                                    time), failing N (only the first N tasks of a step)
 //	many N PREFIX WORDS                 submit N jobs, named PREFIX0, PREFIX1, ...
 //	sleep DURATION
 //	kill|start|stop|freeze BOX [D]      act on a box; "start killed" restarts the killed boxes and no second
@@ -194,6 +199,13 @@
 // wrong incarnation.
 func TestRestartedWorkers(t *testing.T) { playScripts(t, "again") }
 
+// TestLargeProgress plays the scripts of testdata/sizes in the same way. It guards against a job whose progress outgrows
+// its row of the store, or a batch that outgrows a transaction: the store refused each batch that contained it, so that
+// nothing of any job was committed any more, and the boxes took the lease from each other:
+//
+//	scheduler: commit failed; retrying error="status 400: store: refused" rows=3
+func TestLargeProgress(t *testing.T) { playScripts(t, "sizes") }
+
 func playScripts(t *testing.T, folder string) {
 	files, err := filepath.Glob(filepath.Join("testdata", folder, "*.txt"))
 	quicktest.Assert(t, err, quicktest.IsNil)
@@ -252,6 +264,8 @@
 		return w.operatorCommand(words)
 	case "boxes", "workers":
 		return w.setUp(words)
+	case "row_bytes", "saved":
+		return w.sizeCommand(words)
 	case "submit":
 		return w.submitWords(words[1:])
 	case "many":
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -17,6 +17,7 @@
 	Metrics   string        // IP:port for metrics; empty for none.
 	Relay     string        // IP:port at which other boxes call the store through this one; empty for none.
 	Store     string        // IP:port of the platform's store.
+	RowBytes  int           // Largest value of a row that the store takes; 0 for the usual limit.
 	StopAfter time.Duration // Time between SIGTERM and SIGKILL.
 	// ConfigurationWithin is the time within which a new configuration must be in force; 0 if unknown.
 	ConfigurationWithin time.Duration
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -57,6 +57,7 @@
 	names       map[string]string // Workers by the names that the script gave them.
 	workers     []string
 	retain      time.Duration // How long a job is shown after its end.
+	rowBytes    int           // Largest value of a row that the store takes; 0 for the usual limit.
 	jobMemory   int64         // Memory that all jobs together may take, in bytes; 0 for no limit.
 	// oldConfigurations holds, by box, the newest configuration that was not in force in time.
 	oldConfigurations map[string]int64
@@ -157,7 +158,7 @@
 		Configurations: func(s store.Store) Configurations { return &instructions{w.operator, s} },
 		Directory:      func(store.Store, *measure.Metrics) scheduler.Directory { return view },
 	}
-	s := &Settings{Box: name, Hall: name[:strings.LastIndex(name, "-")], Relay: name, Halls: w.halls, ConfigurationWithin: w.configurationWithin, StopAfter: 6 * time.Second, Bounds: scheduler.Bounds{
+	s := &Settings{Box: name, Hall: name[:strings.LastIndex(name, "-")], Relay: name, Halls: w.halls, RowBytes: w.rowBytes, ConfigurationWithin: w.configurationWithin, StopAfter: 6 * time.Second, Bounds: scheduler.Bounds{
 		MaxLease: testMaxLease, StopTime: testStopTime, MinStay: testStayTime, GangWait: testGangWait, Retain: w.retain, EmptiedGrace: testEmptied, JobMemory: w.jobMemory,
 		Policy: placement.Policy{RemoteFactor: 3, GuaranteedStartLimit: 3 * time.Second, MaxStopTime: testStopTime, WasteCost: 0.0015},
 	}}
--- a/internal/relay/directory.go
+++ b/internal/relay/directory.go
@@ -289,7 +289,7 @@
 // recordResult records the outcome of a call through a peer. After a failure the peer is not called for peerBackoff,
 // and the next call starts at the following peer.
 func (b *PeerDirectory) recordResult(ctx context.Context, p *peer, err error, log *zap.Logger) {
-	failed := errors.Is(err, store.ErrRefused) || errors.Is(err, store.ErrUnknown)
+	failed := store.IsFailure(err)
 	if failed && errors.Is(ctx.Err(), context.Canceled) {
 		return // The caller gave up.
 	}
--- a/internal/relay/http.go
+++ b/internal/relay/http.go
@@ -116,7 +116,9 @@
 		return nil
 	case http.StatusServiceUnavailable:
 		return store.ErrUnreachable
-	case http.StatusTooManyRequests, http.StatusBadRequest:
+	case http.StatusBadRequest:
+		return errors.WithMessage(store.ErrInvalid, "relay: the other box or the store refused the call")
+	case http.StatusTooManyRequests:
 		return errors.WithMessage(store.ErrRefused, "relay: the other box or the store refused the call")
 	case http.StatusGone:
 		return store.ErrHistoryGone
@@ -193,6 +195,8 @@
 	switch {
 	case errors.Is(err, store.ErrUnreachable):
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	case errors.Is(err, store.ErrInvalid):
+		http.Error(w, err.Error(), http.StatusBadRequest)
 	case errors.Is(err, store.ErrRefused):
 		http.Error(w, err.Error(), http.StatusTooManyRequests)
 	case errors.Is(err, store.ErrHistoryGone):
--- a/internal/relay/monitored.go
+++ b/internal/relay/monitored.go
@@ -200,7 +200,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.inFlight, began)
-	failed := errors.Is(err, store.ErrRefused) || errors.Is(err, store.ErrUnknown)
+	failed := store.IsFailure(err)
 	if failed && errors.Is(ctx.Err(), context.Canceled) {
 		return // The caller cancelled the call; the store has not failed.
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -137,7 +137,7 @@
 		err := f(s.Network.Peer(p.address))
 		s.Figures.ObserveDuration("relay_call", time.Since(began))
 		s.Directory.recordResult(ctx, p, err, s.Log)
-		if !errors.Is(err, store.ErrRefused) {
+		if !errors.Is(err, store.ErrRefused) || errors.Is(err, store.ErrInvalid) {
 			return err
 		}
 		if !errors.Is(err, store.ErrUnreachable) {
--- a/internal/scheduler/addresses.go
+++ b/internal/scheduler/addresses.go
@@ -55,4 +55,19 @@
 			row[w.incarnation] = cmp.Or(w.knownAddress, w.target().Address)
 		}
 	}
+	h.addresses.fit(b.Addresses)
+}
+
+// fit puts rows back that exceed the limit of a batch in bytes.
+func (a *addresses) fit(rows map[int]ledger.Addresses) {
+	size, first := 0, true
+	for row, list := range rows {
+		if size += list.Bytes(); size > ledger.MaxAddressBytes && !first {
+			size -= list.Bytes()
+			delete(rows, row)
+			a.touch(row)
+			a.rowsLeftOver = true
+		}
+		first = false
+	}
 }
--- a/internal/scheduler/addresses_test.go
+++ b/internal/scheduler/addresses_test.go
@@ -11,7 +11,7 @@
 // than needed, or wait for a heartbeat in between. Until they are written, a successor can't poll workers whose
 // records are gone.
 func TestAddressesAreWrittenWithoutDelay(t *testing.T) {
-	h := newShard(t.Context(), &Scheduler{}, nil)
+	h := newShard(t.Context(), &Scheduler{Ledger: &ledger.Ledger{}}, nil)
 	h.addresses.begin(nil)
 	written := 0
 	for n := range ledger.AddressRowCount / ledger.MaxAddressRows {
--- a/internal/scheduler/allocations_test.go
+++ b/internal/scheduler/allocations_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/pulleyring/pulleyring/internal/fleet"
 	"github.com/pulleyring/pulleyring/internal/job"
+	"github.com/pulleyring/pulleyring/internal/ledger"
 	"github.com/pulleyring/pulleyring/internal/placement"
 	"github.com/pulleyring/pulleyring/internal/queue"
 	"go.uber.org/zap"
@@ -34,7 +35,7 @@
 // offlineShard returns a shard without a store and without connections to workers.
 func offlineShard() *shard {
 	none := func() *queue.Configuration { return nil }
-	return newShard(context.Background(), &Scheduler{Log: zap.NewNop(), Configuration: none}, nil)
+	return newShard(context.Background(), &Scheduler{Log: zap.NewNop(), Configuration: none, Ledger: &ledger.Ledger{}}, nil)
 }
 
 // drawEvent applies a random event to the shard.
--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -10,6 +10,7 @@
 	"github.com/pulleyring/pulleyring/internal/job"
 	"github.com/pulleyring/pulleyring/internal/ledger"
 	"github.com/pulleyring/pulleyring/internal/logsink"
+	"github.com/pulleyring/pulleyring/internal/store"
 	"go.uber.org/zap"
 )
 
@@ -20,6 +21,7 @@
 	pendingStarts  []*run                   // Placed runs that are started once the placement is committed.
 	droppedJobs    []ledger.JobDeletion     // Jobs of which only the progress rows remain to be deleted.
 	pendingByQueue map[string]int           // Number of jobs without any started task, by queue, as last committed.
+	refusedBatch   refusedBatch
 }
 
 // commitLoop makes decisions and commits until the lease is lost or ctx ends. If ctx ends, it releases the lease.
@@ -41,6 +43,10 @@
 			h.Log.Warn("scheduler: another box has taken the lease; ending the lease term", zap.Int64("epoch", h.leaseTerm.Epoch()))
 			return err
 		}
+		if errors.Is(err, store.ErrInvalid) {
+			interval.Sleep(ctx, minCommitInterval)
+			continue
+		}
 		if err != nil {
 			interval.Sleep(ctx, pause)
 			pause = min(2*pause, maxRetryDelay)
@@ -72,6 +78,7 @@
 // pendingCommit is a batch and the actions to take once it is committed.
 type pendingCommit struct {
 	batch       ledger.Batch
+	narrowed    bool                       // It holds only progress, because the store refused another batch.
 	starts      []*run                     // Runs to start.
 	appliedEnds map[*endCursor]appliedEnds // Reported ends of runs whose effects are committed with the batch.
 }
@@ -95,27 +102,23 @@
 	}
 	h.keepReturned()
 	pending := h.countPending()
-	if len(h.dirtyJobs) == 0 && len(h.droppedJobs) == 0 && !heartbeatDue && !h.addresses.rowsLeftOver && maps.Equal(pending, h.pendingByQueue) {
+	f := &pendingCommit{batch: ledger.Batch{Progress: map[job.ID]*job.Progress{}}, appliedEnds: map[*endCursor]appliedEnds{}, narrowed: h.refusedBatch.narrowed(time.Now())}
+	others := len(h.droppedJobs) > 0 || h.addresses.rowsLeftOver || !maps.Equal(pending, h.pendingByQueue)
+	if h.countCommittable(time.Now()) == 0 && !heartbeatDue && (f.narrowed || !others) {
 		return nil
 	}
-	f := &pendingCommit{batch: ledger.Batch{Progress: map[job.ID]*job.Progress{}}, appliedEnds: map[*endCursor]appliedEnds{}}
-	h.collectLoad(&f.batch, time.Now())
-	rows, tasks := 0, 0
-	if f.batch.Load != nil {
-		rows = loadRows
+	if !f.narrowed {
+		h.collectLoad(&f.batch, time.Now())
 	}
-	for id := range h.dirtyJobs {
-		j := h.jobs[id]
-		if rows >= ledger.MaxBatchRows || tasks > 0 && tasks+len(j.Progress.Tasks) > ledger.MaxBatchTasks {
-			break
-		}
-		rows += ledger.ProgressRows(&j.Progress)
-		tasks += len(j.Progress.Tasks)
-		f.batch.Progress[id] = copyProgress(&j.Progress)
+	h.collectProgress(f)
+	for id := range f.batch.Progress {
 		delete(h.dirtyJobs, id)
 	}
 	h.committing = f.batch.Progress
 	h.collectFollowUps(f)
+	if f.narrowed {
+		return f
+	}
 	h.collectAddresses(&f.batch)
 	h.collectSpeeds(&f.batch, time.Now())
 	f.batch.Delete = h.takeDropped()
@@ -126,6 +129,30 @@
 	return f
 }
 
+// collectProgress adds changed progress to a batch, up to its limits. The first job may exceed them.
+func (h *shard) collectProgress(f *pendingCommit) {
+	b, rows, size := &f.batch, 0, 0
+	if b.Load != nil {
+		rows = loadRows
+	}
+	for id := range h.dirtyJobs {
+		if h.refusedBatch.leavesOut(id, time.Now()) {
+			continue
+		}
+		if f.narrowed && len(b.Progress) >= h.refusedBatch.maxJobs {
+			return
+		}
+		p := &h.jobs[id].Progress
+		bytes, needed, overflow := h.Ledger.Measure(p)
+		if len(b.Progress) > 0 && (rows+needed > ledger.MaxBatchRows || size+bytes > ledger.MaxBatchBytes) {
+			return
+		}
+		rows, size = rows+needed, size+bytes
+		p.OverflowRows = max(p.OverflowRows, overflow)
+		b.Progress[id] = copyProgress(p)
+	}
+}
+
 // loadRows is the number of rows that a summary of the load takes. It has its place in each batch: beside a flood of new
 // jobs, all batches are full.
 const loadRows = 2
@@ -142,7 +169,7 @@
 		f.starts = append(f.starts, r)
 	}
 	h.pendingStarts = later
-	if len(h.dirtyJobs) > 0 {
+	if h.countCommittable(time.Now()) > 0 {
 		return
 	}
 	for _, w := range h.workers {
@@ -171,12 +198,17 @@
 	defer h.mu.Unlock()
 	if err != nil {
 		h.restoreChanges(f)
-		h.storeFailedAt = time.Now()
+		if errors.Is(err, store.ErrInvalid) {
+			h.recordRefusedBatch(f, time.Now())
+		} else {
+			h.storeFailedAt = time.Now()
+		}
 		if !errors.Is(err, ledger.ErrLeaseTaken) {
 			h.Log.Warn("scheduler: commit failed; retrying", logsink.Error(err), zap.Int("rows", len(f.batch.Progress)))
 		}
 		return err
 	}
+	h.recordAcceptedBatch(f)
 	h.afterCommit(f, began, suspended)
 	return nil
 }
@@ -224,19 +256,13 @@
 // lease after a few missed heartbeats.
 const releaseTimeout = 500 * time.Millisecond
 
-// releaseLease commits the remaining changes, up to ledger.MaxBatchRows, and releases the lease.
+// releaseLease commits the remaining changes, up to the limits of a batch, and releases the lease.
 func (h *shard) releaseLease() error {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	h.mu.Lock()
 	f := &pendingCommit{batch: ledger.Batch{Progress: map[job.ID]*job.Progress{}, Release: true}}
-	rows := 0
-	for id := range h.dirtyJobs {
-		if rows < ledger.MaxBatchRows {
-			f.batch.Progress[id] = copyProgress(&h.jobs[id].Progress)
-			rows += ledger.ProgressRows(f.batch.Progress[id])
-		}
-	}
+	h.collectProgress(f)
 	h.mu.Unlock()
 	err := h.leaseTerm.Commit(ctx, &f.batch)
 	h.Log.Info("scheduler: gave the lease back", zap.Int64("epoch", h.leaseTerm.Epoch()), logsink.Error(err))
--- a/internal/scheduler/forget.go
+++ b/internal/scheduler/forget.go
@@ -115,6 +115,7 @@
 	if j := h.jobs[id]; j != nil {
 		version = max(version, j.version)
 		h.holdings.add(j.Request, -1)
+		h.holdings.setSaved(j, 0)
 		for s := range j.Request.Steps {
 			delete(h.stepTimes, stepOf(id, s))
 		}
@@ -167,7 +168,7 @@
 // While commits fail, more accumulate than fit into one batch.
 func (h *shard) takeDropped() []ledger.JobDeletion {
 	rows, n := 0, 0
-	for n < len(h.droppedJobs) && rows < ledger.MaxDeletedRows {
+	for n < len(h.droppedJobs) && (n == 0 || rows+h.droppedJobs[n].Rows() <= ledger.MaxDeletedRows) {
 		rows += h.droppedJobs[n].Rows()
 		n++
 	}
--- a/internal/scheduler/holdings.go
+++ b/internal/scheduler/holdings.go
@@ -25,17 +25,34 @@
 	cancellations int // Number of cancellations without a request.
 }
 
-func (h *holdings) add(r *job.Request, sign int64) {
+func (h *holdings) add(r *job.Request, sign int64) { h.addBytes(r.Terms.Workspace, sign*r.Footprint()) }
+
+func (h *holdings) addBytes(workspace string, n int64) {
 	if h.byWorkspace == nil {
 		h.byWorkspace = map[string]int64{}
 	}
-	n := sign * r.Footprint()
 	h.total += n
-	if h.byWorkspace[r.Terms.Workspace] += n; h.byWorkspace[r.Terms.Workspace] <= 0 {
-		delete(h.byWorkspace, r.Terms.Workspace)
+	if h.byWorkspace[workspace] += n; h.byWorkspace[workspace] <= 0 {
+		delete(h.byWorkspace, workspace)
 	}
 }
 
+// addSaved counts the memory of a job's saved states. Those of usual size are part of its footprint.
+func (h *holdings) addSaved(j *trackedJob) {
+	usual := usualSavedBytes * len(j.Progress.Tasks)
+	h.setSaved(j, int64(max(0, j.SavedBytes()-usual)))
+}
+
+func (h *holdings) setSaved(j *trackedJob, n int64) {
+	if n != j.savedCounted {
+		h.addBytes(j.Request.Terms.Workspace, n-j.savedCounted)
+		j.savedCounted = n
+	}
+}
+
+// usualSavedBytes is the size of a usual saved state.
+const usualSavedBytes = 16
+
 // full returns what there is no memory for with this limit. A workspace may use half of the limit. While all of them together exceed the limit, each may use an equal
 // share of that half, so that one workspace can't keep others out.
 func (h *holdings) full(limit int64) (f admission.Full) {
--- /dev/null
+++ b/internal/scheduler/refused_batch.go
@@ -0,0 +1,75 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/pulleyring/pulleyring/internal/job"
+	"go.uber.org/zap"
+)
+
+const (
+	// narrowedFor is how long after a batch that the store refused for its size further batches hold progress only.
+	narrowedFor = 5 * time.Second
+	// refusedJobPause is how long a job whose progress the store refuses by itself is left out of batches.
+	refusedJobPause = 10 * time.Second
+)
+
+// refusedBatch limits batches after the store has refused one as invalid, so that what it refuses does not stop the
+// commits of other jobs. The zero value limits nothing.
+type refusedBatch struct {
+	until   time.Time            // Until then, batches hold only progress.
+	maxJobs int                  // Maximum number of jobs in such a batch.
+	paused  map[job.ID]time.Time // Jobs whose progress is refused by itself, and until when they are left out.
+}
+
+// narrowed reports whether batches are limited.
+func (b *refusedBatch) narrowed(now time.Time) bool { return now.Before(b.until) }
+
+// leavesOut reports whether a job is left out of batches.
+func (b *refusedBatch) leavesOut(id job.ID, now time.Time) bool { return now.Before(b.paused[id]) }
+
+// recordRefusedBatch records that the store refused a batch: the next one holds only progress, then half of the jobs, and a job that
+// is refused alone is left out.
+func (h *shard) recordRefusedBatch(f *pendingCommit, now time.Time) {
+	b, jobs := &h.refusedBatch, len(f.batch.Progress)
+	h.Figures.Count("batches_refused")
+	switch {
+	case !f.narrowed:
+		b.maxJobs = max(jobs, 1)
+	case jobs > 1:
+		b.maxJobs = jobs / 2
+	default:
+		for id := range f.batch.Progress {
+			h.Log.Error("scheduler: the store refuses the progress of a job; committing other jobs without it", zap.String("job", string(id)), zap.Int("tasks", len(f.batch.Progress[id].Tasks)))
+			if b.paused == nil {
+				b.paused = map[job.ID]time.Time{}
+			}
+			b.paused[id] = now.Add(refusedJobPause)
+		}
+	}
+	b.until = now.Add(narrowedFor)
+}
+
+// recordAcceptedBatch lets the next batches of progress be larger again.
+func (h *shard) recordAcceptedBatch(f *pendingCommit) {
+	if f.narrowed {
+		h.refusedBatch.maxJobs *= 2
+	}
+	for id := range f.batch.Progress {
+		delete(h.refusedBatch.paused, id)
+	}
+}
+
+// countCommittable returns the number of jobs with changed progress that batches do not leave out.
+func (h *shard) countCommittable(now time.Time) int {
+	if len(h.refusedBatch.paused) == 0 {
+		return len(h.dirtyJobs)
+	}
+	n := 0
+	for id := range h.dirtyJobs {
+		if !h.refusedBatch.leavesOut(id, now) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -119,7 +119,9 @@
 		h.learnFromProgress(r)
 	}
 	h.clearImmediateLosses(w, r)
-	r.job.RecordSavedState(x.Task, x.Run, x.Saved)
+	if r.job.RecordSavedState(x.Task, x.Run, x.Saved) {
+		h.holdings.addSaved(r.job)
+	}
 	if r.job.Progress.State.Final() {
 		h.stop(w, r, "the job has ended")
 	}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -228,6 +228,7 @@
 	if !j.EndRun(r.task, r.number, outcome, saved, time.Now().UnixMilli()) {
 		return
 	}
+	h.holdings.addSaved(j)
 	h.markDirty(j.Request.ID)
 	h.Figures.Count("runs_" + strings.ReplaceAll(outcome.String(), " ", "_"))
 	if outcome != job.Succeeded {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -149,6 +149,7 @@
 	lostTogether  map[job.ID]bool                // Up to maxLostTogether jobs whose runs were lost together with this job's.
 	presumedEnded map[runOnIncarnation]time.Time // When runs were presumed ended without a report from their worker.
 	urgentStops   urgentStops
+	savedCounted  int64 // Memory of the saved states, as counted for the workspace.
 	// Number of orphaned runs of each task. A task is not started while it has any.
 	orphans map[job.Task]int
 }
@@ -248,6 +249,7 @@
 	j := &trackedJob{Tracker: job.NewTracker(r, p), readySince: map[job.Group]time.Time{}, avoidWorkers: map[job.Group]map[string]bool{}}
 	h.jobs[r.ID] = j
 	h.holdings.add(r, 1)
+	h.holdings.addSaved(j)
 	h.estimates.addJob(r)
 	h.decisionDue = true
 	for _, o := range j.Running() {
--- a/internal/scheduler/speed_rows.go
+++ b/internal/scheduler/speed_rows.go
@@ -102,7 +102,7 @@
 		byDifference := cmp.Compare(max(y.Log, -y.Log), max(x.Log, -x.Log))
 		return cmp.Or(byDifference, cmp.Compare(x.Incarnation.Worker, y.Incarnation.Worker))
 	})
-	return ledger.FitSpeeds(list)
+	return h.Ledger.FitSpeeds(list)
 }
 
 func thousandths(x float64) int { return int(math.Round(x * perUnit)) }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -3,6 +3,7 @@
 package store
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -15,12 +16,19 @@
 	ErrRefused = errors.New("store: refused")
 	// ErrUnreachable is an ErrRefused because this path does not reach the store; another path may.
 	ErrUnreachable = errors.WithMessage(ErrRefused, "no path to it")
+	// ErrInvalid is an ErrRefused because the call exceeds a limit of the store. Repeating it is of no use.
+	ErrInvalid = errors.WithMessage(ErrRefused, "it exceeds a limit")
 	// ErrUnknown means that no answer came: the call may have taken effect, or may still do so.
 	ErrUnknown = errors.New("store: no answer")
 	// ErrHistoryGone means that the feed can't be continued from the given version; the table must be read again.
 	ErrHistoryGone = errors.New("store: history gone")
 )
 
+// IsFailure reports whether an error shows that the store can't be reached or is overloaded.
+func IsFailure(err error) bool {
+	return errors.Is(err, ErrUnknown) || errors.Is(err, ErrRefused) && !errors.Is(err, ErrInvalid)
+}
+
 // Key identifies a row.
 type Key struct {
 	Table string
@@ -63,7 +71,8 @@
 	Table, Part string
 	From        string // First name, inclusive.
 	To          string // Last name, exclusive; empty for no end.
-	Limit       int    // Maximum number of rows; 0 for the store's own limit.
+	// Limit is the maximum number of rows; 0 for the store's own limit. For ReadAll it is that of the first page.
+	Limit int
 }
 
 // Page is the answer to a read or to a feed.
@@ -99,7 +108,7 @@
 // has the version of the first page, so that a feed from that version misses no change.
 func ReadAll(ctx context.Context, s Store, r Range) (Page, error) {
 	var all Page
-	r.Limit = firstPageRows
+	r.Limit = cmp.Or(r.Limit, firstPageRows)
 	for {
 		began := time.Now()
 		page, err := s.Read(ctx, r)
@@ -124,7 +133,7 @@
 	case took < fastPage:
 		return min(2*limit, maxPageRows)
 	case took > slowPage:
-		return max(limit/2, minPageRows)
+		return max(limit/2, min(limit, minPageRows))
 	}
 	return limit
 }
