internal/scheduler, internal/placement: a job that fails by its own fault no longer takes the workers from others

Cause: a run that fails as soon as it has begun quarantined its worker for everybody, whatever job it was of. A task that lasts was started again at once on the next worker, so that all of them were quarantined in turn; a wide job, or one failing job after the other, did the same for seconds. Nothing lifted a quarantine for work that waits beside ample capacity.

Change: failures of a job that fails wherever it runs, of a task that lasts and ends early three times in a row, and of a workspace that fails on most workers count against no worker, and what they added to scores is withdrawn. Tasks that last and end early start again after a pause of up to 2 s. Quarantined workers are a last resort for work that has waited too long, if most workers are quarantined or the others could not hold it.

--- a/internal/emulator/checker.go
+++ b/internal/emulator/checker.go
@@ -175,6 +175,9 @@
 	f.checkCrashBudget(w, a)
 	f.checkAttempts(w, a)
 	f.checker.running[a.task] = w.incarnation
+	if a.lasting && f.checker.lastBegan != nil {
+		f.checker.lastBegan[a.task] = time.Now()
+	}
 	if a.gang == 0 {
 		return
 	}
--- a/internal/emulator/waits.go
+++ b/internal/emulator/waits.go
@@ -11,9 +11,16 @@
 // waitChecks records which jobs have nothing running although there is free capacity. The zero value has no jobs.
 type waitChecks struct {
 	accepted    map[job.ID]bool
-	idleSince   map[job.ID]time.Time // Time since which a job has nothing running, though it could run.
-	reported    map[job.ID]bool      // The job was already reported as waiting for too long.
-	disturbedAt time.Time            // Time of the last change of a worker.
+	idleSince   map[waiter]time.Time   // Time since which a job has nothing running, though it could run.
+	reported    map[waiter]bool        // The job was already reported as waiting for too long.
+	disturbedAt time.Time              // Time of the last change of a worker.
+	lastBegan   map[job.Task]time.Time // When a task that lasts was last started.
+}
+
+// waiter is a job that could run: all of it, or one of its tasks that last.
+type waiter struct {
+	id   job.ID
+	task job.Task // The zero value for all tasks.
 }
 
 const (
@@ -34,7 +41,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.checker.accepted == nil {
-		f.checker.accepted, f.checker.idleSince, f.checker.reported = map[job.ID]bool{}, map[job.ID]time.Time{}, map[job.ID]bool{}
+		f.checker.accepted, f.checker.idleSince, f.checker.reported, f.checker.lastBegan = map[job.ID]bool{}, map[waiter]time.Time{}, map[waiter]bool{}, map[job.Task]time.Time{}
 	}
 	f.checker.accepted[id] = true
 }
@@ -63,7 +70,7 @@
 // checkWaits finds jobs that have nothing running for too long without faults, although there is free capacity for
 // them.
 func (f *Fleet) checkWaits() {
-	var waiting []job.ID
+	var waiting []waiter
 	capacities := f.capacities()
 	if capacities != nil {
 		waiting = f.waiting(capacities)
@@ -74,23 +81,23 @@
 		f.checkCancelledRuns()
 	}
 	before := f.checker.idleSince
-	f.checker.idleSince = map[job.ID]time.Time{}
-	for _, id := range waiting {
-		since, known := before[id]
-		if !known {
+	f.checker.idleSince = map[waiter]time.Time{}
+	for _, x := range waiting {
+		since, known := before[x]
+		if began := f.checker.lastBegan[x.task]; !known || began.After(since) {
 			since = time.Now()
 		}
-		f.checker.idleSince[id] = since
-		if !f.checker.reported[id] && time.Since(since) > f.longestWait(id) {
-			f.checker.reported[id] = true
-			f.checker.verdict.LongWaits = append(f.checker.verdict.LongWaits, fmt.Sprintf("%s has nothing running for %s, though it could", id, time.Since(since)))
+		f.checker.idleSince[x] = since
+		if !f.checker.reported[x] && time.Since(since) > x.longestWait() {
+			f.checker.reported[x] = true
+			f.checker.verdict.LongWaits = append(f.checker.verdict.LongWaits, fmt.Sprintf("%s (%s) has nothing running for %s, though it could", x.id, x.task, time.Since(since)))
 		}
 	}
 }
 
-// longestWait returns how long a job, or a task of one that lasts, may have nothing running. The caller holds the lock.
-func (f *Fleet) longestWait(id job.ID) time.Duration {
-	if f.lastingTasks(id) != nil {
+// longestWait returns how long a job, or a task that lasts, may have nothing running.
+func (x *waiter) longestWait() time.Duration {
+	if x.task != (job.Task{}) {
 		return maxLastingWait
 	}
 	return maxWait
@@ -149,28 +156,32 @@
 	return r, !w.dead && !w.processEnded && !w.isHardToReach() && !w.refusesStarts && !w.stalled && !w.failsRuns && !w.failsNewRuns
 }
 
-// waiting lists the accepted jobs that have nothing running, though a step of theirs could run now.
-func (f *Fleet) waiting(capacities []workerCapacity) []job.ID {
+// waiting lists the accepted jobs that have nothing running, though a step of theirs could run now, and the tasks that
+// last and don't run.
+func (f *Fleet) waiting(capacities []workerCapacity) []waiter {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	runs := map[job.ID]bool{}
 	for t := range f.checker.running {
 		runs[t.Job] = true
 	}
-	for id := range f.checker.accepted {
-		for _, t := range f.lastingTasks(id) {
-			if _, running := f.checker.running[t]; !running {
-				delete(runs, id)
-			}
-		}
-	}
 	for t := range f.crashAfter {
 		runs[t.Job] = true // A poisoned task never finishes, so the job counts as running.
 	}
-	var waiting []job.ID
+	var waiting []waiter
 	for id := range f.checker.accepted {
-		if r := f.jobs[id]; !runs[id] && !f.attemptsExhausted(id) && !f.crashLoopLimitReached(id) && f.couldRun(r, capacities) {
-			waiting = append(waiting, id)
+		r := f.jobs[id]
+		if f.attemptsExhausted(id) || f.crashLoopLimitReached(id) || !f.couldRun(r, capacities) {
+			continue
+		}
+		lasting := f.lastingTasks(id)
+		if !runs[id] && lasting == nil {
+			waiting = append(waiting, waiter{id: id})
+		}
+		for _, t := range lasting {
+			if _, running := f.checker.running[t]; !running {
+				waiting = append(waiting, waiter{id, t})
+			}
 		}
 	}
 	return waiting
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -206,6 +206,16 @@
 //	scheduler: commit failed; retrying error="status 400: store: refused" rows=3
 func TestLargeProgress(t *testing.T) { playScripts(t, "sizes") }
 
+// TestFailingJobs plays the scripts of testdata/failing in the same way. It guards against a job that fails by its own
+// fault and takes the workers from others: each worker on which it failed was quarantined for everybody, and a task that
+// lasts was started again at once on the next one:
+//
+//	scheduler: run ended task=b.0.0.1 run=480 outcome=failed age=52ms
+//	scheduler: waiting job=g waited=55s tasks=8 suitable_workers=0 fit_now=0
+//
+// The scripts check that gangs of other workspaces start at once, and that the failing tasks are started again.
+func TestFailingJobs(t *testing.T) { playScripts(t, "failing") }
+
 func playScripts(t *testing.T, folder string) {
 	files, err := filepath.Glob(filepath.Join("testdata", folder, "*.txt"))
 	quicktest.Assert(t, err, quicktest.IsNil)
--- a/internal/placement/layout.go
+++ b/internal/placement/layout.go
@@ -16,21 +16,58 @@
 	shape := ShapeOf(d.Service, d.Step)
 	for k := range pl.view.Workers {
 		w := &pl.view.Workers[k]
-		pl.suitable[k] = w.mayRun(&shape)
-		pl.avoided[k] = pl.suitable[k] && (d.Avoid[w.ID] || pl.needsIsolation(d, k))
+		pl.suitable[k] = w.mayRun(&shape) || w.mayRunInQuarantine(&shape)
+		pl.avoided[k] = pl.suitable[k] && (w.Quarantined || d.Avoid[w.ID] || pl.needsIsolation(d, k))
 		pl.hasAntiAffinity[k] = len(d.AntiAffinity) > 0 && pl.runsAntiAffine(d, k)
 	}
-	if pl.waitedTooLong = pl.exceedsAmpleCapacityWait(d); pl.waitedTooLong {
+	pl.waitedTooLong = pl.exceedsAmpleCapacityWait(d)
+	pl.excludeQuarantined(d)
+	if pl.waitedTooLong {
 		return
 	}
 	retry := pl.mayRetryOnAvoided(d)
 	for k, avoided := range pl.avoided {
-		if avoided && (!retry || pl.needsIsolation(d, k)) {
+		if avoided && (d.Avoid[pl.view.Workers[k].ID] && !retry || pl.needsIsolation(d, k)) {
 			pl.suitable[k] = false
 		}
 	}
 }
 
+// excludeQuarantined makes quarantined workers unsuitable for a demand. They stay suitable, as a last resort, once it has
+// waited too long, if more than half of the workers are quarantined or the others could not hold it.
+func (pl *planner) excludeQuarantined(d *Demand) {
+	var quarantined []int
+	others := 0
+	for k := range pl.view.Workers {
+		switch {
+		case !pl.suitable[k]:
+		case pl.view.Workers[k].Quarantined:
+			quarantined = append(quarantined, k)
+			pl.suitable[k] = false
+		default:
+			others++
+		}
+	}
+	mustStart := pl.waitedTooLong || d.Guaranteed && pl.view.Now.Sub(d.ReadySince) >= pl.rackWaitLimit()
+	if mustStart && len(quarantined) > 0 && (len(quarantined) > others || !pl.couldStart(d)) {
+		for _, k := range quarantined {
+			pl.suitable[k] = true
+		}
+	}
+}
+
+// couldStart reports whether a task of a demand, or its whole gang, would fit on the suitable workers if they were empty.
+func (pl *planner) couldStart(d *Demand) bool {
+	need, fitting := 1, 0
+	if d.Step.Gang {
+		need = len(d.Waiting)
+	}
+	for k := range pl.view.Workers {
+		fitting += pl.countFitting(d, k, pl.view.Workers[k].Capacity, need)
+	}
+	return fitting >= need
+}
+
 // mayRetryOnAvoided reports whether a demand may start on workers on which it has failed before. Tasks that run
 // until they are cancelled may, because any of their runs can fail. So may work that would not fit on the other
 // workers even if those were empty.
--- a/internal/placement/urgent_room.go
+++ b/internal/placement/urgent_room.go
@@ -168,8 +168,13 @@
 }
 
 // mayRun reports whether a worker may run tasks of a shape, whether it has free capacity or not.
-func (w *Worker) mayRun(s *headroom.Shape) bool {
-	return w.AcceptsRuns && w.Service == s.Service && w.hasLabel(s.Label)
+func (w *Worker) mayRun(s *headroom.Shape) bool { return w.AcceptsRuns && w.fitsShape(s) }
+
+// mayRunInQuarantine reports whether a worker could run tasks of a shape if it were not quarantined.
+func (w *Worker) mayRunInQuarantine(s *headroom.Shape) bool { return w.Quarantined && w.fitsShape(s) }
+
+func (w *Worker) fitsShape(s *headroom.Shape) bool {
+	return w.Service == s.Service && w.hasLabel(s.Label)
 }
 
 // hasLabel reports whether a worker has a label. Every worker has the empty one.
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -45,6 +45,7 @@
 	Free        job.Resources // Capacity not used by any run whose end has not been reported.
 	Freeing     job.Resources // Capacity used by runs that are being stopped.
 	AcceptsRuns bool          // Accepts new runs.
+	Quarantined bool          // Would accept new runs, but those on it fail or stand still.
 	HallClosed  bool          // No work may start in its hall.
 	Unproven    bool          // Some workers fail every task at present, and no task has succeeded here since that began.
 	// SuspectJob is a job that may crash workers and has just started here, so that it is not known yet whether it
--- a/internal/scheduler/failure_score.go
+++ b/internal/scheduler/failure_score.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/pulleyring/pulleyring/internal/job"
@@ -40,27 +41,48 @@
 	overdue float64
 }
 
-// failureScore is a score of a worker's recent failures that decays over time. The zero value has none.
+// failureScore is a score of a worker's recent failures that decays over time. The part of each job is kept apart, so
+// that it can be withdrawn. The zero value has none.
 type failureScore struct {
-	value float64
-	at    time.Time
+	parts []scorePart
 }
 
-func (d *failureScore) level(now time.Time) float64 {
-	if d.value == 0 {
-		return 0
-	}
-	v := d.value * math.Exp2(-float64(now.Sub(d.at))/float64(failureHalfLife))
+// scorePart is what the runs of one job add to a worker's failure score.
+type scorePart struct {
+	job       job.ID
+	workspace string
+	value     float64
+	at        time.Time
+}
+
+func (p *scorePart) level(now time.Time) float64 {
+	v := p.value * math.Exp2(-float64(now.Sub(p.at))/float64(failureHalfLife))
 	if v < 0.05 {
 		return 0
 	}
 	return v
 }
 
-func (d *failureScore) quarantined(now time.Time) bool { return d.level(now) >= quarantineScore }
+func (s *failureScore) level(now time.Time) float64 {
+	sum := 0.0
+	for i := range s.parts {
+		sum += s.parts[i].level(now)
+	}
+	return sum
+}
+
+func (s *failureScore) quarantined(now time.Time) bool { return s.level(now) >= quarantineScore }
 
-func (d *failureScore) add(weight float64, now time.Time) {
-	d.value, d.at = d.level(now)+weight, now
+// add adds the weight of a failed run of a job.
+func (s *failureScore) add(r *job.Request, weight float64, now time.Time) {
+	s.parts = slices.DeleteFunc(s.parts, func(p scorePart) bool { return p.level(now) == 0 })
+	for i := range s.parts {
+		if p := &s.parts[i]; p.job == r.ID {
+			p.value, p.at = p.level(now)+weight, now
+			return
+		}
+	}
+	s.parts = append(s.parts, scorePart{r.ID, r.Terms.Workspace, weight, now})
 }
 
 // recordOutcome applies the outcome of a run to the worker's failure score and to the queue's run time estimates.
@@ -83,8 +105,11 @@
 			}
 			h.learnSlowness(w, r, now.Sub(r.placed))
 		}
+		h.recordSuccess(w, r)
 	case job.FailedRun:
-		w.failureScore.add(h.failureWeight(w, r, now), now)
+		if h.blamesWorker(w, r, now) {
+			w.failureScore.add(r.job.Request, h.failureWeight(w, r, now), now)
+		}
 	}
 }
 
@@ -100,6 +125,8 @@
 		h.failureBurst.failed(r.placed, now)
 		w.immediateFailureAt = now
 		return immediateFailureWeight
+	case r.job.Request.Steps[r.task.Step].Lasting:
+		return 0 // Tasks that last may fail at any moment.
 	case len(r.job.avoidWorkers[r.group()]) > 0:
 		return repeatedFailureWeight // Failing elsewhere too, the task is the more likely cause.
 	}
--- a/internal/scheduler/progress.go
+++ b/internal/scheduler/progress.go
@@ -111,10 +111,11 @@
 }
 
 // hasStalledTask reports whether a single task is stalled on a worker, so that nothing new should start there. Members
-// of gangs are ignored because they may be waiting for a member on another worker.
+// of gangs are ignored because they may be waiting for a member on another worker, and tasks of a job that stalls
+// everywhere because the worker is not the cause.
 func (h *shard) hasStalledTask(w *workerState) bool {
 	for _, r := range w.runs {
-		if !r.job.Request.Steps[r.task.Step].Gang && h.stalledFor(r) > 0 {
+		if !r.job.Request.Steps[r.task.Step].Gang && !r.job.ownFault && h.stalledFor(r) > 0 {
 			return true
 		}
 	}
@@ -133,13 +134,16 @@
 		h.Log.Info("scheduler: a run is stalled; stopping it", zap.String("task", r.task.String()), zap.Int("run", r.number), zap.Inline(w.incarnation),
 			zap.Float64("done", r.progress.share), zap.Duration("for", stalled), zap.Duration("age", now.Sub(r.placed)), zap.Bool("gang", step.Gang))
 		h.stop(w, r, "it makes no progress")
+		request := r.job.Request
 		if !step.Gang {
-			w.failureScore.add(stallFailureScore, now)
+			if h.blamesWorker(w, r, now) {
+				w.failureScore.add(request, stallFailureScore, now)
+			}
 			continue
 		}
-		w.failureScore.add(gangStallFailureScore, now)
+		w.failureScore.add(request, gangStallFailureScore, now)
 		h.forEachOtherMember(r, func(other *workerState, m *run) {
-			other.failureScore.add(gangStallFailureScore, now)
+			other.failureScore.add(request, gangStallFailureScore, now)
 			h.stop(other, m, "another member makes no progress")
 		})
 	}
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -235,6 +235,7 @@
 		h.logEnd(w, r, outcome)
 		h.stopGang(r, "another member ended")
 	}
+	j.recordRestart(r, outcome, time.Now())
 	h.recordOutcome(w, r, outcome)
 	if outcome == job.Succeeded {
 		h.sampleEnd(r, begun, time.Now())
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -130,12 +130,14 @@
 	stepSamples   map[groupKey]stepSamples
 	speeds        speeds
 	failureBurst  failureBurst
-	addresses     addresses
-	publishedLoad publishedLoad
-	holdings      holdings
-	lastHalls     knownHalls
-	answers       answerTimes
-	background    sync.WaitGroup
+	// workspaceFailures are the recent failures by workspace.
+	workspaceFailures map[string]*failureCause
+	addresses         addresses
+	publishedLoad     publishedLoad
+	holdings          holdings
+	lastHalls         knownHalls
+	answers           answerTimes
+	background        sync.WaitGroup
 }
 
 // trackedJob is a job that the scheduler tracks.
@@ -149,7 +151,9 @@
 	lostTogether  map[job.ID]bool                // Up to maxLostTogether jobs whose runs were lost together with this job's.
 	presumedEnded map[runOnIncarnation]time.Time // When runs were presumed ended without a report from their worker.
 	urgentStops   urgentStops
-	savedCounted  int64 // Memory of the saved states, as counted for the workspace.
+	failureCause
+	crashLoops   crashLoops
+	savedCounted int64 // Memory of the saved states, as counted for the workspace.
 	// Number of orphaned runs of each task. A task is not started while it has any.
 	orphans map[job.Task]int
 }
--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -26,7 +26,7 @@
 	for _, w := range h.sortedWorkers {
 		shown := w.view(now)
 		shown.HallClosed = !halls.isOpen(w.Hall, now)
-		shown.AcceptsRuns = shown.AcceptsRuns && !shown.HallClosed
+		shown.AcceptsRuns, shown.Quarantined = shown.AcceptsRuns && !shown.HallClosed, shown.Quarantined && !shown.HallClosed
 		shown.JustStarted = w.recentlyPlacedJob(now)
 		if suspects { // Suspects are sought only if there may be any: the search takes half as long as the rest.
 			shown.SuspectJob = w.suspectJob()
@@ -69,9 +69,10 @@
 	if w.isSlow(now) {
 		slowness = max(slowness, slowFactor)
 	}
+	usable, quarantined := w.usable(now), w.failureScore.quarantined(now) || w.stalled
 	return placement.Worker{
 		ID: w.ID, Service: w.Service, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.Capacity.Sub(w.used), Freeing: w.freeing,
-		AcceptsRuns: w.usable(now) && !w.failureScore.quarantined(now) && !w.stalled, FailureScore: w.failureScore.level(now), Slowness: slowness,
+		AcceptsRuns: usable && !quarantined, Quarantined: usable && quarantined, FailureScore: w.failureScore.level(now), Slowness: slowness,
 		TimeFactor: w.speed.timeFactor, TimeFactorHigh: w.speed.timeFactorHigh,
 	}
 }
@@ -112,7 +113,7 @@
 	heldTasks := 0
 	for i := range tasks {
 		switch {
-		case tasks[i].State == job.Waiting && h.isHeld(j, j.TaskInGroup(g, i)):
+		case tasks[i].State == job.Waiting && (h.isHeld(j, j.TaskInGroup(g, i)) || j.crashLoops.isPaused(j.TaskInGroup(g, i), r, now)):
 			heldTasks++
 		case tasks[i].State == job.Waiting:
 			d.Waiting = append(d.Waiting, i)
