internal/job, internal/scheduler: a gang that lasts is started again when its runs end as done

Cause: EndRun looked at whether a step is a gang before it looked at whether it lasts, so that the first member that ended as done finished all of them.

Change: a run of a step that lasts never finishes its task. The other members are stopped unless they have ended, and the gang starts again once all of its runs have ended.

--- a/internal/emulator/waits.go
+++ b/internal/emulator/waits.go
@@ -103,14 +103,16 @@
 	return maxWait
 }
 
-// lastingTasks lists the tasks of a job that last. The caller holds the lock.
+// lastingTasks lists the tasks of a job that last, of the first occurrence and without those that wait for other steps.
+// The caller holds the lock.
 func (f *Fleet) lastingTasks(id job.ID) (tasks []job.Task) {
 	r := f.jobs[id]
 	for s := range r.Steps {
+		if !r.Steps[s].Lasting || len(r.Steps[s].After) > 0 {
+			continue
+		}
 		for i := range r.Steps[s].Count {
-			if r.Steps[s].Lasting {
-				tasks = append(tasks, job.Task{Job: id, Step: s, Index: i})
-			}
+			tasks = append(tasks, job.Task{Job: id, Step: s, Index: i})
 		}
 	}
 	return tasks
--- a/internal/job/tracker.go
+++ b/internal/job/tracker.go
@@ -233,9 +233,11 @@
 	g := Group{t.Occurrence, t.Step}
 	gang := l.Request.Steps[t.Step].Gang
 	switch {
+	case outcome == Succeeded && l.Request.Steps[t.Step].Lasting:
+		p.State = Waiting
 	case outcome == Succeeded && gang:
 		l.finishGang(g)
-	case outcome == Succeeded && !l.Request.Steps[t.Step].Lasting:
+	case outcome == Succeeded:
 		l.finish(p)
 	case outcome == FailedRun:
 		p.State = Waiting
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -216,6 +216,15 @@
 // The scripts check that gangs of other workspaces start at once, and that the failing tasks are started again.
 func TestFailingJobs(t *testing.T) { playScripts(t, "failing") }
 
+// TestLastingTasks plays the scripts of testdata/lasting in the same way. It guards against tasks that should run until
+// their job is cancelled and are not started again: once a member of a gang had ended as done, all of them counted as
+// finished, and the job was shown as completed:
+//
+//	scheduler: job ended job=g state=completed
+//
+// The scripts check that such tasks are started again however their runs end and whichever box schedules.
+func TestLastingTasks(t *testing.T) { playScripts(t, "lasting") }
+
 func playScripts(t *testing.T, folder string) {
 	files, err := filepath.Glob(filepath.Join("testdata", folder, "*.txt"))
 	quicktest.Assert(t, err, quicktest.IsNil)
--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -231,9 +231,9 @@
 	h.holdings.addSaved(j)
 	h.markDirty(j.Request.ID)
 	h.Figures.Count("runs_" + strings.ReplaceAll(outcome.String(), " ", "_"))
-	if outcome != job.Succeeded {
+	if lasting := j.Request.Steps[g.Step].Lasting; outcome != job.Succeeded || lasting {
 		h.logEnd(w, r, outcome)
-		h.stopGang(r, "another member ended")
+		h.stopGang(r, "another member ended") // A gang that lasts starts again once all of its runs have ended.
 	}
 	j.recordRestart(r, outcome, time.Now())
 	h.recordOutcome(w, r, outcome)
