internal/scheduler: runs that last teach no run times

What callers saw: nothing yet. After a run that lasts had ended as done within 20 ms, the jobs of its queue were expected to run that long, by which a usual run counts as late or stalled, and its worker looked fast.

Cause: recordOutcome learned from every success. Progress of runs that last was left out already.

Evidence: TestLastingRunsTeachNoRunTime fails without the change.

--- a/internal/scheduler/failure_score.go
+++ b/internal/scheduler/failure_score.go
@@ -99,7 +99,7 @@
 			w.failureScore = failureScore{}
 		}
 		w.recordHealthyRun(r)
-		if r.saved == "" && !r.adopted {
+		if r.saved == "" && !r.adopted && !r.job.Request.Steps[r.task.Step].Lasting {
 			if !r.usedForEstimate && !r.remote {
 				h.estimates.addRun(r.job.Request, r.task.Step, scale(now.Sub(r.placed), 1/r.endFactor()))
 			}
