internal/scheduler: ends of tasks that last keep the waiting time of the others in their group

What callers saw: nothing yet. With one task that fails all the time, the others of its step never wait long enough to start away from their data or on workers that are to be avoided.

Cause: each end of a run set back the waiting time of its group.

Change: a group that lasts keeps its waiting time while others of its tasks wait and are not paused.

Evidence: TestEndsOfLastingTasksKeepOthersWaitingTime fails without the change, with each of four outcomes.

--- a/internal/scheduler/run.go
+++ b/internal/scheduler/run.go
@@ -244,8 +244,9 @@
 	if outcome == job.FailedRun || outcome == job.NeverRan {
 		j.recordFailure(g, w.ID, outcome == job.FailedRun)
 	}
-	// If the run never began, its group keeps its waiting time: guaranteed work must start within a time limit.
-	if outcome != job.NeverRan {
+	// If the run never began, its group keeps its waiting time: guaranteed work must start within a time limit. So does one
+	// with other tasks that wait until tasks that last have room: ends of its tasks never cease.
+	if outcome != job.NeverRan && !j.othersWait(g) {
 		delete(j.readySince, g)
 	}
 	if j.Progress.State != before && j.Progress.State.Final() {
