--- a/internal/emulator/waits.go
+++ b/internal/emulator/waits.go
@@ -90,11 +90,19 @@
 		f.checker.idleSince[x] = since
 		if !f.checker.reported[x] && time.Since(since) > x.longestWait() {
 			f.checker.reported[x] = true
-			f.checker.verdict.LongWaits = append(f.checker.verdict.LongWaits, fmt.Sprintf("%s (%s) has nothing running for %s, though it could", x.id, x.task, time.Since(since)))
+			f.checker.verdict.LongWaits = append(f.checker.verdict.LongWaits, fmt.Sprintf("%s has nothing running for %s, though it could", x, time.Since(since)))
 		}
 	}
 }
 
+// String returns the name of the job or task.
+func (x waiter) String() string {
+	if x.task != (job.Task{}) {
+		return x.task.String()
+	}
+	return string(x.id)
+}
+
 // longestWait returns how long a job, or a task that lasts, may have nothing running.
 func (x *waiter) longestWait() time.Duration {
 	if x.task != (job.Task{}) {
