internal/ledger: a request that the store refuses for its size is refused at once

What callers saw: nothing yet. Where the store takes smaller rows than the settings say, a submission was tried again for 1.2 s in three parts, as in an outage, and answered as if the store were down.

Cause: a refusal for size was a refusal like any other.

Evidence: TestTooLargeRequestIsRefusedAtOnce fails without the change for the usual limit of rows.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -82,6 +82,9 @@
 	if isOutcomeUnknown(err) {
 		return l.checkSubmitted(ctx, part, r, err)
 	}
+	if errors.Is(err, store.ErrInvalid) {
+		return false, ErrTooLarge
+	}
 	if !errors.As(err, &conflict) {
 		return errors.Is(err, store.ErrRefused), err
 	}
--- a/internal/ledger/overflow_test.go
+++ b/internal/ledger/overflow_test.go
@@ -165,3 +165,19 @@
 	}
 	return load
 }
+
+// TestTooLargeRequestIsRefusedAtOnce fails if a request that the store refuses for its size is tried again, as if the
+// store were down: its caller would wait and then be told to come back.
+func TestTooLargeRequestIsRefusedAtOnce(t *testing.T) {
+	for _, rowBytes := range []int{0, 65536, 300} {
+		synctest.Test(t, func(t *testing.T) {
+			rows := emulator.NewStore(1)
+			rows.SetRowBytes(300)
+			l := &ledger.Ledger{Store: rows.For("box-1", &emulator.Gate{}), Shard: "main", RowBytes: rowBytes}
+			began := time.Now()
+			err := l.Submit(context.Background(), &job.Request{ID: "a", Payload: strings.Repeat("p", 400), Steps: []job.Step{{Count: 1}}})
+			quicktest.Check(t, err, quicktest.ErrorIs, ledger.ErrTooLarge)
+			quicktest.Check(t, time.Since(began) < 20*time.Millisecond, quicktest.IsTrue)
+		})
+	}
+}
