--- a/internal/scheduler/lasting_test.go
+++ b/internal/scheduler/lasting_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -38,3 +39,28 @@
 		quicktest.Check(t, j.Progress.State, quicktest.Equals, job.Running)
 	})
 }
+
+// TestOtherMembersOfLastingGangAreStopped fails if the other members of a gang that lasts may run on after one of them has
+// ended: the gang starts again only once all have.
+func TestOtherMembersOfLastingGangAreStopped(t *testing.T) {
+	for _, outcome := range []job.Outcome{job.Succeeded, job.FailedRun, job.Expired} {
+		h := offlineShard()
+		r := request("a", time.Second)
+		r.Steps[0].Count, r.Steps[0].Lasting, r.Steps[0].Gang = 3, true, true
+		h.addJob(r, nil)
+		j, workers := h.jobs["a"], map[int]incarnation.ID{}
+		for i := range 3 {
+			workers[i] = incarnation.ID{Worker: fmt.Sprint("w", i)}
+			h.workers[workers[i].Worker] = workerOf(&fleet.Worker{ID: workers[i].Worker, Service: "s"})
+		}
+		for _, o := range j.Place(job.Group{}, workers) {
+			h.addRun(h.workers[o.Worker.Worker], &run{incarnation: o.Worker, task: o.Task, number: o.Run, job: j, placed: time.Now(), confirmed: time.Now()})
+		}
+		h.endRun(h.workers["w1"], h.workers["w1"].runs[job.Task{Job: "a", Index: 1}], outcome, "")
+		for _, i := range []int{0, 2} {
+			m := h.workers[fmt.Sprint("w", i)].runs[job.Task{Job: "a", Index: i}]
+			quicktest.Check(t, m.stopping, quicktest.IsTrue, quicktest.Commentf("member %d after %s", i, outcome))
+		}
+		quicktest.Check(t, j.Ready(1), quicktest.HasLen, 0)
+	}
+}
--- a/internal/scheduler/refused_batch_test.go
+++ b/internal/scheduler/refused_batch_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/pulleyring/pulleyring/internal/incarnation"
 	"github.com/pulleyring/pulleyring/internal/job"
 	"github.com/pulleyring/pulleyring/internal/ledger"
 	"github.com/pulleyring/pulleyring/internal/store"
@@ -99,6 +101,38 @@
 	}
 }
 
+// TestBatchesAreLimitedInBytes fails if a batch holds more progress than a transaction of the store takes, or if a job is
+// left out of all batches because of its size.
+func TestBatchesAreLimitedInBytes(t *testing.T) {
+	for _, c := range []struct{ jobs, tasks, saved, name int }{{40, 300, 400, 10}, {5, job.MaxTasks, 100, 190}, {200, 20, 16, 36}, {300, 1, 4000, 190}} {
+		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
+			h := offlineShard()
+			for n := range c.jobs {
+				r := request(fmt.Sprint("j", n), time.Second)
+				r.Steps[0].Count = c.tasks
+				h.addJob(r, nil)
+				for i := range c.tasks {
+					h.jobs[r.ID].Progress.Tasks[i] = job.TaskProgress{
+						State: job.Placed, Run: 1, Saved: strings.Repeat("s", c.saved), Worker: incarnation.ID{Worker: fmt.Sprintf("%0*d", c.name, i), Born: 1792504406446},
+					}
+				}
+				h.markDirty(r.ID)
+			}
+			written := map[job.ID]bool{}
+			for f := h.prepare(false); f != nil; f = h.prepare(false) {
+				size, rows := 0, 0
+				for id, p := range f.batch.Progress {
+					bytes, needed, _ := h.Ledger.Measure(p)
+					size, rows = size+bytes, rows+needed
+					written[id] = true
+				}
+				quicktest.Assert(t, len(f.batch.Progress) == 1 || size <= ledger.MaxBatchBytes && rows <= ledger.MaxBatchRows, quicktest.IsTrue, quicktest.Commentf("%d jobs, %d bytes, %d rows", len(f.batch.Progress), size, rows))
+			}
+			quicktest.Check(t, written, quicktest.HasLen, c.jobs)
+		})
+	}
+}
+
 // TestSavedStatesAreCounted fails if a job's saved states take memory that is not counted for its workspace, or if it
 // stays counted when the tasks or the job end.
 func TestSavedStatesAreCounted(t *testing.T) {
