internal/job, internal/scheduler: guarantees go by what a job can have in use at one time

A workspace with one job of two overlapping times kept twice its guarantee from the owner of the rest.

Cause: a job counted with the sum of its steps, also of those that wait for each other, and once for all of its times.

--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -112,16 +112,6 @@
 	return n
 }
 
-// PeakAccelerators returns the largest number of accelerators that the job can use at once if all its steps run
-// together.
-func (r *Request) PeakAccelerators() int64 {
-	sum := int64(0)
-	for i := range r.Steps {
-		sum += int64(r.Steps[i].Count) * r.Steps[i].Each.Accelerators
-	}
-	return sum
-}
-
 // Due returns the Unix time in milliseconds from which an occurrence may start.
 func (r *Request) Due(occurrence int) int64 {
 	if r.Schedule.Times == 0 {
--- a/internal/job/tracker.go
+++ b/internal/job/tracker.go
@@ -9,7 +9,8 @@
 	stepOffsets        []int // Index of each step's first task within an occurrence.
 	tasksPerOccurrence int
 	failures           failureCounter
-	savedBytes         int // Size of all saved states.
+	savedBytes         int   // Size of all saved states.
+	unfinished         []int // By step of each occurrence: number of tasks that are not finished.
 }
 
 // MaxSavedBytes limits the saved states of a job. Beyond it, tasks keep the ones that they have.
@@ -31,13 +32,28 @@
 			l.savedBytes += len(l.Progress.Tasks[i].Saved)
 		}
 		l.loadFailures()
+		l.countUnfinished()
 		return l
 	}
 	l.Progress.Tasks = make([]TaskProgress, l.tasksPerOccurrence*r.Occurrences())
 	l.Progress.GangRuns = make([]int, len(r.Steps)*r.Occurrences())
+	l.countUnfinished()
 	return l
 }
 
+func (l *Tracker) countUnfinished() {
+	l.unfinished = make([]int, len(l.Request.Steps)*l.Request.Occurrences())
+	for k := range l.Request.Occurrences() {
+		for s := range l.Request.Steps {
+			for _, t := range l.Tasks(Group{k, s}) {
+				if t.State != Finished {
+					l.unfinished[k*len(l.Request.Steps)+s]++
+				}
+			}
+		}
+	}
+}
+
 // Group identifies the tasks of one step in one occurrence.
 type Group struct {
 	Occurrence, Step int
@@ -100,7 +116,7 @@
 	}
 	var groups []Group
 	for k := range l.Request.Occurrences() {
-		if l.Request.Schedule.Times > 0 && l.Request.Due(k) > nowMS {
+		if !l.Request.IsDue(k, nowMS) {
 			break
 		}
 		for s := range l.Request.Steps {
@@ -213,8 +229,11 @@
 	p.Saved = saved
 }
 
-// finish marks a task as finished. It needs its saved state no longer.
-func (l *Tracker) finish(p *TaskProgress) {
+// finish marks a task of a group as finished. It needs its saved state no longer.
+func (l *Tracker) finish(g Group, p *TaskProgress) {
+	if p.State != Finished {
+		l.unfinished[g.Occurrence*len(l.Request.Steps)+g.Step]--
+	}
 	p.State = Finished
 	l.setSavedState(p, "")
 }
@@ -238,7 +257,7 @@
 	case outcome == Succeeded && gang:
 		l.finishGang(g)
 	case outcome == Succeeded:
-		l.finish(p)
+		l.finish(g, p)
 	case outcome == FailedRun:
 		p.State = Waiting
 		l.countFailure(t, run)
@@ -278,7 +297,7 @@
 		tasks = tasks[index : index+1]
 	}
 	for i := range tasks {
-		l.finish(&tasks[i])
+		l.finish(g, &tasks[i])
 		tasks[i].Run = run
 	}
 }
@@ -287,7 +306,7 @@
 func (l *Tracker) finishGang(g Group) {
 	tasks := l.Tasks(g)
 	for i := range tasks {
-		l.finish(&tasks[i])
+		l.finish(g, &tasks[i])
 	}
 }
 
--- a/internal/node/script_test.go
+++ b/internal/node/script_test.go
@@ -225,6 +225,15 @@
 // The scripts check that such tasks are started again however their runs end and whichever box schedules.
 func TestLastingTasks(t *testing.T) { playScripts(t, "lasting") }
 
+// TestGuaranteesComeBack plays the scripts of testdata/guarantees in the same way. It guards against a guarantee that is
+// not given back because a job was taken to need all of its steps at one time, or one of its times only: no work was
+// stopped for a job of two steps in turn, and all work of a job with overlapping times was spared:
+//
+//	scheduler: waiting job=c waited=40s tasks=2 suitable_workers=8 fit_now=0
+//
+// The scripts check that such jobs begin within the limit beside work that never ends.
+func TestGuaranteesComeBack(t *testing.T) { playScripts(t, "guarantees") }
+
 func playScripts(t *testing.T, folder string) {
 	files, err := filepath.Glob(filepath.Join("testdata", folder, "*.txt"))
 	quicktest.Assert(t, err, quicktest.IsNil)
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -147,7 +147,7 @@
 	readySince map[job.Group]time.Time // When a group became ready to start.
 	// Names of workers to avoid for a group: true after a failed run, false if the run there never began.
 	avoidWorkers  map[job.Group]map[string]bool
-	guaranteed    bool                           // The last decision counted it within its workspace's guarantee.
+	guaranteed    []int                          // Occurrences that the last decision counted within the workspace's guarantee.
 	lostTogether  map[job.ID]bool                // Up to maxLostTogether jobs whose runs were lost together with this job's.
 	presumedEnded map[runOnIncarnation]time.Time // When runs were presumed ended without a report from their worker.
 	urgentStops   urgentStops
--- a/internal/scheduler/view.go
+++ b/internal/scheduler/view.go
@@ -18,7 +18,7 @@
 	v.Now, v.Policy, v.MaxStarts = now, h.Bounds.Policy, maxStartsPerDecision
 	v.Policy.TightFactor = h.tightFactor()
 	suspects := h.reassessLosses()
-	h.markGuaranteed()
+	h.markGuaranteed(now)
 	h.updateSortedWorkers()
 	v.Workers, v.Allocations, v.Demands = v.Workers[:0], v.Allocations[:0], v.Demands[:0]
 	halls := h.updateHalls(now)
@@ -103,7 +103,7 @@
 	r := j.Request
 	d := placement.Demand{
 		Job: r.ID, Group: g, Workspace: r.Terms.Workspace, Service: r.Terms.Service, Priority: r.Terms.Priority,
-		Step: &r.Steps[g.Step], ReadySince: since, Remaining: h.estimates.chainTime(r, g.Step), TaskTime: h.estimates.taskTime(r, g.Step), Guaranteed: j.guaranteed,
+		Step: &r.Steps[g.Step], ReadySince: since, Remaining: h.estimates.chainTime(r, g.Step), TaskTime: h.estimates.taskTime(r, g.Step), Guaranteed: j.isGuaranteed(g.Occurrence),
 		Avoid: j.avoidWorkers[g], AntiAffinity: j.lostTogether, Work: h.remainingWork(j, g),
 	}
 	if d.Step.MostPerWorker > 0 {
@@ -173,8 +173,9 @@
 	return sum
 }
 
-// markGuaranteed marks the jobs of priority 0 that fit in their workspace's guarantee. The oldest jobs take precedence.
-func (h *shard) markGuaranteed() {
+// markGuaranteed marks the occurrences of jobs of priority 0 that fit in their workspace's guarantee, by what each can use
+// at one time. Those of the oldest jobs take precedence.
+func (h *shard) markGuaranteed(now time.Time) {
 	left := map[string]int64{}
 	if c := h.Configuration(); c != nil {
 		for i := range c.Workspaces {
@@ -183,7 +184,7 @@
 	}
 	var urgent []*trackedJob
 	for _, j := range h.jobs {
-		j.guaranteed = false
+		j.guaranteed = j.guaranteed[:0]
 		if j.Request.Terms.Priority == 0 && !j.Progress.State.Final() {
 			urgent = append(urgent, j)
 		}
@@ -192,10 +193,25 @@
 		return cmp.Or(cmp.Compare(x.Request.Accepted, y.Request.Accepted), cmp.Compare(x.Request.ID, y.Request.ID))
 	})
 	for _, j := range urgent {
-		need := j.Request.PeakAccelerators()
-		if need <= left[j.Request.Terms.Workspace] {
-			left[j.Request.Terms.Workspace] -= need
-			j.guaranteed = true
+		j.markGuaranteed(left, now.UnixMilli())
+	}
+}
+
+// markGuaranteed marks the unfinished occurrences that are due and fit in what is left of each workspace's guarantee.
+func (j *trackedJob) markGuaranteed(left map[string]int64, nowMS int64) {
+	workspace := j.Request.Terms.Workspace
+	for k := range j.Request.Occurrences() {
+		if !j.Request.IsDue(k, nowMS) {
+			return
+		}
+		if need := j.PeakAccelerators(k); !j.OccurrenceDone(k) && need <= left[workspace] {
+			left[workspace] -= need
+			j.guaranteed = append(j.guaranteed, k)
 		}
 	}
 }
+
+// isGuaranteed reports whether an occurrence was marked as guaranteed.
+func (j *trackedJob) isGuaranteed(occurrence int) bool {
+	return slices.Contains(j.guaranteed, occurrence)
+}
