internal/scheduler: refused batches are halved in order, and their limit no longer overflows

What callers would have seen: after the store refuses a batch for its size, no progress of any job was committed for up to 5 s once 62 narrowed batches had been accepted, as the limit of jobs doubles with each and overflowed; and with three refused jobs among 100 the others took more than 60 commits at times.

Cause: no upper bound; halves were drawn from all changed jobs each time, so that the refused ones came together again.

Change: the limit stops at the rows of a batch, and narrowed batches take the changed jobs in order. A clearer comparison in failureCause, same meaning.

--- a/internal/scheduler/commit.go
+++ b/internal/scheduler/commit.go
@@ -135,13 +135,7 @@
 	if b.Load != nil {
 		rows = loadRows
 	}
-	for id := range h.dirtyJobs {
-		if h.refusedBatch.leavesOut(id, time.Now()) {
-			continue
-		}
-		if f.narrowed && len(b.Progress) >= h.refusedBatch.maxJobs {
-			return
-		}
+	for _, id := range h.jobsToCommit(f.narrowed) {
 		p := &h.jobs[id].Progress
 		bytes, needed, overflow := h.Ledger.Measure(p)
 		if len(b.Progress) > 0 && (rows+needed > ledger.MaxBatchRows || size+bytes > ledger.MaxBatchBytes) {
--- a/internal/scheduler/failure_cause.go
+++ b/internal/scheduler/failure_cause.go
@@ -36,18 +36,14 @@
 	}
 }
 
-// failsOnAtLeast reports whether runs have failed on that many workers, and on too many for a chance.
-func (c *failureCause) failsOnAtLeast(workers int) bool {
-	return len(c.failedOn) >= max(minFailedWorkers, workers)
-}
-
 // blamesWorker records a failed or stalled run and reports whether it counts against its worker. It does not if the job
 // or its workspace causes its failures; what these have added to the scores of workers before is then withdrawn.
 func (h *shard) blamesWorker(w *workerState, r *run, now time.Time) bool {
 	c := &r.job.failureCause
 	before := c.ownFault
 	c.recordFailed(w.ID, now)
-	c.ownFault = c.failsOnAtLeast(r.job.countOthers(c)) || r.job.crashLoops.isLooping(r.task, r.job.Request)
+	failsWidely := len(c.failedOn) >= max(minFailedWorkers, r.job.countOthers(c))
+	c.ownFault = failsWidely || r.job.crashLoops.isLooping(r.task, r.job.Request)
 	if c.ownFault && !before {
 		h.Log.Info("scheduler: a job fails wherever it runs; its failures no longer count against workers", zap.String("job", string(r.job.Request.ID)),
 			zap.String("workspace", r.job.Request.Terms.Workspace), zap.Int("workers", len(c.failedOn)))
@@ -69,7 +65,7 @@
 	}
 	before := c.ownFault
 	c.recordFailed(w.ID, now)
-	c.ownFault = c.failsOnAtLeast(0) && c.failsOnAtLeast(h.countWorkers(w.Service)/2+1)
+	c.ownFault = len(c.failedOn) >= minFailedWorkers && len(c.failedOn) > h.countWorkers(w.Service)/2
 	if c.ownFault && !before {
 		h.Log.Info("scheduler: the jobs of a workspace fail wherever they run; their failures no longer count against workers", zap.String("workspace", workspace), zap.Int("workers", len(c.failedOn)))
 		h.withdrawScores(func(p *scorePart) bool { return p.workspace == workspace })
--- a/internal/scheduler/refused_batch.go
+++ b/internal/scheduler/refused_batch.go
@@ -1,9 +1,11 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pulleyring/pulleyring/internal/job"
+	"github.com/pulleyring/pulleyring/internal/ledger"
 	"go.uber.org/zap"
 )
 
@@ -28,8 +30,8 @@
 // leavesOut reports whether a job is left out of batches.
 func (b *refusedBatch) leavesOut(id job.ID, now time.Time) bool { return now.Before(b.paused[id]) }
 
-// recordRefusedBatch records that the store refused a batch: the next one holds only progress, then half of the jobs, and a job that
-// is refused alone is left out.
+// recordRefusedBatch records that the store refused a batch for its size. The next one holds only progress, and each
+// further one half of the jobs of the one before. A job that is refused alone is left out.
 func (h *shard) recordRefusedBatch(f *pendingCommit, now time.Time) {
 	b, jobs := &h.refusedBatch, len(f.batch.Progress)
 	h.Figures.Count("batches_refused")
@@ -53,13 +55,29 @@
 // recordAcceptedBatch lets the next batches of progress be larger again.
 func (h *shard) recordAcceptedBatch(f *pendingCommit) {
 	if f.narrowed {
-		h.refusedBatch.maxJobs *= 2
+		h.refusedBatch.maxJobs = min(2*h.refusedBatch.maxJobs, ledger.MaxBatchRows)
 	}
 	for id := range f.batch.Progress {
 		delete(h.refusedBatch.paused, id)
 	}
 }
 
+// jobsToCommit returns the jobs with changed progress from which a batch is filled. For a narrowed batch it returns the
+// first of them in order, so that halving their number finds those that are refused.
+func (h *shard) jobsToCommit(narrowed bool) []job.ID {
+	now, ids := time.Now(), make([]job.ID, 0, len(h.dirtyJobs))
+	for id := range h.dirtyJobs {
+		if !h.refusedBatch.leavesOut(id, now) {
+			ids = append(ids, id)
+		}
+	}
+	if narrowed {
+		slices.Sort(ids)
+		ids = ids[:min(len(ids), h.refusedBatch.maxJobs)]
+	}
+	return ids
+}
+
 // countCommittable returns the number of jobs with changed progress that batches do not leave out.
 func (h *shard) countCommittable(now time.Time) int {
 	if len(h.refusedBatch.paused) == 0 {
--- a/internal/scheduler/refused_batch_test.go
+++ b/internal/scheduler/refused_batch_test.go
@@ -85,6 +85,21 @@
 				for id := range h.jobs {
 					quicktest.Check(t, stored[id] != nil, quicktest.Equals, !slices.Contains(refused, string(id)), quicktest.Commentf("%s", id))
 				}
+				changed := map[job.ID]time.Time{}
+				for n := range 600 {
+					id := job.ID(fmt.Sprint("urgent", n%len(h.jobs)))
+					if h.markDirty(id); changed[id].IsZero() {
+						changed[id] = time.Now()
+					}
+					commitFor(50 * time.Millisecond)
+					for id, at := range changed {
+						if !h.dirtyJobs[id] {
+							delete(changed, id)
+							continue
+						}
+						quicktest.Assert(t, slices.Contains(refused, string(id)) || time.Since(at) < 2*time.Second, quicktest.IsTrue, quicktest.Commentf("%s: %s", id, time.Since(at)))
+					}
+				}
 				before := rows.calls
 				commitFor(60 * time.Second)
 				quicktest.Check(t, rows.calls-before < 1300, quicktest.IsTrue, quicktest.Commentf("%d calls", rows.calls-before))
