--- /dev/null
+++ b/review/standin-3/harness.go
@@ -0,0 +1,408 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pulleyring/pulleyring/internal/job"
+	"github.com/pulleyring/pulleyring/internal/rig"
+	"github.com/pulleyring/pulleyring/platform"
+	"github.com/pulleyring/pulleyring/platform/standin"
+)
+
+const (
+	program   = "target/pulleyring"
+	host      = "queue.example"
+	deskKey   = "desk-key"
+	heartbeat = 1500 * time.Millisecond
+	maxLease  = 10 * time.Second
+	// workerCores is the number of cores of a worker, with 256 MB each.
+	workerCores = 8
+)
+
+// The queues of the site, like those of a small deployment.
+const (
+	pull  = "/pull/"  // Priority 0.
+	trace = "/trace/" // Priority 1.
+	dump  = "/dump/"  // Priority 2.
+)
+
+// manifest returns the site's configuration. guaranteed is the number of accelerators of the only workspace.
+func manifest(version, guaranteed int) []byte {
+	route := func(name, prefix string, priority int, stretch float64, objectiveMs int) string {
+		return fmt.Sprintf(`{"name":%q,"host":%q,"pathPrefix":%q,"service":%q,"timeoutMs":3000,"priority":%d,"attempts":4,"stretch":%g,"objectiveMs":%d}`,
+			name, host, prefix, standin.Service, priority, stretch, objectiveMs)
+	}
+	return fmt.Appendf(nil, `{"configVersion":%d,"limits":{"maxBodyBytes":262144},"routes":[%s,%s,%s],"services":[{"name":%q,"admissionCheck":true}],"tenants":[{"name":"desk","apiKeys":[%q],"guaranteed":{"gpu":%d}}]}`,
+		version, route("pull", pull, 0, 1.5, 250), route("trace", trace, 1, 3, 1000), route("dump", dump, 2, 3, 3000), standin.Service, deskKey, guaranteed)
+}
+
+// process is a process that the harness started.
+type process struct {
+	name    string
+	command *exec.Cmd
+	in      io.WriteCloser
+	address string
+	ended   chan struct{}
+}
+
+func (p *process) send(line string) { _, _ = fmt.Fprintln(p.in, line) }
+
+func (p *process) signal(s syscall.Signal) { _ = p.command.Process.Signal(s) }
+
+// kill ends a process and waits for its end.
+func (p *process) kill() {
+	_ = p.command.Process.Kill()
+	<-p.ended
+	_ = p.in.Close()
+}
+
+// event is what a worker reported, at a time since the begin of the play.
+type event struct {
+	rig.Line
+	after time.Duration
+}
+
+// harness runs one play: a store, workers and boxes as processes, and the clients in this one.
+type harness struct {
+	dir    string // Temporary folder for settings and logs.
+	record *os.File
+	began  time.Time
+	client http.Client
+
+	mu        sync.Mutex
+	processes []*process
+	events    []event
+	holder    string // Box that took over last.
+}
+
+func newHarness(record string) (*harness, error) {
+	dir, err := os.MkdirTemp("", "review-3-")
+	if err != nil {
+		return nil, err
+	}
+	f, err := os.Create(record)
+	return &harness{dir: dir, record: f, began: time.Now()}, err
+}
+
+// note writes a line to the record.
+func (h *harness) note(format string, args ...any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	fmt.Fprintf(h.record, "%8.3f  %s\n", time.Since(h.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// close ends all processes and removes the temporary folder.
+func (h *harness) close() {
+	h.mu.Lock()
+	list := h.processes
+	h.mu.Unlock()
+	for i := len(list) - 1; i >= 0; i-- {
+		list[i].kill()
+	}
+	_ = h.record.Close()
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(h.dir)
+	}
+}
+
+// start starts a process of the program and passes its lines to handle.
+func (h *harness) start(name string, args []string, env string, handle func(text string)) (*process, error) {
+	p := &process{name: name, command: exec.Command(program, args...), ended: make(chan struct{})}
+	p.command.Env = append(os.Environ(), env)
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	log, err := os.OpenFile(filepath.Join(h.dir, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	p.command.Stderr = log
+	if p.in, err = p.command.StdinPipe(); err != nil {
+		return nil, err
+	}
+	out, err := p.command.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := p.command.Start(); err != nil {
+		return nil, err
+	}
+	h.mu.Lock()
+	h.processes = append(h.processes, p)
+	h.mu.Unlock()
+	go func() {
+		defer close(p.ended)
+		lines := bufio.NewScanner(out)
+		lines.Buffer(nil, 1<<20)
+		for lines.Scan() {
+			fmt.Fprintln(log, lines.Text())
+			handle(lines.Text())
+		}
+		_, _ = p.command.Process.Wait()
+	}()
+	return p, nil
+}
+
+// role starts one of the project's stand-ins and waits until it listens.
+func (h *harness) role(name string, r rig.Role, handle func(l rig.Line)) (*process, error) {
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return nil, err
+	}
+	address := make(chan string, 1)
+	p, err := h.start(name, []string{"rig", "role", string(raw)}, "", func(text string) {
+		var l rig.Line
+		if json.Unmarshal([]byte(text), &l) != nil {
+			return
+		}
+		if l.Event == "listening" {
+			address <- l.Address
+			return
+		}
+		handle(l)
+	})
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case p.address = <-address:
+		return p, nil
+	case <-time.After(20 * time.Second):
+		return nil, fmt.Errorf("%s did not start to listen", name)
+	}
+}
+
+// ignore drops the lines of a stand-in.
+func ignore(rig.Line) {}
+
+// worker starts a worker with slots of one core and 256 MB each. Its records go to the store.
+func (h *harness) worker(name string, slots int64, store *process) (*process, error) {
+	return h.workerBehind(name, slots, store, "")
+}
+
+// workerBehind starts a worker that is reached at an address; empty for its own.
+func (h *harness) workerBehind(name string, slots int64, store *process, address string) (*process, error) {
+	p, err := h.role(name, rig.Role{Kind: "worker", Worker: name, ID: name, Slots: slots, Lease: maxLease, Heartbeat: heartbeat}, func(l rig.Line) {
+		if l.Event == "record" || l.Event == "left" {
+			store.send("record " + l.ID + " " + string(l.Record))
+			return
+		}
+		h.mu.Lock()
+		h.events = append(h.events, event{l, l.At.Sub(h.began)})
+		h.mu.Unlock()
+		if l.Event == "began" || l.Event == "ended" {
+			h.note("%s: %s %s run %d %s", name, l.Event, l.Task, l.Run, l.Outcome)
+		}
+	})
+	if err == nil {
+		p.send("record " + cmp.Or(address, p.address))
+	}
+	return p, err
+}
+
+func freePort() (int, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return 0, err
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port, nil
+}
+
+// box is a box with its address for clients.
+type box struct {
+	*process
+	front, ready string
+	settings     string
+}
+
+func loopback(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
+
+// newBox writes the settings of a box.
+func (h *harness) newBox(name, store string) (*box, error) {
+	var ports [3]int
+	for i := range ports {
+		port, err := freePort()
+		if err != nil {
+			return nil, err
+		}
+		ports[i] = port
+	}
+	s := standin.Box{Name: name, Front: loopback(ports[0]), Ready: loopback(ports[1]), Relay: ports[2], Store: store, MaxLease: maxLease, StopTime: 900 * time.Millisecond, MemoryMB: 284}
+	b := &box{front: s.Front, ready: s.Ready, settings: filepath.Join(h.dir, name+".conf")}
+	return b, os.WriteFile(b.settings, s.Settings(), 0o600)
+}
+
+// run starts the process of a box.
+func (h *harness) run(name string, b *box) (err error) {
+	b.process, err = h.start(name, []string{"box"}, platform.EnvSettings+"="+b.settings, func(text string) {
+		var l struct {
+			Message string `json:"msg"`
+			Box     string `json:"box"`
+		}
+		if json.Unmarshal([]byte(text), &l) == nil && l.Message == "scheduler: took over" {
+			h.mu.Lock()
+			h.holder = l.Box
+			h.mu.Unlock()
+		}
+	})
+	return err
+}
+
+// waitReady waits until a box is ready and some box schedules.
+func (h *harness) waitReady(b *box) error {
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
+		h.mu.Lock()
+		scheduled := h.holder != ""
+		h.mu.Unlock()
+		if scheduled && standin.Ready(&h.client, b.ready) {
+			return nil
+		}
+	}
+	return fmt.Errorf("the box at %s did not become ready", b.front)
+}
+
+// configure writes the site's configuration to the store, as the operator does.
+func (h *harness) configure(store string, raw []byte) error {
+	body, err := json.Marshal(map[string]any{"expectedRev": []any{}, "remove": []any{}, "writes": []any{map[string]any{"table": "op", "part": "", "key": "config", "value": raw}}})
+	if err != nil {
+		return err
+	}
+	resp, err := h.client.Post("http://"+store+"/api/rows-tx", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("the store refused the configuration with %d", resp.StatusCode)
+	}
+	return nil
+}
+
+// answer is the answer to a client; Status is 0 if there was none.
+type answer struct {
+	Status int
+	State  string
+}
+
+// call makes one call of a client and records it.
+func (h *harness) call(b *box, method, path, key, body string) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), 3500*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+b.front+path, strings.NewReader(body))
+	if err != nil {
+		return answer{}
+	}
+	req.Host = host
+	req.Header.Set("Authorization", "Token "+key)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("X-Deadline-Remaining", "3000")
+	resp, err := h.client.Do(req)
+	if err != nil {
+		h.note("client: %s %s %s: no answer (%v)", method, path, body, err)
+		return answer{}
+	}
+	defer resp.Body.Close()
+	raw, _ := io.ReadAll(resp.Body)
+	var reply struct {
+		State string `json:"state"`
+	}
+	_ = json.Unmarshal(raw, &reply)
+	h.note("client: %s %s %s: %d %s", method, path, body, resp.StatusCode, raw)
+	return answer{resp.StatusCode, reply.State}
+}
+
+// submit submits a job until it is accepted, four times at most.
+func (h *harness) submit(b *box, path, body string) error {
+	for range 4 {
+		if a := h.call(b, http.MethodPost, path, deskKey, body); a.Status == http.StatusOK {
+			return nil
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	return fmt.Errorf("job %s was not accepted", path)
+}
+
+// spec returns the text that tells the stand-in of a worker what a task runs, as JSON text.
+func spec(work time.Duration, slots int64) string {
+	raw, _ := json.Marshal(standin.Payload{Work: work, Each: job.Resources{MilliCPU: 1000 * slots, MemoryMB: 256 * slots}})
+	quoted, _ := json.Marshal(string(raw))
+	return string(quoted)
+}
+
+// running returns the number of runs of a task at a time, and the worker of the last one that began before it.
+func (h *harness) running(task string, at time.Duration) (runs int, worker string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i := range h.events {
+		e := &h.events[i]
+		if e.Task != task || e.after > at {
+			continue
+		}
+		switch e.Event {
+		case "began":
+			runs++
+			worker = e.Worker
+		case "ended":
+			runs--
+		}
+	}
+	return runs, worker
+}
+
+// site is a running site.
+type site struct {
+	store   *process
+	workers map[string]*process
+	boxes   []*box
+}
+
+// site starts a store, workers of workerCores cores and boxes, and waits until all are ready.
+func (h *harness) site(workers, boxes int) (*site, error) {
+	s := &site{workers: map[string]*process{}}
+	var err error
+	if s.store, err = h.role("store", rig.Role{Kind: "store", Heartbeat: heartbeat}, ignore); err != nil {
+		return nil, err
+	}
+	if err := h.configure(s.store.address, manifest(2, 0)); err != nil {
+		return nil, err
+	}
+	for i := range workers {
+		name := fmt.Sprintf("w%d", i+1)
+		if s.workers[name], err = h.worker(name, workerCores, s.store); err != nil {
+			return nil, err
+		}
+	}
+	for i := range boxes {
+		name := fmt.Sprintf("box-%d", i+1)
+		b, err := h.newBox(name, s.store.address)
+		if err != nil {
+			return nil, err
+		}
+		if err := h.run(name, b); err != nil {
+			return nil, err
+		}
+		s.boxes = append(s.boxes, b)
+	}
+	for _, b := range s.boxes {
+		if err := h.waitReady(b); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(3 * time.Second) // The workers have written their records.
+	return s, nil
+}
