--- a/review/standin-3/harness.go
+++ b/review/standin-3/harness.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -123,7 +122,12 @@
 
 // start starts a process of the program and passes its lines to handle.
 func (h *harness) start(name string, args []string, env string, handle func(text string)) (*process, error) {
-	p := &process{name: name, command: exec.Command(program, args...), ended: make(chan struct{})}
+	return h.startCommand(name, exec.Command(program, args...), env, handle)
+}
+
+// startCommand starts a command as a process of the play.
+func (h *harness) startCommand(name string, command *exec.Cmd, env string, handle func(text string)) (*process, error) {
+	p := &process{name: name, command: command, ended: make(chan struct{})}
 	p.command.Env = append(os.Environ(), env)
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	log, err := os.OpenFile(filepath.Join(h.dir, name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
@@ -159,12 +163,22 @@
 
 // role starts one of the project's stand-ins and waits until it listens.
 func (h *harness) role(name string, r rig.Role, handle func(l rig.Line)) (*process, error) {
+	return h.standIn(name, roleCommand(r), handle)
+}
+
+// roleCommand returns the command that runs one of the project's stand-ins.
+func roleCommand(r rig.Role) *exec.Cmd {
 	raw, err := json.Marshal(r)
 	if err != nil {
-		return nil, err
+		panic(err) // A role holds only numbers and strings.
 	}
+	return exec.Command(program, "rig", "role", string(raw))
+}
+
+// standIn starts a stand-in and waits until it listens.
+func (h *harness) standIn(name string, command *exec.Cmd, handle func(l rig.Line)) (*process, error) {
 	address := make(chan string, 1)
-	p, err := h.start(name, []string{"rig", "role", string(raw)}, "", func(text string) {
+	p, err := h.startCommand(name, command, "", func(text string) {
 		var l rig.Line
 		if json.Unmarshal([]byte(text), &l) != nil {
 			return
@@ -189,14 +203,19 @@
 // ignore drops the lines of a stand-in.
 func ignore(rig.Line) {}
 
-// worker starts a worker with slots of one core and 256 MB each. Its records go to the store.
+// worker starts one of the project's workers with slots of one core and 256 MB each.
 func (h *harness) worker(name string, slots int64, store *process) (*process, error) {
-	return h.workerBehind(name, slots, store, "")
+	role := rig.Role{Kind: "worker", Worker: name, ID: name, Slots: slots, Lease: maxLease, Heartbeat: heartbeat}
+	p, err := h.workerProcess(name, roleCommand(role), store)
+	if err == nil {
+		p.send("record " + p.address)
+	}
+	return p, err
 }
 
-// workerBehind starts a worker that is reached at an address; empty for its own.
-func (h *harness) workerBehind(name string, slots int64, store *process, address string) (*process, error) {
-	p, err := h.role(name, rig.Role{Kind: "worker", Worker: name, ID: name, Slots: slots, Lease: maxLease, Heartbeat: heartbeat}, func(l rig.Line) {
+// workerProcess starts the process of a worker. Its records go to the store, its runs to the record of the play.
+func (h *harness) workerProcess(name string, command *exec.Cmd, store *process) (*process, error) {
+	return h.standIn(name, command, func(l rig.Line) {
 		if l.Event == "record" || l.Event == "left" {
 			store.send("record " + l.ID + " " + string(l.Record))
 			return
@@ -208,10 +227,6 @@
 			h.note("%s: %s %s run %d %s", name, l.Event, l.Task, l.Run, l.Outcome)
 		}
 	})
-	if err == nil {
-		p.send("record " + cmp.Or(address, p.address))
-	}
-	return p, err
 }
 
 func freePort() (int, error) {
@@ -371,9 +386,25 @@
 	boxes   []*box
 }
 
-// site starts a store, workers of workerCores cores and boxes, and waits until all are ready.
+// site starts a site with the project's workers, of workerCores cores each.
 func (h *harness) site(workers, boxes int) (*site, error) {
-	s := &site{workers: map[string]*process{}}
+	return h.siteOf(boxes, func(store *process) (map[string]*process, error) {
+		started := map[string]*process{}
+		for i := range workers {
+			name := fmt.Sprintf("w%d", i+1)
+			w, err := h.worker(name, workerCores, store)
+			if err != nil {
+				return nil, err
+			}
+			started[name] = w
+		}
+		return started, nil
+	})
+}
+
+// siteOf starts a store, the workers that startWorkers starts, and boxes, and waits until all are ready.
+func (h *harness) siteOf(boxes int, startWorkers func(store *process) (map[string]*process, error)) (*site, error) {
+	s := &site{}
 	var err error
 	if s.store, err = h.role("store", rig.Role{Kind: "store", Heartbeat: heartbeat}, ignore); err != nil {
 		return nil, err
@@ -381,11 +412,8 @@
 	if err := h.configure(s.store.address, manifest(2, 0)); err != nil {
 		return nil, err
 	}
-	for i := range workers {
-		name := fmt.Sprintf("w%d", i+1)
-		if s.workers[name], err = h.worker(name, workerCores, s.store); err != nil {
-			return nil, err
-		}
+	if s.workers, err = startWorkers(s.store); err != nil {
+		return nil, err
 	}
 	for i := range boxes {
 		name := fmt.Sprintf("box-%d", i+1)
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -6,17 +6,31 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
 )
 
 // cases are the cases by name. Each reports whether the rule was broken. trouble is false for the play without the
 // disruption.
 var cases = map[string]func(h *harness, trouble bool) (broken bool, err error){
-	"lasting":  lasting,
-	"pending":  pending,
-	"takeover": takeover,
+	"flap":       flap,
+	"lasting":    lasting,
+	"pending":    pending,
+	"quarantine": quarantine,
+	"takeover":   takeover,
 }
 
 func main() {
+	if len(os.Args) == 5 && os.Args[1] == "worker" {
+		slots, err := strconv.ParseInt(os.Args[4], 10, 64)
+		if err == nil {
+			err = runWorker(os.Args[2], os.Args[3], slots)
+		}
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(2)
+		}
+		return
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE FOLDER")
 		os.Exit(2)
