--- a/review/standin-3/harness.go
+++ b/review/standin-3/harness.go
@@ -5,8 +5,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -41,14 +43,24 @@
 	dump  = "/dump/"  // Priority 2.
 )
 
-// manifest returns the site's configuration. guaranteed is the number of accelerators of the only workspace.
-func manifest(version, guaranteed int) []byte {
+// tenant is a workspace with its key and the accelerators that it owns.
+type tenant struct {
+	name, key  string
+	guaranteed int
+}
+
+// manifest returns the site's configuration.
+func manifest(version int, tenants ...tenant) []byte {
 	route := func(name, prefix string, priority int, stretch float64, objectiveMs int) string {
 		return fmt.Sprintf(`{"name":%q,"host":%q,"pathPrefix":%q,"service":%q,"timeoutMs":3000,"priority":%d,"attempts":4,"stretch":%g,"objectiveMs":%d}`,
 			name, host, prefix, standin.Service, priority, stretch, objectiveMs)
 	}
-	return fmt.Appendf(nil, `{"configVersion":%d,"limits":{"maxBodyBytes":262144},"routes":[%s,%s,%s],"services":[{"name":%q,"admissionCheck":true}],"tenants":[{"name":"desk","apiKeys":[%q],"guaranteed":{"gpu":%d}}]}`,
-		version, route("pull", pull, 0, 1.5, 250), route("trace", trace, 1, 3, 1000), route("dump", dump, 2, 3, 3000), standin.Service, deskKey, guaranteed)
+	var list []string
+	for _, t := range tenants {
+		list = append(list, fmt.Sprintf(`{"name":%q,"apiKeys":[%q],"guaranteed":{"gpu":%d}}`, t.name, t.key, t.guaranteed))
+	}
+	return fmt.Appendf(nil, `{"configVersion":%d,"limits":{"maxBodyBytes":262144},"routes":[%s,%s,%s],"services":[{"name":%q,"admissionCheck":true}],"tenants":[%s]}`,
+		version, route("pull", pull, 0, 1.5, 250), route("trace", trace, 1, 3, 1000), route("dump", dump, 2, 3, 3000), standin.Service, strings.Join(list, ","))
 }
 
 // process is a process that the harness started.
@@ -229,13 +241,19 @@
 	})
 }
 
+// firstPort and portCount are the range of the boxes' ports, below those that systems give to outgoing connections.
+const firstPort, portCount = 20000, 10000
+
+// freePort returns a port that was free a moment ago.
 func freePort() (int, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0, err
+	for range 100 {
+		port := firstPort + rand.IntN(portCount)
+		l, err := net.Listen("tcp", loopback(port))
+		if err == nil {
+			return port, l.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
+	return 0, errors.New("no free port")
 }
 
 // box is a box with its address for clients.
@@ -314,8 +332,13 @@
 	State  string
 }
 
-// call makes one call of a client and records it.
-func (h *harness) call(b *box, method, path, key, body string) answer {
+// call makes one call of a client of the desk and records it.
+func (h *harness) call(b *box, method, path, body string) answer {
+	return h.callAs(b, deskKey, method, path, body)
+}
+
+// callAs makes one call with a key and records it.
+func (h *harness) callAs(b *box, key, method, path, body string) answer {
 	ctx, cancel := context.WithTimeout(context.Background(), 3500*time.Millisecond)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+b.front+path, strings.NewReader(body))
@@ -341,10 +364,15 @@
 	return answer{resp.StatusCode, reply.State}
 }
 
-// submit submits a job until it is accepted, four times at most.
+// submit submits a job of the desk until it is accepted, four times at most.
 func (h *harness) submit(b *box, path, body string) error {
+	return h.submitAs(b, deskKey, path, body)
+}
+
+// submitAs submits a job with a key until it is accepted, four times at most.
+func (h *harness) submitAs(b *box, key, path, body string) error {
 	for range 4 {
-		if a := h.call(b, http.MethodPost, path, deskKey, body); a.Status == http.StatusOK {
+		if a := h.callAs(b, key, http.MethodPost, path, body); a.Status == http.StatusOK {
 			return nil
 		}
 		time.Sleep(500 * time.Millisecond)
@@ -409,7 +437,7 @@
 	if s.store, err = h.role("store", rig.Role{Kind: "store", Heartbeat: heartbeat}, ignore); err != nil {
 		return nil, err
 	}
-	if err := h.configure(s.store.address, manifest(2, 0)); err != nil {
+	if err := h.configure(s.store.address, manifest(2, tenant{"desk", deskKey, 0})); err != nil {
 		return nil, err
 	}
 	if s.workers, err = startWorkers(s.store); err != nil {
--- a/review/standin-3/lasting.go
+++ b/review/standin-3/lasting.go
@@ -56,8 +56,8 @@
 		h.lose(task, on)
 	}
 	time.Sleep(watchFor)
-	h.call(b, "GET", dump+lastingID, deskKey, "")
-	h.call(b, "GET", dump, deskKey, "")
+	h.call(b, "GET", dump+lastingID, "")
+	h.call(b, "GET", dump, "")
 	return h.waited(task, lost+max(calmAfter, startsWithin), time.Since(h.began)), nil
 }
 
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -12,16 +13,18 @@
 // cases are the cases by name. Each reports whether the rule was broken. trouble is false for the play without the
 // disruption.
 var cases = map[string]func(h *harness, trouble bool) (broken bool, err error){
+	"fragments":  fragments,
 	"lasting":    lasting,
 	"pending":    pending,
 	"quarantine": quarantine,
 }
 
 func main() {
-	if len(os.Args) == 5 && os.Args[1] == "worker" {
+	if len(os.Args) == 6 && os.Args[1] == "worker" {
 		slots, err := strconv.ParseInt(os.Args[4], 10, 64)
-		if err == nil {
-			err = runWorker(os.Args[2], os.Args[3], slots)
+		accelerators, otherErr := strconv.ParseInt(os.Args[5], 10, 64)
+		if err = errors.Join(err, otherErr); err == nil {
+			err = runWorker(os.Args[2], os.Args[3], slots, accelerators)
 		}
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
--- a/review/standin-3/pending.go
+++ b/review/standin-3/pending.go
@@ -71,7 +71,7 @@
 			h.note("box %d gives %d as pending; %d jobs have not begun, accepted %.1f s ago at the latest", i+1, shown, waiting, (time.Since(h.began) - accepted).Seconds())
 		}
 	}
-	h.call(s.boxes[0], http.MethodGet, fmt.Sprintf("%s%016x", pull, 0xa0), deskKey, "")
+	h.call(s.boxes[0], http.MethodGet, fmt.Sprintf("%s%016x", pull, 0xa0), "")
 	return broken, nil
 }
 
--- a/review/standin-3/quarantine.go
+++ b/review/standin-3/quarantine.go
@@ -23,7 +23,7 @@
 
 // runWorker serves a worker of a kind until its standard input ends. It prints the lines that the rig's workers print. Its
 // commands are "fail on" and "fail off": all that runs on it or starts there fails at once, or no longer.
-func runWorker(name, kind string, slots int64) error {
+func runWorker(name, kind string, slots, accelerators int64) error {
 	var mu sync.Mutex
 	out := json.NewEncoder(os.Stdout)
 	write := func(l rig.Line) {
@@ -54,7 +54,7 @@
 	}
 	w.Record = w.Fleet.Add(fleet.Worker{
 		ID: name, Service: standin.Service, Hall: standin.Hall, Labels: []string{kind, "rack"}, Address: listener.Addr().String(),
-		Capacity: job.Resources{MilliCPU: 1000 * slots, MemoryMB: 256 * slots},
+		Capacity: job.Resources{MilliCPU: 1000 * slots, MemoryMB: 256 * slots, Accelerators: accelerators},
 	})
 	go func() { _ = http.Serve(listener, w.Handler()) }() // It runs until the process ends.
 	write(rig.Line{Event: "listening", Address: listener.Addr().String()})
@@ -79,12 +79,12 @@
 }
 
 // kindWorker starts a worker of a kind.
-func (h *harness) kindWorker(name, kind string, slots int64, store *process) (*process, error) {
+func (h *harness) kindWorker(name, kind string, slots, accelerators int64, store *process) (*process, error) {
 	self, err := os.Executable()
 	if err != nil {
 		return nil, err
 	}
-	return h.workerProcess(name, exec.Command(self, "worker", name, kind, strconv.FormatInt(slots, 10)), store)
+	return h.workerProcess(name, exec.Command(self, "worker", name, kind, strconv.FormatInt(slots, 10), strconv.FormatInt(accelerators, 10)), store)
 }
 
 const (
@@ -104,7 +104,7 @@
 			if i < 2 {
 				kind = "large"
 			}
-			w, err := h.kindWorker(name, kind, workerCores, store)
+			w, err := h.kindWorker(name, kind, workerCores, 0, store)
 			if err != nil {
 				return nil, err
 			}
@@ -145,7 +145,7 @@
 	s.workers[other].send("fail off")
 	h.note("executor %s is sound", other)
 	time.Sleep(finish + end - time.Since(h.began))
-	h.call(b, http.MethodGet, trace+id, deskKey, "")
+	h.call(b, http.MethodGet, trace+id, "")
 	time.Sleep(waitsFor + 200*time.Millisecond)
 	broken := h.nothingRan(id, kindTasks, end+finish, time.Since(h.began))
 	time.Sleep(8 * time.Second) // Shows when the job runs again.
